--- /dev/null
+++ b/cmd/portgauge-lab/leaf.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/lab/leaf"
+	"github.com/portgauge/portgauge/internal/lab/sample"
+)
+
+// leafCommand runs a stand-in back end.
+type leafCommand struct {
+	ID                string         `help:"Identity of the leaf." required:""`
+	Address           string         `help:"IP number and port of the leaf protocol." default:"127.0.0.1:7500"`
+	Control           string         `help:"IP number and port of the control calls; empty for none."`
+	Dataset           sample.Dataset `help:"Sample index: ${enum}." enum:"tiles,invoices" default:"tiles"`
+	Seed              uint64         `help:"Seed of the sample index." default:"1"`
+	Records           int            `help:"Records of the sample index." default:"4000"`
+	Snapshots         []string       `help:"Versions held at the start." default:"v1"`
+	Slots             int            `help:"Attempts that run at once." default:"5"`
+	QueuePerSlot      int            `help:"Attempts that wait for each slot before the leaf sheds load." default:"8"`
+	MedianServiceTime time.Duration  `help:"Median of the log-normal service time." default:"2ms"`
+	ServiceSpread     float64        `help:"Sigma of the logarithm of the service time." default:"0.3"`
+	ColdTime          time.Duration  `help:"How long after its start the leaf is slower." default:"0s"`
+	ColdFactor        float64        `help:"How many times slower it is at first." default:"5"`
+}
+
+// Run serves until SIGTERM or SIGINT; attempts in flight are finished.
+func (c *leafCommand) Run() error {
+	config := leaf.Config{
+		ID: c.ID, Dataset: c.Dataset, Seed: c.Seed, Records: c.Records, Snapshots: c.Snapshots,
+		Slots: c.Slots, QueuePerSlot: c.QueuePerSlot, MedianServiceTime: c.MedianServiceTime, ServiceSpread: c.ServiceSpread,
+		ColdTime: c.ColdTime, ColdFactor: c.ColdFactor,
+	}
+	if err := config.Validate(); err != nil {
+		return err
+	}
+	served, err := leaf.New(config)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return served.Serve(ctx, c.Address, c.Control)
+}
--- /dev/null
+++ b/cmd/portgauge-lab/main.go
@@ -0,0 +1,42 @@
+// Command portgauge-lab is the model of what portgauge serves, and the experiments with it.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/portgauge/portgauge/internal/cli"
+)
+
+// commandLine is the tree of subcommands; each has a file of its own.
+type commandLine struct {
+	Leaf     leafCommand     `cmd:"" help:"Run a stand-in back end."`
+	Platform platformCommand `cmd:"" help:"Run a stand-in store and machine list."`
+	Sample   sampleCommand   `cmd:"" help:"Print a service or manifest over stand-in back ends."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(arguments []string) int {
+	var commands commandLine
+	parser, err := kong.New(&commands,
+		kong.Name("portgauge-lab"),
+		kong.Description("Stand-ins, replays, load and experiments for portgauge."),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		return cli.Fail(os.Stderr, err)
+	}
+	command, err := parser.Parse(arguments)
+	if err != nil {
+		parser.Errorf("%s", err)
+		return cli.ExitUsage
+	}
+	if err := command.Run(); err != nil {
+		return cli.Fail(os.Stderr, err)
+	}
+	return cli.ExitOK
+}
--- /dev/null
+++ b/cmd/portgauge-lab/platform.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/portgauge/portgauge/internal/lab/platform"
+)
+
+// platformCommand runs a stand-in store and machine list.
+type platformCommand struct {
+	Address        string  `help:"IP number and port of the platform's protocol." default:"127.0.0.1:7300"`
+	Control        string  `help:"IP number and port of the control calls; empty for none."`
+	CallsPerSecond float64 `help:"Calls a second that the store takes." default:"200"`
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *platformCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return platform.New(c.CallsPerSecond).Serve(ctx, c.Address, c.Control)
+}
--- /dev/null
+++ b/cmd/portgauge/main.go
@@ -0,0 +1,46 @@
+// Command portgauge is the query tier: its node, and the calls of operators and callers.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/portgauge/portgauge/internal/cli"
+)
+
+// commandLine is the tree of subcommands; each has a file of its own.
+type commandLine struct {
+	Node     nodeCommand     `cmd:"" help:"Run a node: serve searches and administration until told to stop."`
+	Service  serviceCommand  `cmd:"" help:"Create, change, show and watch services."`
+	Snapshot snapshotCommand `cmd:"" help:"Publish and list index snapshots."`
+	Search   searchCommand   `cmd:"" help:"Run one search and print its rows and coverage."`
+	Settings settingsCommand `cmd:"" help:"Check a settings file, or show all settings."`
+	Demo     demoCommand     `cmd:"" help:"Run a node with stand-in back ends in this process, break one, show what answers say."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(arguments []string) int {
+	var commands commandLine
+	parser, err := kong.New(&commands,
+		kong.Name("portgauge"),
+		kong.Description("A query tier over many shards. Exit codes: 0 done, 1 internal, 2 usage, 3 invalid input, 4 not found, 5 conflict, 6 unavailable (nothing ran), 7 outcome unknown, 8 incomplete coverage."),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		return cli.Fail(os.Stderr, err)
+	}
+	command, err := parser.Parse(arguments)
+	if err != nil {
+		parser.Errorf("%s", err)
+		return cli.ExitUsage
+	}
+	if err := command.Run(); err != nil {
+		return cli.Fail(os.Stderr, err)
+	}
+	return cli.ExitOK
+}
--- /dev/null
+++ b/cmd/portgauge/node.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/portgauge/portgauge/internal/cli"
+	"github.com/portgauge/portgauge/internal/node"
+	"github.com/portgauge/portgauge/internal/settings"
+)
+
+// nodeCommand runs a node.
+type nodeCommand struct {
+	Settings string   `help:"Settings file (YAML)." placeholder:"FILE"`
+	Set      []string `help:"Override a setting, such as --set search.merge_reserve=2ms. May be repeated; 'portgauge settings show' lists the names." placeholder:"NAME=VALUE" sep:"none"`
+}
+
+// Run runs until SIGTERM or SIGINT begins a planned stop; a second signal ends at once.
+func (c *nodeCommand) Run() error {
+	config, err := loadSettings(c.Settings, c.Set)
+	if err != nil {
+		return err
+	}
+	app := node.New(config, os.Stdout)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	startContext, cancelStart := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancelStart()
+	if err := app.Start(startContext); err != nil {
+		return err
+	}
+	<-signals
+	go func() {
+		<-signals
+		os.Exit(cli.ExitInternal)
+	}()
+	stopContext, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	return app.Stop(stopContext)
+}
+
+func loadSettings(path string, assignments []string) (settings.Settings, error) {
+	var overrides []settings.Override
+	for _, assignment := range assignments {
+		override, err := settings.ParseFlag(assignment)
+		if err != nil {
+			return settings.Settings{}, err
+		}
+		overrides = append(overrides, override)
+	}
+	return settings.Load(path, os.Environ(), overrides)
+}
--- /dev/null
+++ b/cmd/portgauge/service.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/api"
+	"github.com/portgauge/portgauge/internal/cli"
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// operatorFlags are shared by the operators' commands.
+type operatorFlags struct {
+	Address string        `help:"Operator address of a node." default:"127.0.0.1:7401"`
+	Timeout time.Duration `help:"Time allowed for the call." default:"10s"`
+	Output  cli.Format    `help:"Output format: ${enum}." enum:"json,table" default:"table"`
+}
+
+func (f *operatorFlags) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), f.Timeout)
+}
+
+// serviceCommand groups the calls about services.
+type serviceCommand struct {
+	Apply  serviceApplyCommand  `cmd:"" help:"Create or replace a service from a file or standard input."`
+	Get    serviceGetCommand    `cmd:"" help:"Show one service."`
+	List   serviceListCommand   `cmd:"" help:"List all services."`
+	Delete serviceDeleteCommand `cmd:"" help:"Delete a service."`
+	Watch  serviceWatchCommand  `cmd:"" help:"Print each change as it comes into force on the node."`
+	Status serviceStatusCommand `cmd:"" help:"Show by zone how many nodes have a revision in force."`
+}
+
+// writeFlags are shared by the commands that change something.
+type writeFlags struct {
+	Revision int64  `help:"Revision that is to be replaced; 0 to create." default:"0"`
+	ChangeID string `help:"Identity of the change; give the same one to repeat a call whose outcome is unknown."`
+}
+
+// serviceApplyCommand creates or replaces a service.
+type serviceApplyCommand struct {
+	operatorFlags
+	writeFlags
+	File string `arg:"" help:"Service as YAML or JSON; - for standard input."`
+}
+
+// Run applies the service and prints the revision that accepted it.
+func (c *serviceApplyCommand) Run() error {
+	spec := &adminv1.ServiceSpec{}
+	if err := cli.ReadMessage(c.File, os.Stdin, spec); err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	response, err := cli.AdminClient(c.Address).ApplyService(ctx, connect.NewRequest(&adminv1.ApplyServiceRequest{
+		Spec: spec, ExpectedRevision: c.Revision, ChangeId: c.ChangeID,
+	}))
+	if err != nil {
+		return api.FailureOf(err)
+	}
+	rows := [][]string{{spec.GetName(), strconv.FormatInt(response.Msg.GetRevision(), 10), response.Msg.GetChangeId()}}
+	return cli.PrintMessage(os.Stdout, c.Output, response.Msg, []string{"SERVICE", "REVISION", "CHANGE"}, rows)
+}
+
+// serviceGetCommand shows a service.
+type serviceGetCommand struct {
+	operatorFlags
+	Name string `arg:"" help:"Service to show."`
+}
+
+// Run prints the service.
+func (c *serviceGetCommand) Run() error {
+	ctx, cancel := c.context()
+	defer cancel()
+	response, err := cli.AdminClient(c.Address).GetService(ctx, connect.NewRequest(&adminv1.GetServiceRequest{Name: c.Name}))
+	if err != nil {
+		return api.FailureOf(err)
+	}
+	return cli.PrintMessage(os.Stdout, c.Output, response.Msg, serviceHeader(), [][]string{serviceRow(response.Msg)})
+}
+
+func serviceHeader() []string {
+	return []string{"SERVICE", "REVISION", "URGENCY", "DEADLINE MS", "CONCURRENCY", "QUEUE", "LEAFS"}
+}
+
+func serviceRow(service *adminv1.GetServiceResponse) []string {
+	spec := service.GetSpec()
+	return []string{
+		spec.GetName(), strconv.FormatInt(service.GetRevision(), 10), spec.GetUrgency().String(),
+		strconv.FormatUint(uint64(spec.GetDefaultDeadlineMillis()), 10), strconv.FormatUint(uint64(spec.GetConcurrencyLimit()), 10),
+		strconv.FormatUint(uint64(spec.GetQueueLimit()), 10), strconv.Itoa(len(spec.GetLeafs())),
+	}
+}
+
+// serviceListCommand lists services.
+type serviceListCommand struct {
+	operatorFlags
+}
+
+// Run prints all services.
+func (c *serviceListCommand) Run() error {
+	ctx, cancel := c.context()
+	defer cancel()
+	response, err := cli.AdminClient(c.Address).ListServices(ctx, connect.NewRequest(&adminv1.ListServicesRequest{}))
+	if err != nil {
+		return api.FailureOf(err)
+	}
+	var rows [][]string
+	for _, service := range response.Msg.GetServices() {
+		rows = append(rows, serviceRow(service))
+	}
+	return cli.PrintMessage(os.Stdout, c.Output, response.Msg, serviceHeader(), rows)
+}
+
+// serviceDeleteCommand deletes a service.
+type serviceDeleteCommand struct {
+	operatorFlags
+	writeFlags
+	Name string `arg:"" help:"Service to delete."`
+}
+
+// Run deletes the service at the given revision.
+func (c *serviceDeleteCommand) Run() error {
+	ctx, cancel := c.context()
+	defer cancel()
+	response, err := cli.AdminClient(c.Address).DeleteService(ctx, connect.NewRequest(&adminv1.DeleteServiceRequest{
+		Name: c.Name, ExpectedRevision: c.Revision, ChangeId: c.ChangeID,
+	}))
+	if err != nil {
+		return api.FailureOf(err)
+	}
+	rows := [][]string{{c.Name, strconv.FormatInt(response.Msg.GetRevision(), 10)}}
+	return cli.PrintMessage(os.Stdout, c.Output, response.Msg, []string{"DELETED", "REVISION"}, rows)
+}
+
+// serviceWatchCommand prints changes.
+type serviceWatchCommand struct {
+	Address string     `help:"Operator address of a node." default:"127.0.0.1:7401"`
+	Output  cli.Format `help:"Output format: ${enum}." enum:"json,table" default:"table"`
+	After   int64      `help:"Also print changes after this revision that the node still keeps."`
+}
+
+// Run prints changes until interrupted.
+func (c *serviceWatchCommand) Run() error {
+	stream, err := cli.AdminClient(c.Address).WatchServices(context.Background(), connect.NewRequest(&adminv1.WatchServicesRequest{AfterRevision: c.After}))
+	if err != nil {
+		return api.FailureOf(err)
+	}
+	for stream.Receive() {
+		change := stream.Msg()
+		rows := [][]string{{strconv.FormatInt(change.GetRevision(), 10), change.GetKey(), strconv.FormatBool(change.GetDeleted())}}
+		if err := cli.PrintMessage(os.Stdout, c.Output, change, []string{"REVISION", "KEY", "DELETED"}, rows); err != nil {
+			return err
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return api.FailureOf(err)
+	}
+	return nil
+}
+
+// serviceStatusCommand shows how far a revision has come.
+type serviceStatusCommand struct {
+	operatorFlags
+	Revision int64 `help:"Revision to ask about; 0 means the one in force on the asked node."`
+	Wait     bool  `help:"Wait until every node reached has the revision in force."`
+}
+
+// statusPause is the pause between two looks of --wait.
+const statusPause = 200 * time.Millisecond
+
+// Run prints the nodes in force by zone.
+func (c *serviceStatusCommand) Run() error {
+	ctx, cancel := c.context()
+	defer cancel()
+	client := cli.AdminClient(c.Address)
+	for {
+		response, err := client.GetStatus(ctx, connect.NewRequest(&adminv1.GetStatusRequest{Revision: c.Revision}))
+		if err != nil {
+			return api.FailureOf(err)
+		}
+		if c.Revision == 0 {
+			c.Revision = response.Msg.GetRevision()
+		}
+		if !c.Wait || inForceEverywhere(response.Msg) {
+			return c.print(response.Msg)
+		}
+		select {
+		case <-ctx.Done():
+			return failure.New(failure.DeadlineExceeded, failure.Unknown, "revision %d is not in force everywhere yet", c.Revision)
+		case <-time.After(statusPause):
+		}
+	}
+}
+
+func inForceEverywhere(status *adminv1.GetStatusResponse) bool {
+	for _, zone := range status.GetZones() {
+		if zone.GetInForce() < zone.GetNodes() {
+			return false
+		}
+	}
+	return len(status.GetZones()) > 0
+}
+
+func (c *serviceStatusCommand) print(status *adminv1.GetStatusResponse) error {
+	var rows [][]string
+	for _, zone := range status.GetZones() {
+		rows = append(rows, []string{
+			zone.GetZone(), fmt.Sprint(zone.GetNodes()), fmt.Sprint(zone.GetInForce()), fmt.Sprint(zone.GetLowestRevision()),
+		})
+	}
+	return cli.PrintMessage(os.Stdout, c.Output, status, []string{"ZONE", "NODES", "IN FORCE", "LOWEST REVISION"}, rows)
+}
--- /dev/null
+++ b/cmd/portgauge/version.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"os"
+
+	"github.com/portgauge/portgauge/internal/cli"
+	"github.com/portgauge/portgauge/internal/version"
+)
+
+// versionCommand prints the build.
+type versionCommand struct {
+	Output cli.Format `help:"Output format: ${enum}." enum:"json,table" default:"table"`
+}
+
+// Run prints the build.
+func (c *versionCommand) Run() error {
+	info := version.Current()
+	return cli.PrintValue(os.Stdout, c.Output, info, []string{"VERSION", "GO", "REVISION"}, [][]string{{info.Version, info.Go, info.Revision}})
+}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,215 @@
+// Package admin carries out operators' calls: checked changes by compare-and-swap, and views
+// of what is in force.
+package admin
+
+import (
+	"context"
+	"sort"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/configwriter"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/manifest"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// Admin carries out operators' calls on one node; safe for concurrent use.
+type Admin struct {
+	catalog *catalog.Catalog
+	store   store.Store
+	writer  *configwriter.Writer
+}
+
+// New makes an Admin.
+func New(known *catalog.Catalog, target store.Store, writer *configwriter.Writer) *Admin {
+	return &Admin{catalog: known, store: target, writer: writer}
+}
+
+// ApplyService checks and writes a service's settings.
+func (a *Admin) ApplyService(ctx context.Context, request *adminv1.ApplyServiceRequest) (*adminv1.ApplyServiceResponse, error) {
+	spec := request.GetSpec()
+	if spec != nil {
+		spec = proto.CloneOf(spec)
+		FillDefaults(spec)
+	}
+	if err := ValidateSpec(spec); err != nil {
+		return nil, firstFault(err)
+	}
+	if err := a.checkReplicasRemain(spec); err != nil {
+		return nil, err
+	}
+	changeID, err := changeIDOf(request.GetChangeId())
+	if err != nil {
+		return nil, err
+	}
+	revision, err := a.writer.Apply(ctx, configwriter.Write{
+		Key: catalog.ServiceKey(spec.GetName()), Expected: request.GetExpectedRevision(), ChangeID: changeID, Message: spec,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &adminv1.ApplyServiceResponse{Revision: revision, ChangeId: changeID}, nil
+}
+
+// checkReplicasRemain refuses settings that leave a shard of the snapshot in force without
+// any replica.
+func (a *Admin) checkReplicasRemain(spec *adminv1.ServiceSpec) error {
+	service, found := a.catalog.View().Services[spec.GetName()]
+	if !found || service.Manifest == nil {
+		return nil
+	}
+	kept := leafIDs(spec)
+	for _, shard := range service.Manifest.Shards {
+		if !anyKnown(shard.LeafIDs, kept) {
+			return failure.Invalid("spec.leafs", "shard %q of snapshot %q would have no replica left", shard.ID, service.Manifest.SnapshotID)
+		}
+	}
+	return nil
+}
+
+func anyKnown(wanted []string, known map[string]bool) bool {
+	for _, id := range wanted {
+		if known[id] {
+			return true
+		}
+	}
+	return false
+}
+
+func leafIDs(spec *adminv1.ServiceSpec) map[string]bool {
+	ids := make(map[string]bool, len(spec.GetLeafs()))
+	for _, leaf := range spec.GetLeafs() {
+		ids[leaf.GetId()] = true
+	}
+	return ids
+}
+
+// DeleteService removes a service; its snapshot stays for the case that it comes back.
+func (a *Admin) DeleteService(ctx context.Context, request *adminv1.DeleteServiceRequest) (*adminv1.DeleteServiceResponse, error) {
+	changeID, err := changeIDOf(request.GetChangeId())
+	if err != nil {
+		return nil, err
+	}
+	if request.GetExpectedRevision() <= 0 {
+		return nil, failure.Invalid("expected_revision", "must be the revision to delete")
+	}
+	revision, err := a.writer.Apply(ctx, configwriter.Write{
+		Key: catalog.ServiceKey(request.GetName()), Expected: request.GetExpectedRevision(), ChangeID: changeID,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &adminv1.DeleteServiceResponse{Revision: revision}, nil
+}
+
+// PublishSnapshot checks a manifest and makes it the current one of its service.
+func (a *Admin) PublishSnapshot(ctx context.Context, request *adminv1.PublishSnapshotRequest) (*adminv1.PublishSnapshotResponse, error) {
+	compiled, err := manifest.New(request.GetManifest())
+	if err != nil {
+		return nil, err
+	}
+	if len(compiled.SnapshotID) > maximumSnapshotIDLength {
+		return nil, failure.Invalid("manifest.snapshot_id", "%d bytes; at most %d", len(compiled.SnapshotID), maximumSnapshotIDLength)
+	}
+	changeID, err := changeIDOf(request.GetChangeId())
+	if err != nil {
+		return nil, err
+	}
+	if err := a.checkManifestLeafs(ctx, compiled); err != nil {
+		return nil, err
+	}
+	revision, err := a.writer.Apply(ctx, configwriter.Write{
+		Key: catalog.SnapshotKey(compiled.Service), Expected: request.GetExpectedRevision(), ChangeID: changeID, Message: request.GetManifest(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &adminv1.PublishSnapshotResponse{Revision: revision, ChangeId: changeID}, nil
+}
+
+// checkManifestLeafs compares with the store rather than with what is in force here, which
+// may lag behind a service applied a moment ago through another node.
+func (a *Admin) checkManifestLeafs(ctx context.Context, compiled *manifest.Manifest) error {
+	entry, err := a.store.Get(ctx, catalog.ServiceKey(compiled.Service))
+	if err != nil {
+		return failure.Wrap(err, failure.StoreUnavailable, failure.NotRun, "read the service").WithRetryAfter(notReadyRetryAfter)
+	}
+	if entry == nil || entry.Deleted {
+		return failure.New(failure.UnknownService, failure.NotRun, "no service %q", compiled.Service)
+	}
+	spec, err := catalog.DecodeService(*entry)
+	if err != nil {
+		return err
+	}
+	return compiled.CheckLeafs(leafIDs(spec))
+}
+
+// GetService gives a service as in force on this node.
+func (a *Admin) GetService(name string) (*adminv1.GetServiceResponse, error) {
+	service, found := a.catalog.View().Services[name]
+	if !found || service.Spec == nil {
+		return nil, failure.New(failure.UnknownService, failure.NotRun, "no service %q", name)
+	}
+	return &adminv1.GetServiceResponse{Spec: service.Spec, Revision: service.Revision}, nil
+}
+
+// ListServices gives all services in force on this node, by name.
+func (a *Admin) ListServices() *adminv1.ListServicesResponse {
+	response := &adminv1.ListServicesResponse{}
+	for _, service := range a.catalog.View().Services {
+		if service.Spec != nil {
+			response.Services = append(response.Services, &adminv1.GetServiceResponse{Spec: service.Spec, Revision: service.Revision})
+		}
+	}
+	sort.Slice(response.Services, func(i, j int) bool {
+		return response.Services[i].GetSpec().GetName() < response.Services[j].GetSpec().GetName()
+	})
+	return response
+}
+
+// ListSnapshots gives the snapshots in force on this node, of one service or all.
+func (a *Admin) ListSnapshots(service string) (*adminv1.ListSnapshotsResponse, error) {
+	response := &adminv1.ListSnapshotsResponse{}
+	for name, known := range a.catalog.View().Services {
+		if known.Manifest == nil || (service != "" && name != service) {
+			continue
+		}
+		entry, found := a.catalog.Entry(catalog.SnapshotKey(name))
+		if !found {
+			continue
+		}
+		message, err := catalog.DecodeSnapshot(entry)
+		if err != nil {
+			return nil, err
+		}
+		response.Snapshots = append(response.Snapshots, &adminv1.SnapshotEntry{Manifest: message, Revision: known.SnapshotRevision})
+	}
+	sort.Slice(response.Snapshots, func(i, j int) bool {
+		return response.Snapshots[i].GetManifest().GetService() < response.Snapshots[j].GetManifest().GetService()
+	})
+	return response, nil
+}
+
+func changeIDOf(given string) (string, error) {
+	if given == "" {
+		return uuid.NewString(), nil
+	}
+	if len(given) > maximumChangeIDLength {
+		return "", failure.Invalid("change_id", "%d bytes; at most %d", len(given), maximumChangeIDLength)
+	}
+	return given, nil
+}
+
+// firstFault gives the first fault with the others in its message.
+func firstFault(err error) error {
+	faults := failure.Faults(err)
+	first := *faults[0]
+	for _, other := range faults[1:] {
+		first.Message += "; " + other.Field + ": " + other.Message
+	}
+	return &first
+}
--- /dev/null
+++ b/internal/api/admin_handler.go
@@ -0,0 +1,118 @@
+package api
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/gen/portgauge/admin/v1/adminv1connect"
+	"github.com/portgauge/portgauge/internal/admin"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/configsync"
+	"github.com/portgauge/portgauge/internal/search"
+)
+
+// watchBuffer is how many changes a slow watcher may be behind before it loses some.
+const watchBuffer = 1024
+
+// adminHandler serves AdminService.
+type adminHandler struct {
+	admin   *admin.Admin
+	catalog *catalog.Catalog
+	syncer  *configsync.Syncer
+	engine  *search.Engine
+	nodeID  string
+}
+
+var _ adminv1connect.AdminServiceHandler = (*adminHandler)(nil)
+
+// reply wraps the outcome of an operator's call.
+func reply[T any](message *T, err error) (*connect.Response[T], error) {
+	if err != nil {
+		return nil, toRPC(err)
+	}
+	return connect.NewResponse(message), nil
+}
+
+// ApplyService implements AdminServiceHandler.
+func (h *adminHandler) ApplyService(ctx context.Context, request *connect.Request[adminv1.ApplyServiceRequest]) (*connect.Response[adminv1.ApplyServiceResponse], error) {
+	return reply(h.admin.ApplyService(ctx, request.Msg))
+}
+
+// GetService implements AdminServiceHandler.
+func (h *adminHandler) GetService(_ context.Context, request *connect.Request[adminv1.GetServiceRequest]) (*connect.Response[adminv1.GetServiceResponse], error) {
+	return reply(h.admin.GetService(request.Msg.GetName()))
+}
+
+// ListServices implements AdminServiceHandler.
+func (h *adminHandler) ListServices(context.Context, *connect.Request[adminv1.ListServicesRequest]) (*connect.Response[adminv1.ListServicesResponse], error) {
+	return connect.NewResponse(h.admin.ListServices()), nil
+}
+
+// DeleteService implements AdminServiceHandler.
+func (h *adminHandler) DeleteService(ctx context.Context, request *connect.Request[adminv1.DeleteServiceRequest]) (*connect.Response[adminv1.DeleteServiceResponse], error) {
+	return reply(h.admin.DeleteService(ctx, request.Msg))
+}
+
+// PublishSnapshot implements AdminServiceHandler.
+func (h *adminHandler) PublishSnapshot(ctx context.Context, request *connect.Request[adminv1.PublishSnapshotRequest]) (*connect.Response[adminv1.PublishSnapshotResponse], error) {
+	return reply(h.admin.PublishSnapshot(ctx, request.Msg))
+}
+
+// ListSnapshots implements AdminServiceHandler.
+func (h *adminHandler) ListSnapshots(_ context.Context, request *connect.Request[adminv1.ListSnapshotsRequest]) (*connect.Response[adminv1.ListSnapshotsResponse], error) {
+	return reply(h.admin.ListSnapshots(request.Msg.GetService()))
+}
+
+// WatchServices implements AdminServiceHandler.
+func (h *adminHandler) WatchServices(ctx context.Context, request *connect.Request[adminv1.WatchServicesRequest], stream *connect.ServerStream[adminv1.WatchServicesResponse]) error {
+	changes, cancel := h.catalog.Subscribe(watchBuffer)
+	defer cancel()
+	sent := int64(0)
+	if after := request.Msg.GetAfterRevision(); after > 0 {
+		missed, _ := h.catalog.Since(after)
+		for _, change := range missed {
+			if err := stream.Send(watchResponse(change)); err != nil {
+				return err
+			}
+			sent = change.Entry.Revision
+		}
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case change := <-changes:
+			if change.Entry.Revision <= sent {
+				continue
+			}
+			if err := stream.Send(watchResponse(change)); err != nil {
+				return err
+			}
+			sent = change.Entry.Revision
+		}
+	}
+}
+
+func watchResponse(change catalog.Change) *adminv1.WatchServicesResponse {
+	return &adminv1.WatchServicesResponse{Revision: change.Entry.Revision, Key: change.Entry.Key, Deleted: change.Entry.Deleted}
+}
+
+// GetStatus implements AdminServiceHandler.
+func (h *adminHandler) GetStatus(ctx context.Context, request *connect.Request[adminv1.GetStatusRequest]) (*connect.Response[adminv1.GetStatusResponse], error) {
+	response := &adminv1.GetStatusResponse{
+		NodeId:          h.nodeID,
+		Revision:        h.catalog.Revision(),
+		ConfigAgeMillis: time.Since(h.catalog.ConfirmedAt()).Milliseconds(),
+		Ready:           h.engine.Ready(),
+		Draining:        h.engine.Draining(),
+	}
+	for _, zone := range h.syncer.Status(ctx, request.Msg.GetRevision()) {
+		response.Zones = append(response.Zones, &adminv1.ZoneStatus{
+			Zone: zone.Zone, Nodes: zone.Nodes, InForce: zone.InForce, LowestRevision: zone.LowestRevision,
+		})
+	}
+	return connect.NewResponse(response), nil
+}
--- /dev/null
+++ b/internal/api/errors.go
@@ -0,0 +1,104 @@
+package api
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// retryAfterHeader is the standard header, in whole seconds.
+const retryAfterHeader = "Retry-After"
+
+// rpcCodes maps failure codes to RPC codes; those left out are Internal.
+var rpcCodes = map[failure.Code]connect.Code{
+	failure.InvalidField:       connect.CodeInvalidArgument,
+	failure.UnknownService:     connect.CodeNotFound,
+	failure.NoSnapshot:         connect.CodeFailedPrecondition,
+	failure.NotReady:           connect.CodeUnavailable,
+	failure.Draining:           connect.CodeUnavailable,
+	failure.Overloaded:         connect.CodeResourceExhausted,
+	failure.DeadlineTooShort:   connect.CodeDeadlineExceeded,
+	failure.DeadlineExceeded:   connect.CodeDeadlineExceeded,
+	failure.IncompleteCoverage: connect.CodeDataLoss,
+	failure.NotRepeatable:      connect.CodeAlreadyExists,
+	failure.RevisionConflict:   connect.CodeAborted,
+	failure.StoreUnavailable:   connect.CodeUnavailable,
+	failure.OutcomeUnknown:     connect.CodeUnknown,
+	failure.Cancelled:          connect.CodeCanceled,
+}
+
+// toRPC makes the error a client receives: RPC code, typed details, Retry-After.
+func toRPC(err error) error {
+	failed := failure.From(err)
+	code, known := rpcCodes[failed.Code]
+	if !known {
+		code = connect.CodeInternal
+	}
+	result := connect.NewError(code, failed)
+	addDetail(result, &searchv1.FailureDetail{
+		Code:             string(failed.Code),
+		ExecutionState:   failed.Execution,
+		Field:            failed.Field,
+		RetryAfterMillis: failed.RetryAfter.Milliseconds(),
+		Coverage:         failed.Coverage,
+		CurrentRevision:  failed.CurrentRevision,
+	})
+	if failed.RetryAfter > 0 {
+		addDetail(result, &errdetails.RetryInfo{RetryDelay: durationpb.New(failed.RetryAfter)})
+		seconds := int(math.Ceil(failed.RetryAfter.Seconds()))
+		result.Meta().Set(retryAfterHeader, strconv.Itoa(seconds))
+	}
+	return result
+}
+
+func addDetail(target *connect.Error, message proto.Message) {
+	if detail, err := connect.NewErrorDetail(message); err == nil {
+		target.AddDetail(detail)
+	}
+}
+
+// FailureOf reads the typed failure from an error that a client of the API received. An
+// error without one came from the transport, so that nothing is known of the execution.
+func FailureOf(err error) *failure.Failure {
+	var rpcError *connect.Error
+	if !errors.As(err, &rpcError) {
+		return failure.From(err)
+	}
+	for _, detail := range rpcError.Details() {
+		value, valueErr := detail.Value()
+		if valueErr != nil {
+			continue
+		}
+		if typed, isFailure := value.(*searchv1.FailureDetail); isFailure {
+			return fromDetail(typed, rpcError.Message())
+		}
+	}
+	return failure.Wrap(err, failure.Internal, failure.Unknown, "call failed")
+}
+
+func fromDetail(detail *searchv1.FailureDetail, message string) *failure.Failure {
+	failed := failure.New(failure.Code(detail.GetCode()), detail.GetExecutionState(), "%s", message)
+	failed.Field = detail.GetField()
+	failed.RetryAfter = time.Duration(detail.GetRetryAfterMillis()) * time.Millisecond
+	failed.Coverage = detail.GetCoverage()
+	failed.CurrentRevision = detail.GetCurrentRevision()
+	return failed
+}
+
+// statusOf gives the HTTP status of a health probe.
+func statusOf(healthy bool) int {
+	if healthy {
+		return http.StatusOK
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/internal/api/server.go
@@ -0,0 +1,142 @@
+// Package api serves callers and operators over HTTP: gRPC, gRPC-Web and JSON on one port
+// each, by connect on net/http under gin.
+package api
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"connectrpc.com/connect"
+	"connectrpc.com/grpchealth"
+	"connectrpc.com/grpcreflect"
+	"github.com/gin-gonic/gin"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/gen/portgauge/admin/v1/adminv1connect"
+	"github.com/portgauge/portgauge/gen/portgauge/search/v1/searchv1connect"
+	"github.com/portgauge/portgauge/internal/admin"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/configsync"
+	"github.com/portgauge/portgauge/internal/search"
+	"github.com/portgauge/portgauge/internal/telemetry"
+)
+
+// Bounds of requests in bytes, and of the time a client may take to send one.
+const (
+	maximumSearchBytes = 64 << 10
+	maximumAdminBytes  = 4 << 20
+	maximumHeaderBytes = 64 << 10
+	readHeaderTimeout  = 5 * time.Second
+	readTimeout        = 15 * time.Second
+	idleTimeout        = 2 * time.Minute
+)
+
+// CallerParts are what the callers' server is built from.
+type CallerParts struct {
+	Engine *search.Engine
+}
+
+// NewCallerHandler serves SearchService, health checks and reflection.
+func NewCallerHandler(parts CallerParts) http.Handler {
+	router := newRouter()
+	mount(router)(searchv1connect.NewSearchServiceHandler(&searchHandler{engine: parts.Engine}, connect.WithReadMaxBytes(maximumSearchBytes)))
+	mountStandard(router, parts.Engine, searchv1connect.SearchServiceName)
+	mountHealth(router, parts.Engine)
+	return router
+}
+
+// OperatorParts are what the operators' server is built from.
+type OperatorParts struct {
+	Admin   *admin.Admin
+	Catalog *catalog.Catalog
+	Syncer  *configsync.Syncer
+	Engine  *search.Engine
+	Metrics *telemetry.Metrics
+	Level   zap.AtomicLevel
+	NodeID  string
+}
+
+// NewOperatorHandler serves AdminService, metrics, the log level, profiles and health.
+func NewOperatorHandler(parts OperatorParts) http.Handler {
+	router := newRouter()
+	handler := &adminHandler{admin: parts.Admin, catalog: parts.Catalog, syncer: parts.Syncer, engine: parts.Engine, nodeID: parts.NodeID}
+	mount(router)(adminv1connect.NewAdminServiceHandler(handler, connect.WithReadMaxBytes(maximumAdminBytes)))
+	mountStandard(router, parts.Engine, adminv1connect.AdminServiceName)
+	mountHealth(router, parts.Engine)
+	router.GET("/metrics", gin.WrapH(promhttp.HandlerFor(parts.Metrics.Registry, promhttp.HandlerOpts{})))
+	router.GET("/loglevel", gin.WrapH(parts.Level))
+	router.PUT("/loglevel", gin.WrapH(parts.Level))
+	mountProfiles(router)
+	return router
+}
+
+func newRouter() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.Use(gin.Recovery())
+	return router
+}
+
+// mount puts a connect handler under its path.
+func mount(router *gin.Engine) func(path string, handler http.Handler) {
+	return func(path string, handler http.Handler) {
+		router.Any(path+"*method", gin.WrapH(handler))
+	}
+}
+
+// mountStandard serves gRPC health checking and server reflection.
+func mountStandard(router *gin.Engine, engine *search.Engine, service string) {
+	mount(router)(grpchealth.NewHandler(&healthChecker{engine: engine, service: service}))
+	reflector := grpcreflect.NewStaticReflector(service, grpchealth.HealthV1ServiceName)
+	mount(router)(grpcreflect.NewHandlerV1(reflector))
+	mount(router)(grpcreflect.NewHandlerV1Alpha(reflector))
+}
+
+func mountHealth(router *gin.Engine, engine *search.Engine) {
+	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusOK) })
+	router.GET("/readyz", func(c *gin.Context) { c.Status(statusOf(engine.Ready())) })
+}
+
+func mountProfiles(router *gin.Engine) {
+	router.GET("/debug/pprof/*profile", func(c *gin.Context) {
+		switch c.Param("profile") {
+		case "/cmdline":
+			pprof.Cmdline(c.Writer, c.Request)
+		case "/profile":
+			pprof.Profile(c.Writer, c.Request)
+		case "/symbol":
+			pprof.Symbol(c.Writer, c.Request)
+		case "/trace":
+			pprof.Trace(c.Writer, c.Request)
+		default:
+			pprof.Index(c.Writer, c.Request)
+		}
+	})
+}
+
+// NewServer makes a server that speaks HTTP/1.1 and HTTP/2, both without TLS.
+func NewServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		MaxHeaderBytes:    maximumHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+// Serve serves until the server is shut down; any other end is logged.
+func Serve(server *http.Server, listener net.Listener, logger *zap.Logger) {
+	err := server.Serve(listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		logger.Error("server ended", zap.String("address", listener.Addr().String()), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/balancer/balancer.go
@@ -0,0 +1,238 @@
+// Package balancer chooses which replica of a shard to ask.
+//
+// The choice is the better of two random usable replicas, by the node's own attempts in
+// flight times the latency it has seen, and, for a short while, the load the leaf reported.
+// What replies show outweighs what is said: a leaf that claims to be idle but answers slowly
+// loses. Failing leafs are ejected, never the last replica of a shard, and come back through
+// one trial attempt at a time.
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// zoneAdvantage multiplies the score of replicas in another zone, so that the same zone is
+// preferred until its replicas are this many times worse.
+const zoneAdvantage = 2
+
+// Balancer knows the leafs this node has used. It is safe for concurrent use.
+type Balancer struct {
+	config Config
+	zone   string
+	now    func() time.Time
+	// onDraining is told of a leaf that said itself that it is leaving.
+	onDraining func(leafID string)
+
+	mutex   sync.RWMutex
+	leafs   map[string]*Leaf
+	leaving map[string]time.Time // until when, by the machine list's or a peer's word
+}
+
+// New makes a balancer for a node in a zone.
+func New(config Config, zone string) *Balancer {
+	return &Balancer{config: config, zone: zone, now: time.Now, leafs: map[string]*Leaf{}, leaving: map[string]time.Time{}}
+}
+
+// OnDraining sets who is told, without the balancer's locks held, of a leaf that said itself
+// that it is leaving. It must be set before the balancer is used.
+func (b *Balancer) OnDraining(tell func(leafID string)) { b.onDraining = tell }
+
+// Candidate is one replica of a shard.
+type Candidate struct {
+	LeafID string
+	Zone   string
+	// Leaving is the operator's word that the leaf must receive no new work.
+	Leaving bool
+}
+
+// Choice is the outcome of Choose.
+type Choice struct {
+	Leaf *Leaf
+	// Reason says why there is no leaf to ask.
+	Reason NoChoice
+}
+
+// NoChoice says why no replica can be asked.
+type NoChoice string
+
+// The reasons for having no replica to ask.
+const (
+	// NoReplica means that every replica has been tried or is leaving.
+	NoReplica NoChoice = "NO_REPLICA"
+	// ReplicasFull means that every usable replica is at its in-flight limit.
+	ReplicasFull NoChoice = "REPLICAS_FULL"
+)
+
+// Choose gives a replica that was not tried yet. Leaving and draining ones are never given.
+func (b *Balancer) Choose(candidates []Candidate, tried map[string]bool) Choice {
+	now := b.now()
+	usable := make([]scored, 0, len(candidates))
+	var ejected []scored
+	full := false
+	for _, candidate := range candidates {
+		if tried[candidate.LeafID] || candidate.Leaving || b.isLeaving(candidate.LeafID, now) {
+			continue
+		}
+		leaf := b.leaf(candidate.LeafID, candidate.Zone, now)
+		state := leaf.standing(b.config, now)
+		switch {
+		case state.draining:
+		case state.full:
+			full = true
+		case state.ejected:
+			ejected = append(ejected, scored{leaf, state})
+		default:
+			usable = append(usable, scored{leaf, state})
+		}
+	}
+	if len(usable) == 0 {
+		usable = ejected
+	}
+	if len(usable) == 0 {
+		return Choice{Reason: noChoice(full)}
+	}
+	fastest := fastestLatency(usable)
+	usable = b.dropSlow(usable, fastest)
+	return Choice{Leaf: b.betterOfTwo(usable, fastest)}
+}
+
+func noChoice(full bool) NoChoice {
+	if full {
+		return ReplicasFull
+	}
+	return NoReplica
+}
+
+type scored struct {
+	leaf  *Leaf
+	state standing
+}
+
+// exploreShare is the share of choices that may still go to a replica far slower than its
+// peers, so that its recovery is seen.
+const exploreShare = 0.01
+
+// fastestLatency gives the lowest known latency in seconds; 0 when none is known.
+func fastestLatency(usable []scored) float64 {
+	fastest := 0.0
+	for _, candidate := range usable {
+		if latency := candidate.state.latency; latency > 0 && (fastest == 0 || latency < fastest) {
+			fastest = latency
+		}
+	}
+	return fastest
+}
+
+// dropSlow leaves out replicas far slower than the fastest one, except for a rare probe.
+func (b *Balancer) dropSlow(usable []scored, fastest float64) []scored {
+	if fastest == 0 || rand.Float64() < exploreShare {
+		return usable
+	}
+	kept := usable[:0]
+	for _, candidate := range usable {
+		if candidate.state.latency <= fastest*b.config.SlowFactor {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
+
+func (b *Balancer) betterOfTwo(usable []scored, fastest float64) *Leaf {
+	first := rand.IntN(len(usable))
+	if len(usable) == 1 {
+		return usable[first].leaf
+	}
+	second := rand.IntN(len(usable) - 1)
+	if second >= first {
+		second++
+	}
+	if b.score(usable[second], fastest) < b.score(usable[first], fastest) {
+		first = second
+	}
+	return usable[first].leaf
+}
+
+func (b *Balancer) score(candidate scored, fastest float64) float64 {
+	score := candidate.state.score(fastest)
+	if candidate.leaf.Zone != b.zone {
+		score *= zoneAdvantage
+	}
+	return score
+}
+
+func (b *Balancer) leaf(id, zone string, now time.Time) *Leaf {
+	b.mutex.RLock()
+	leaf, found := b.leafs[id]
+	b.mutex.RUnlock()
+	if found {
+		return leaf
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if leaf, found = b.leafs[id]; found {
+		return leaf
+	}
+	leaf = newLeaf(id, zone, b.config, now)
+	b.leafs[id] = leaf
+	return leaf
+}
+
+// SetLeaving records the word of the machine list or a peer that a leaf must get no new work
+// until a time.
+func (b *Balancer) SetLeaving(leafID string, until time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.leaving[leafID] = until
+}
+
+// isLeaving reports whether such word holds.
+func (b *Balancer) isLeaving(leafID string, now time.Time) bool {
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	until, found := b.leaving[leafID]
+	return found && now.Before(until)
+}
+
+// Start counts an attempt at the leaf in.
+func (b *Balancer) Start(leaf *Leaf) { leaf.start(b.now()) }
+
+// Finish counts an attempt at the leaf out.
+func (b *Balancer) Finish(leaf *Leaf, outcome Outcome, took time.Duration) {
+	leaf.finish(b.config, outcome, took, b.now())
+	if outcome == Drained {
+		b.tellDraining(leaf)
+	}
+}
+
+// Report takes the load that a leaf's reply carried.
+func (b *Balancer) Report(leaf *Leaf, load Load) {
+	leaf.report(b.config, load, b.now())
+	if load.Draining {
+		b.tellDraining(leaf)
+	}
+}
+
+func (b *Balancer) tellDraining(leaf *Leaf) {
+	if b.onDraining != nil {
+		b.onDraining(leaf.ID)
+	}
+}
+
+// Forget drops leafs that no service has any more.
+func (b *Balancer) Forget(known map[string]bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.now()
+	for id := range b.leafs {
+		if !known[id] {
+			delete(b.leafs, id)
+		}
+	}
+	for id, until := range b.leaving {
+		if now.After(until) {
+			delete(b.leaving, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/balancer/leaf.go
@@ -0,0 +1,185 @@
+package balancer
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// latencyWeight is the share of a new sample in a leaf's moving average latency.
+const latencyWeight = 0.1
+
+// minimumLatency in seconds keeps scores of leafs apart before any reply was seen.
+const minimumLatency = 1e-6
+
+// coldFactor is how many times worse a leaf looks at the start of its warm-up.
+const coldFactor = 4
+
+// shedBackoff multiplies a leaf's in-flight limit when it sheds load.
+const shedBackoff = 0.7
+
+// Outcome is how an attempt ended, as far as it tells about the leaf.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Succeeded means that a verified reply came back.
+	Succeeded Outcome = iota
+	// Failed means an error of transport, a wrong reply, or none in time.
+	Failed
+	// Shed means that the leaf refused because it has too much work.
+	Shed
+	// Drained means that the leaf refused because it is leaving.
+	Drained
+	// Abandoned means that another replica was faster, which says little.
+	Abandoned
+	// Declined means that the leaf refused for a reason that says nothing about its health.
+	Declined
+)
+
+// Leaf is what this node has seen of one leaf. It is safe for concurrent use.
+type Leaf struct {
+	ID   string
+	Zone string
+
+	mutex         sync.Mutex
+	inFlight      int
+	limit         float64
+	latency       float64 // moving average in seconds; 0 before the first sample
+	failures      int     // in a row
+	ejectedUntil  time.Time
+	trial         bool // one attempt is out to see whether an ejected leaf is back
+	drainingUntil time.Time
+	warmSince     time.Time
+	reportedLoad  float64 // share of slots in use, by the leaf's own word
+	reportedAt    time.Time
+}
+
+func newLeaf(id, zone string, config Config, now time.Time) *Leaf {
+	return &Leaf{ID: id, Zone: zone, limit: float64(config.InFlightLimit), warmSince: now}
+}
+
+// Load is the leaf's own word on how busy it is.
+type Load struct {
+	InFlight uint32
+	Slots    uint32
+	Draining bool
+}
+
+// start counts an attempt in; it marks the attempt as the trial of an ejected leaf.
+func (l *Leaf) start(now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.inFlight++
+	if !l.ejectedUntil.IsZero() && now.After(l.ejectedUntil) {
+		l.trial = true
+	}
+}
+
+// finish counts an attempt out and learns from its outcome.
+func (l *Leaf) finish(config Config, outcome Outcome, took time.Duration, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.inFlight--
+	l.trial = false
+	switch outcome {
+	case Succeeded:
+		l.succeed(config, took, now)
+	case Failed:
+		l.fail(config, now)
+	case Shed:
+		l.limit = math.Max(1, l.limit*shedBackoff)
+	case Drained:
+		l.drainingUntil = now.Add(config.ForgetDrain)
+	case Abandoned:
+		// A straggler's true latency is at least the time waited; ignoring it would make
+		// a slow replica look as good as its fast replies.
+		if took.Seconds() > l.latency {
+			l.observe(took)
+		}
+	case Declined:
+	}
+}
+
+func (l *Leaf) succeed(config Config, took time.Duration, now time.Time) {
+	l.observe(took)
+	l.failures = 0
+	l.limit = math.Min(float64(config.InFlightLimit), l.limit+1/math.Max(1, l.limit))
+	if !l.ejectedUntil.IsZero() {
+		l.ejectedUntil = time.Time{}
+		l.warmSince = now
+	}
+}
+
+func (l *Leaf) fail(config Config, now time.Time) {
+	l.failures++
+	if l.failures >= config.EjectAfter || !l.ejectedUntil.IsZero() {
+		l.ejectedUntil = now.Add(config.EjectFor)
+	}
+}
+
+func (l *Leaf) observe(took time.Duration) {
+	if l.latency == 0 {
+		l.latency = took.Seconds()
+		return
+	}
+	l.latency += latencyWeight * (took.Seconds() - l.latency)
+}
+
+// report takes the leaf's own word on its load.
+func (l *Leaf) report(config Config, load Load, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if load.Slots > 0 {
+		l.reportedLoad = float64(load.InFlight) / float64(load.Slots)
+		l.reportedAt = now
+	}
+	if load.Draining {
+		l.drainingUntil = now.Add(config.ForgetDrain)
+	}
+}
+
+// standing is a leaf's fitness for the next attempt, at one moment.
+type standing struct {
+	draining bool
+	ejected  bool
+	full     bool
+	latency  float64 // moving average in seconds; 0 when unknown
+	load     float64 // attempts in flight, the reported load and the penalty of a cold leaf
+}
+
+// score is the expected cost of one more attempt; lower is better. A leaf of unknown
+// latency is taken to be as fast as its fastest peer.
+func (s standing) score(fastest float64) float64 {
+	latency := s.latency
+	if latency == 0 {
+		latency = fastest
+	}
+	return s.load * math.Max(latency, minimumLatency)
+}
+
+func (l *Leaf) standing(config Config, now time.Time) standing {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	result := standing{
+		draining: now.Before(l.drainingUntil),
+		ejected:  !l.ejectedUntil.IsZero() && (l.trial || now.Before(l.ejectedUntil)),
+		full:     float64(l.inFlight) >= l.limit,
+		latency:  l.latency,
+	}
+	busy := float64(l.inFlight)
+	if now.Sub(l.reportedAt) < config.LoadAge {
+		busy += l.reportedLoad
+	}
+	result.load = (busy + 1) * l.coldPenalty(config, now)
+	return result
+}
+
+// coldPenalty makes a leaf that is new or back look worse until it has warmed up.
+func (l *Leaf) coldPenalty(config Config, now time.Time) float64 {
+	age := now.Sub(l.warmSince)
+	if age >= config.WarmUp {
+		return 1
+	}
+	return 1 + (coldFactor-1)*(1-age.Seconds()/config.WarmUp.Seconds())
+}
--- /dev/null
+++ b/internal/configsync/config.go
@@ -0,0 +1,72 @@
+package configsync
+
+import (
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// Config tunes the distribution of configuration.
+type Config struct {
+	// WatchersPerZone is how many nodes of a zone watch the store.
+	WatchersPerZone int `yaml:"watchers_per_zone"`
+	// FanOut is how many nodes a node hands a change to.
+	FanOut int `yaml:"fan_out"`
+	// BatchDelay is how long a watcher collects changes before it pushes them.
+	BatchDelay time.Duration `yaml:"batch_delay"`
+	// BackupDelay is how long a watcher waits for the push of the watcher before it in rank
+	// until it pushes a change itself.
+	BackupDelay time.Duration `yaml:"backup_delay"`
+	// CallTimeout bounds one call between nodes.
+	CallTimeout time.Duration `yaml:"call_timeout"`
+	// RetryPause is the least pause between tries to reach the store or a peer.
+	RetryPause time.Duration `yaml:"retry_pause"`
+	// MaximumRetryPause is the most.
+	MaximumRetryPause time.Duration `yaml:"maximum_retry_pause"`
+	// WatchSilence is how long a watch may be silent before it is opened anew.
+	WatchSilence time.Duration `yaml:"watch_silence"`
+	// MachineListInterval is how often watchers read the machine list.
+	MachineListInterval time.Duration `yaml:"machine_list_interval"`
+	// LeavingHold is how long word that a leaf is leaving holds unless repeated.
+	LeavingHold time.Duration `yaml:"leaving_hold"`
+}
+
+// DefaultConfig puts a change in force in a zone of 165 nodes within a second.
+func DefaultConfig() Config {
+	return Config{
+		WatchersPerZone:     2,
+		FanOut:              4,
+		BatchDelay:          20 * time.Millisecond,
+		BackupDelay:         500 * time.Millisecond,
+		CallTimeout:         500 * time.Millisecond,
+		RetryPause:          200 * time.Millisecond,
+		MaximumRetryPause:   2 * time.Second,
+		WatchSilence:        3 * time.Second,
+		MachineListInterval: time.Second,
+		LeavingHold:         30 * time.Second,
+	}
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.WatchersPerZone < 1, "watchers_per_zone", "must be at least 1")
+	checks.Refuse(c.FanOut < 1, "fan_out", "must be at least 1")
+	durations := []struct {
+		field string
+		value time.Duration
+	}{
+		{"batch_delay", c.BatchDelay},
+		{"backup_delay", c.BackupDelay},
+		{"call_timeout", c.CallTimeout},
+		{"retry_pause", c.RetryPause},
+		{"watch_silence", c.WatchSilence},
+		{"machine_list_interval", c.MachineListInterval},
+		{"leaving_hold", c.LeavingHold},
+	}
+	for _, duration := range durations {
+		checks.Refuse(duration.value <= 0, duration.field, "must be positive")
+	}
+	checks.Refuse(c.MaximumRetryPause < c.RetryPause, "maximum_retry_pause", "must be at least retry_pause")
+	return checks.Err()
+}
--- /dev/null
+++ b/internal/configsync/contacts.go
@@ -0,0 +1,199 @@
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/machines"
+	"github.com/portgauge/portgauge/internal/peer"
+)
+
+// contactsPerZone is how many nodes of each other zone a node remembers.
+const contactsPerZone = 3
+
+// notice is word that a leaf must get no new work.
+type notice struct {
+	until  time.Time
+	passes int
+}
+
+// Notices ride on datagrams: at most so many on one, each passed on so many times.
+const (
+	noticesPerMessage = 4
+	noticePasses      = 8
+)
+
+// Notices implements membership.Listener.
+func (s *Syncer) Notices() []peer.LeafNotice {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var chosen []peer.LeafNotice
+	now := time.Now()
+	for leafID, known := range s.notices {
+		if now.After(known.until) {
+			delete(s.notices, leafID)
+			continue
+		}
+		if known.passes >= noticePasses || len(chosen) >= noticesPerMessage {
+			continue
+		}
+		known.passes++
+		chosen = append(chosen, peer.LeafNotice{LeafID: leafID, Millis: known.until.Sub(now).Milliseconds()})
+	}
+	return chosen
+}
+
+// renewalShare is how much later than known a notice must hold to count as news.
+const renewalShare = 4
+
+// takeNotices learns of leaving leafs from another node.
+func (s *Syncer) takeNotices(notices []peer.LeafNotice) {
+	now := time.Now()
+	for _, word := range notices {
+		hold := min(time.Duration(word.Millis)*time.Millisecond, s.config.LeavingHold)
+		s.note(word.LeafID, now.Add(hold))
+	}
+}
+
+// note records word of a leaving leaf and reports whether it is news.
+func (s *Syncer) note(leafID string, until time.Time) bool {
+	s.leafs.SetLeaving(leafID, until)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, found := s.notices[leafID]
+	if found && until.Sub(known.until) < s.config.LeavingHold/renewalShare {
+		return false
+	}
+	s.notices[leafID] = &notice{until: until}
+	return true
+}
+
+// LeafDraining tells the zone of a leaf that said itself that it is leaving.
+func (s *Syncer) LeafDraining(leafID string) {
+	s.note(leafID, time.Now().Add(s.config.LeavingHold))
+}
+
+// machineLoop reads the machine list while this node is a watcher, and pushes word of
+// leaving leafs to the zone.
+func (s *Syncer) machineLoop(ctx context.Context) {
+	version := int64(0)
+	var leaving []string
+	for pause(ctx, s.config.MachineListInterval) {
+		if s.rank() == notAWatcher {
+			version = 0
+			continue
+		}
+		list, err := s.listMachines(ctx, "", version)
+		if err != nil {
+			continue
+		}
+		if !list.Unchanged {
+			version = list.Version
+			leaving = s.takeMachines(list)
+		}
+		s.pushLeaving(ctx, leaving)
+	}
+}
+
+// takeMachines learns contacts in other zones and gives the leaving leafs.
+func (s *Syncer) takeMachines(list machines.List) []string {
+	own := s.members.Self().Zone
+	contacts := map[string][]string{}
+	var leaving []string
+	for _, machine := range list.Machines {
+		switch {
+		case machine.Role == machines.RoleLeaf && machine.State == machines.Leaving:
+			leaving = append(leaving, machine.ID)
+		case machine.Role == machines.RoleNode && machine.Zone != own && machine.State == machines.Live:
+			contacts[machine.Zone] = append(contacts[machine.Zone], machine.Address)
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for zone, addresses := range contacts {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		s.contacts[zone] = addresses[:min(len(addresses), contactsPerZone)]
+	}
+	return leaving
+}
+
+// pushLeaving sends the zone those notices that are news, or about to lapse.
+func (s *Syncer) pushLeaving(ctx context.Context, leaving []string) {
+	until := time.Now().Add(s.config.LeavingHold)
+	var news []peer.LeafNotice
+	for _, leafID := range leaving {
+		if s.note(leafID, until) {
+			news = append(news, peer.LeafNotice{LeafID: leafID, Millis: s.config.LeavingHold.Milliseconds()})
+		}
+	}
+	if len(news) > 0 && s.rank() == 0 {
+		s.pushToZone(ctx, peer.Push{Notices: news})
+	}
+}
+
+func (s *Syncer) listMachines(ctx context.Context, zone string, version int64) (machines.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSilence)
+	defer cancel()
+	return s.machines.ListMachines(ctx, zone, version)
+}
+
+// listZone gives the peer addresses of the zone's nodes by the machine list.
+func (s *Syncer) listZone(ctx context.Context) ([]string, error) {
+	list, err := s.listMachines(ctx, s.members.Self().Zone, 0)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for _, machine := range list.Machines {
+		if machine.Role == machines.RoleNode && machine.State == machines.Live {
+			addresses = append(addresses, machine.Address)
+		}
+	}
+	return addresses, nil
+}
+
+// Contacts gives the nodes known in other zones.
+func (s *Syncer) Contacts() []peer.Contact {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var contacts []peer.Contact
+	for zone, addresses := range s.contacts {
+		for _, address := range addresses {
+			contacts = append(contacts, peer.Contact{Zone: zone, Address: address})
+		}
+	}
+	return contacts
+}
+
+func (s *Syncer) addContacts(contacts []peer.Contact) {
+	own := s.members.Self().Zone
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, contact := range contacts {
+		known := s.contacts[contact.Zone]
+		if contact.Zone == own || len(known) >= contactsPerZone || slices.Contains(known, contact.Address) {
+			continue
+		}
+		s.contacts[contact.Zone] = append(known, contact.Address)
+	}
+}
+
+// handleJoin takes a node in; one of another zone becomes a contact there.
+func (s *Syncer) handleJoin(join peer.Join) *peer.Welcome {
+	s.addContacts([]peer.Contact{{Zone: join.Member.Zone, Address: join.Member.Address}})
+	return &peer.Welcome{
+		Zone:     s.members.Self().Zone,
+		Members:  s.members.HandleJoin(join),
+		Contacts: s.Contacts(),
+	}
+}
+
+func (s *Syncer) randomContact() (string, bool) {
+	contacts := s.Contacts()
+	if len(contacts) == 0 {
+		return "", false
+	}
+	return contacts[rand.IntN(len(contacts))].Address, true
+}
--- /dev/null
+++ b/internal/configsync/handler.go
@@ -0,0 +1,44 @@
+package configsync
+
+import (
+	"context"
+
+	"github.com/portgauge/portgauge/internal/peer"
+)
+
+// PeerHandler answers other nodes: it hands each message to membership or configuration.
+type PeerHandler struct {
+	syncer *Syncer
+}
+
+var _ peer.Handler = (*PeerHandler)(nil)
+
+// NewPeerHandler makes the handler of a node's peer address.
+func NewPeerHandler(syncer *Syncer) *PeerHandler { return &PeerHandler{syncer: syncer} }
+
+// HandleDatagram implements peer.Handler.
+func (h *PeerHandler) HandleDatagram(message peer.Message) {
+	h.syncer.members.HandleDatagram(message)
+}
+
+// HandleCall implements peer.Handler.
+func (h *PeerHandler) HandleCall(ctx context.Context, message peer.Message) peer.Message {
+	syncer := h.syncer
+	answer := peer.Message{Digest: syncer.Digest()}
+	switch {
+	case message.Join != nil:
+		answer.Welcome = syncer.handleJoin(*message.Join)
+	case message.Push != nil:
+		state := syncer.HandlePush(message.From, *message.Push)
+		answer.State = &state
+	case message.Pull != nil:
+		state := syncer.HandlePull(*message.Pull)
+		answer.State = &state
+	case message.StatusQuery != nil:
+		reply := syncer.HandleStatus(ctx, *message.StatusQuery)
+		answer.StatusReply = &reply
+	}
+	// The digest is taken before the state so that it never claims more than the state has;
+	// a state's own revision says the rest.
+	return answer
+}
--- /dev/null
+++ b/internal/configsync/status.go
@@ -0,0 +1,116 @@
+package configsync
+
+import (
+	"context"
+	"sync"
+
+	"github.com/portgauge/portgauge/internal/peer"
+)
+
+// ZoneStatus counts the nodes of a zone that answered a status query.
+type ZoneStatus struct {
+	Zone string
+	peer.StatusReply
+}
+
+// Status counts, zone by zone, the nodes that have a revision in force. Zones that can't be
+// reached are left out.
+func (s *Syncer) Status(ctx context.Context, revision int64) []ZoneStatus {
+	own := ZoneStatus{Zone: s.members.Self().Zone, StatusReply: s.HandleStatus(ctx, peer.StatusQuery{Revision: revision, WholeZone: true})}
+	statuses := []ZoneStatus{own}
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	for zone, addresses := range s.contactsByZone() {
+		asked.Go(func() {
+			reply, found := s.askZone(ctx, addresses, revision)
+			if !found {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			statuses = append(statuses, ZoneStatus{Zone: zone, StatusReply: reply})
+		})
+	}
+	asked.Wait()
+	return statuses
+}
+
+func (s *Syncer) contactsByZone() map[string][]string {
+	byZone := map[string][]string{}
+	for _, contact := range s.Contacts() {
+		byZone[contact.Zone] = append(byZone[contact.Zone], contact.Address)
+	}
+	return byZone
+}
+
+func (s *Syncer) askZone(ctx context.Context, addresses []string, revision int64) (peer.StatusReply, bool) {
+	for _, address := range addresses {
+		reply, found := s.askStatus(ctx, address, peer.StatusQuery{Revision: revision, WholeZone: true})
+		if found {
+			return reply, true
+		}
+	}
+	return peer.StatusReply{}, false
+}
+
+func (s *Syncer) askStatus(ctx context.Context, address string, query peer.StatusQuery) (peer.StatusReply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeoutFactor*s.config.CallTimeout)
+	defer cancel()
+	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), StatusQuery: &query})
+	if err != nil || answer.StatusReply == nil {
+		return peer.StatusReply{}, false
+	}
+	return *answer.StatusReply, true
+}
+
+// HandleStatus counts this node and those it is asked to ask, over a tree as for pushes.
+func (s *Syncer) HandleStatus(ctx context.Context, query peer.StatusQuery) peer.StatusReply {
+	revision := s.catalog.Revision()
+	total := peer.StatusReply{Nodes: 1, LowestRevision: revision}
+	if revision >= query.Revision {
+		total.InForce = 1
+	}
+	subtree := query.Subtree
+	if query.WholeZone {
+		subtree = s.otherAddresses()
+	}
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	for _, branch := range split(subtree, s.config.FanOut) {
+		asked.Go(func() {
+			reply, found := s.askBranch(ctx, branch, query.Revision)
+			if !found {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			total.Nodes += reply.Nodes
+			total.InForce += reply.InForce
+			total.LowestRevision = min(total.LowestRevision, reply.LowestRevision)
+		})
+	}
+	asked.Wait()
+	return total
+}
+
+// askBranch asks the first node of a branch that answers; those before it are not counted.
+func (s *Syncer) askBranch(ctx context.Context, branch []string, revision int64) (peer.StatusReply, bool) {
+	for index, address := range branch {
+		reply, found := s.askStatus(ctx, address, peer.StatusQuery{Revision: revision, Subtree: branch[index+1:]})
+		if found {
+			return reply, true
+		}
+	}
+	return peer.StatusReply{}, false
+}
+
+func (s *Syncer) otherAddresses() []string {
+	self := s.members.Self().ID
+	var addresses []string
+	for _, member := range s.members.Members() {
+		if member.ID != self {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/configsync/syncer.go
@@ -0,0 +1,156 @@
+// Package configsync brings every accepted change of configuration to every node.
+//
+// A few nodes of each zone, picked by rendezvous hashing over its live members, watch the
+// store. The first of them pushes each change down a tree of the zone's nodes that is drawn
+// anew for each push, so that relaying is shared; the others push only if that push does not
+// reach them. Digests that ride on membership probes reveal what a node missed, and it pulls
+// that from the peer. A zone cut off from the store pulls from other zones. A node applies
+// changes in order of revision and never goes back, whatever it is sent.
+package configsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/machines"
+	"github.com/portgauge/portgauge/internal/membership"
+	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// LeafNoticer is told of leafs that must get no new work.
+type LeafNoticer interface {
+	SetLeaving(leafID string, until time.Time)
+}
+
+// Parts are what a syncer is built from. Store and Machines belong to the platform.
+type Parts struct {
+	Config    Config
+	Catalog   *catalog.Catalog
+	Store     store.Store
+	Machines  machines.Lister
+	Transport peer.Transport
+	Leafs     LeafNoticer
+	Logger    *zap.Logger
+	// Seeds are peer addresses to join through besides those on the machine list.
+	Seeds []string
+	// Relayed is told of messages sent, by kind; it may be nil.
+	Relayed func(kind string)
+}
+
+// Syncer is the configuration side of one node; safe for concurrent use.
+type Syncer struct {
+	config    Config
+	catalog   *catalog.Catalog
+	store     store.Store
+	machines  machines.Lister
+	transport peer.Transport
+	leafs     LeafNoticer
+	logger    *zap.Logger
+	seeds     []string
+	relayed   func(kind string)
+	members   *membership.Membership
+
+	initialised atomic.Bool
+	ready       chan struct{} // closed once initialised
+	storeDownAt atomic.Int64  // unix nanoseconds; 0 while the watch is up
+	pulling     atomic.Bool
+	pushes      chan catalog.Change
+	wake        chan struct{} // a watcher's rank may have changed
+
+	mutex    sync.Mutex
+	contacts map[string][]string // peer addresses of other zones
+	notices  map[string]*notice  // by leaf id
+	pushed   int64               // newest revision received or sent by push
+}
+
+// New makes a syncer; SetMembership must be called before Run.
+func New(parts Parts) *Syncer {
+	relayed := parts.Relayed
+	if relayed == nil {
+		relayed = func(string) {}
+	}
+	return &Syncer{
+		config:    parts.Config,
+		catalog:   parts.Catalog,
+		store:     parts.Store,
+		machines:  parts.Machines,
+		transport: parts.Transport,
+		leafs:     parts.Leafs,
+		logger:    parts.Logger,
+		seeds:     parts.Seeds,
+		relayed:   relayed,
+		ready:     make(chan struct{}),
+		pushes:    make(chan catalog.Change, pushBacklog),
+		wake:      make(chan struct{}, 1),
+		contacts:  map[string][]string{},
+		notices:   map[string]*notice{},
+	}
+}
+
+// pushBacklog is how many changes may wait to be pushed; digests heal what overflows.
+const pushBacklog = 1024
+
+// SetMembership gives the zone's members; the membership's listener is this syncer.
+func (s *Syncer) SetMembership(members *membership.Membership) { s.members = members }
+
+// Ready is closed once the node has configuration, be it empty.
+func (s *Syncer) Ready() <-chan struct{} { return s.ready }
+
+// Run distributes configuration until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){s.joinLoop, s.watchLoop, s.pushLoop, s.machineLoop, s.crossZoneLoop} {
+		loops.Go(func() { loop(ctx) })
+	}
+	loops.Wait()
+}
+
+// markInitialised lets the node serve.
+func (s *Syncer) markInitialised() {
+	if s.initialised.CompareAndSwap(false, true) {
+		close(s.ready)
+	}
+}
+
+// Digest implements membership.Listener.
+func (s *Syncer) Digest() peer.Digest {
+	return peer.Digest{Revision: s.catalog.Revision(), AgeMillis: time.Since(s.catalog.ConfirmedAt()).Milliseconds()}
+}
+
+// Heard implements membership.Listener: it pulls from a peer that is ahead.
+func (s *Syncer) Heard(from string, digest peer.Digest, notices []peer.LeafNotice) {
+	s.takeNotices(notices)
+	revision := s.catalog.Revision()
+	if digest.Revision == revision && s.initialised.Load() {
+		s.catalog.Confirm(time.Now().Add(-time.Duration(digest.AgeMillis) * time.Millisecond))
+	}
+	if digest.Revision > revision {
+		go s.pullFrom(context.Background(), from)
+	}
+}
+
+// pause waits for a time with jitter, so that nodes that failed together don't retry
+// together; false when the context ended.
+func pause(ctx context.Context, duration time.Duration) bool {
+	jittered := time.Duration(float64(duration) * (0.5 + rand.Float64()))
+	timer := time.NewTimer(jittered)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// backoff doubles a pause up to the most allowed.
+func (s *Syncer) backoff(current time.Duration) time.Duration {
+	return min(2*current, s.config.MaximumRetryPause)
+}
--- /dev/null
+++ b/internal/configsync/watch.go
@@ -0,0 +1,186 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// errGap ends a watch whose events do not follow on the revision in force.
+var errGap = merry.New("the watch skipped a change")
+
+// errNotWatcher ends the watch of a node that no longer ranks among its zone's watchers.
+var errNotWatcher = merry.New("no longer a watcher")
+
+// notAWatcher is the rank of a node that does not watch the store.
+const notAWatcher = -1
+
+// rank gives this node's place among its zone's watchers, 0 being the one that pushes.
+func (s *Syncer) rank() int {
+	self := s.members.Self().ID
+	members := s.members.Members()
+	own := xxhash.Sum64String(self)
+	ahead := 0
+	present := false
+	for _, member := range members {
+		if member.ID == self {
+			present = true
+			continue
+		}
+		if xxhash.Sum64String(member.ID) > own {
+			ahead++
+		}
+	}
+	if !present || ahead >= s.config.WatchersPerZone {
+		return notAWatcher
+	}
+	return ahead
+}
+
+// watchers gives the peer addresses of the zone's watchers, first in rank first.
+func (s *Syncer) watchers() []peer.Member {
+	ranked := append([]peer.Member(nil), s.members.Members()...)
+	sortByWeight(ranked, func(member peer.Member) uint64 { return xxhash.Sum64String(member.ID) })
+	return ranked[:min(len(ranked), s.config.WatchersPerZone)]
+}
+
+// watchLoop watches the store while this node ranks among the watchers.
+func (s *Syncer) watchLoop(ctx context.Context) {
+	wait := s.config.RetryPause
+	for {
+		if s.rank() == notAWatcher {
+			s.storeDownAt.Store(0)
+			if !pause(ctx, s.config.RetryPause) {
+				return
+			}
+			continue
+		}
+		opened := time.Now()
+		err := s.watchOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, errNotWatcher) {
+			continue
+		}
+		s.storeDownAt.CompareAndSwap(0, time.Now().UnixNano())
+		s.logger.Warn("store watch ended", zap.Error(err), zap.Int64("revision", s.catalog.Revision()))
+		if time.Since(opened) > s.config.WatchSilence {
+			wait = s.config.RetryPause
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+		wait = s.backoff(wait)
+	}
+}
+
+// watchOnce reads the whole state if there is none yet, then follows the store's changes.
+func (s *Syncer) watchOnce(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !s.initialised.Load() {
+		if err := s.readStore(ctx); err != nil {
+			return err
+		}
+	}
+	var heardAt atomic.Int64
+	heardAt.Store(time.Now().UnixNano())
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go s.superviseWatch(stopped, cancel, &heardAt)
+	err := s.store.Watch(ctx, s.catalog.Revision(), func(event store.Event) error {
+		heardAt.Store(time.Now().UnixNano())
+		return s.takeEvent(ctx, event)
+	})
+	if s.rank() == notAWatcher {
+		return errNotWatcher
+	}
+	return err
+}
+
+// superviseWatch ends a watch that fell silent or whose node lost its rank.
+func (s *Syncer) superviseWatch(stopped <-chan struct{}, cancel context.CancelFunc, heardAt *atomic.Int64) {
+	ticker := time.NewTicker(s.config.RetryPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stopped:
+			return
+		case <-ticker.C:
+		}
+		silent := time.Since(time.Unix(0, heardAt.Load()))
+		if silent > s.config.WatchSilence || s.rank() == notAWatcher {
+			cancel()
+			return
+		}
+	}
+}
+
+func (s *Syncer) readStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSilence)
+	defer cancel()
+	snapshot, err := s.store.List(ctx)
+	if err != nil {
+		return err
+	}
+	s.catalog.Replace(snapshot)
+	s.catalog.Confirm(time.Now())
+	s.markInitialised()
+	return nil
+}
+
+// takeEvent applies a change and has it pushed, or notes that there is none newer.
+func (s *Syncer) takeEvent(ctx context.Context, event store.Event) error {
+	s.storeDownAt.Store(0)
+	if event.Change != nil {
+		if !s.catalog.Apply(*event.Change) {
+			if err := s.readStore(ctx); err != nil {
+				return errors.Join(errGap, err)
+			}
+		}
+		s.enqueue(*event.Change)
+	}
+	if event.Current == s.catalog.Revision() {
+		s.catalog.Confirm(time.Now())
+	}
+	return nil
+}
+
+// enqueue hands a change to the push loop; a watcher in reserve does so after a while, and
+// only if the push of the first has not come by then.
+func (s *Syncer) enqueue(change catalog.Change) {
+	rank := s.rank()
+	if rank == notAWatcher {
+		return
+	}
+	if rank == 0 {
+		s.offerPush(change)
+		return
+	}
+	time.AfterFunc(time.Duration(rank)*s.config.BackupDelay, func() {
+		s.mutex.Lock()
+		seen := s.pushed >= change.Entry.Revision
+		s.mutex.Unlock()
+		if !seen {
+			s.offerPush(change)
+		}
+	})
+}
+
+func (s *Syncer) offerPush(change catalog.Change) {
+	select {
+	case s.pushes <- change:
+	default:
+		s.relayed("push_overflow")
+	}
+}
--- /dev/null
+++ b/internal/configwriter/configwriter.go
@@ -0,0 +1,154 @@
+// Package configwriter writes operators' changes to the store and settles lost replies.
+//
+// A write is a compare-and-swap with the revision the operator saw and a unique change id
+// that the value keeps. When a reply is lost the key is read back: if the id is there, the
+// change was accepted; if the key moved on without it, the write lost a race; if the key is
+// unmoved, the same compare-and-swap is sent again, which can take effect only once.
+package configwriter
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// Config bounds how long a write is pursued.
+type Config struct {
+	// CallTimeout bounds one call to the store.
+	CallTimeout time.Duration `yaml:"call_timeout"`
+	// TotalTimeout bounds the whole write with its read-backs.
+	TotalTimeout time.Duration `yaml:"total_timeout"`
+	// RetryPause is the pause before the key is read back or written again.
+	RetryPause time.Duration `yaml:"retry_pause"`
+}
+
+// DefaultConfig suits a store that answers within milliseconds.
+func DefaultConfig() Config {
+	return Config{CallTimeout: time.Second, TotalTimeout: 5 * time.Second, RetryPause: 100 * time.Millisecond}
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.CallTimeout <= 0, "call_timeout", "must be positive")
+	checks.Refuse(c.TotalTimeout < c.CallTimeout, "total_timeout", "must be at least call_timeout")
+	checks.Refuse(c.RetryPause <= 0, "retry_pause", "must be positive")
+	return checks.Err()
+}
+
+// Write is one change of one key.
+type Write struct {
+	Key      string
+	Expected int64
+	ChangeID string
+	// Message is the new value; nil deletes the key.
+	Message proto.Message
+}
+
+// Writer writes changes; it holds no state between them and is safe for concurrent use.
+type Writer struct {
+	config Config
+	store  store.Store
+}
+
+// New makes a writer.
+func New(config Config, target store.Store) *Writer {
+	return &Writer{config: config, store: target}
+}
+
+// Apply writes a change and gives the revision at which it was accepted. Failures are
+// RevisionConflict (not accepted), StoreUnavailable (nothing was sent) and OutcomeUnknown
+// (sent, no reply, and no read-back either: apply again with the same change id).
+func (w *Writer) Apply(ctx context.Context, write Write) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.config.TotalTimeout)
+	defer cancel()
+	sent := false
+	for {
+		revision, settled, err := w.try(ctx, write, &sent)
+		if settled {
+			return revision, err
+		}
+		select {
+		case <-ctx.Done():
+			return 0, w.unsettled(write, sent, err)
+		case <-time.After(w.config.RetryPause):
+		}
+	}
+}
+
+// try reads the key and writes it once. It is settled when the outcome is known.
+func (w *Writer) try(ctx context.Context, write Write, sent *bool) (revision int64, settled bool, err error) {
+	current, err := w.get(ctx, write.Key)
+	if err != nil {
+		return 0, false, err
+	}
+	if current != nil {
+		if accepted, found := catalog.FindChange(current, write.ChangeID); found {
+			return accepted, true, nil
+		}
+	}
+	if liveRevision(current) != write.Expected {
+		return 0, true, conflict(write, current)
+	}
+	value, err := catalog.NewEnvelope(write.ChangeID, write.Message, current)
+	if err != nil {
+		return 0, true, err
+	}
+	result, err := w.swap(ctx, write, value, sent)
+	if err != nil {
+		return 0, false, err
+	}
+	if result.Swapped {
+		return result.Entry.Revision, true, nil
+	}
+	// The key moved between the read and the write, perhaps by an earlier copy of this
+	// very write: the next read tells.
+	return 0, false, nil
+}
+
+func (w *Writer) get(ctx context.Context, key string) (*catalog.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.config.CallTimeout)
+	defer cancel()
+	return w.store.Get(ctx, key)
+}
+
+func (w *Writer) swap(ctx context.Context, write Write, value []byte, sent *bool) (store.SwapResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.config.CallTimeout)
+	defer cancel()
+	*sent = true
+	return w.store.CompareAndSwap(ctx, write.Key, write.Expected, value, write.Message == nil)
+}
+
+func (w *Writer) unsettled(write Write, sent bool, cause error) error {
+	if cause == nil {
+		cause = context.DeadlineExceeded
+	}
+	if sent {
+		unknown := failure.Wrap(cause, failure.OutcomeUnknown, failure.Unknown,
+			"the store did not confirm change "+write.ChangeID+"; apply again with the same change id")
+		return unknown.WithRetryAfter(w.config.TotalTimeout)
+	}
+	unavailable := failure.Wrap(cause, failure.StoreUnavailable, failure.NotRun, "the store does not answer; nothing was written")
+	return unavailable.WithRetryAfter(w.config.TotalTimeout)
+}
+
+// liveRevision gives the revision to compare with; absent and deleted keys count as 0.
+func liveRevision(entry *catalog.Entry) int64 {
+	if entry == nil || entry.Deleted {
+		return 0
+	}
+	return entry.Revision
+}
+
+func conflict(write Write, current *catalog.Entry) error {
+	revision := liveRevision(current)
+	failed := failure.New(failure.RevisionConflict, failure.NotRun,
+		"%s is at revision %d, not %d", write.Key, revision, write.Expected)
+	failed.CurrentRevision = revision
+	return failed
+}
--- /dev/null
+++ b/internal/lab/leaf/leaf.go
@@ -0,0 +1,349 @@
+// Package leaf is a stand-in back end: it holds versions of a sample index, serves any range
+// of them over the leaf protocol, and records what it executed.
+package leaf
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/keyspace"
+	"github.com/portgauge/portgauge/internal/lab/sample"
+	"github.com/portgauge/portgauge/internal/search"
+)
+
+// Config is what a leaf is and how fast it works.
+type Config struct {
+	ID      string
+	Dataset sample.Dataset
+	Seed    uint64
+	Records int
+	// Snapshots are the versions held at the start.
+	Snapshots []string
+	// Slots is how many attempts run at once; as many again wait for each slot.
+	Slots int
+	// QueuePerSlot is how many attempts wait for each slot before the leaf sheds.
+	QueuePerSlot int
+	// MedianServiceTime and ServiceSpread (sigma of the logarithm) shape a log-normal
+	// service time.
+	MedianServiceTime time.Duration
+	ServiceSpread     float64
+	// ColdTime is how long after its start a leaf is slower, by ColdFactor at first.
+	ColdTime   time.Duration
+	ColdFactor float64
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.ID == "", "id", "must not be empty")
+	checks.Refuse(c.Dataset != sample.Tiles && c.Dataset != sample.Invoices, "dataset", "%q; must be %q or %q", c.Dataset, sample.Tiles, sample.Invoices)
+	checks.Refuse(c.Records < 1, "records", "must be at least 1")
+	checks.Refuse(len(c.Snapshots) == 0, "snapshots", "must name at least one")
+	checks.Refuse(c.Slots < 1, "slots", "must be at least 1")
+	checks.Refuse(c.QueuePerSlot < 0, "queue-per-slot", "must not be negative")
+	checks.Refuse(c.MedianServiceTime < 0, "median-service-time", "must not be negative")
+	return checks.Err()
+}
+
+// Execution is the record of one attempt that the leaf ran.
+type Execution struct {
+	LeafID      string `json:"leaf_id"`
+	Service     string `json:"service"`
+	RequestID   string `json:"request_id"`
+	SnapshotID  string `json:"snapshot_id"`
+	ShardID     string `json:"shard_id"`
+	Attempt     uint32 `json:"attempt"`
+	ExecutionID string `json:"execution_id,omitempty"`
+	// At is when it started to run, in Unix microseconds.
+	At int64 `json:"at"`
+}
+
+// executionMemory is how many executions a leaf remembers.
+const executionMemory = 1 << 20
+
+// executionIDMemory is how long a leaf refuses a second copy of an execution id beyond its
+// not-after time.
+const executionIDMemory = 10 * time.Minute
+
+// Leaf serves LeafService.
+type Leaf struct {
+	leafv1.UnimplementedLeafServiceServer
+	config  Config
+	started time.Time
+	slots   chan struct{}
+
+	mutex      sync.Mutex
+	random     *rand.Rand
+	faults     Faults
+	indexes    map[string]*sample.Index
+	held       map[string]bool
+	inFlight   int
+	executions []Execution
+	ran        map[string]time.Time // execution ids, until when they are remembered
+	previous   *leafv1.SearchShardResponse
+}
+
+// New makes a leaf and builds its indexes.
+func New(config Config) (*Leaf, error) {
+	leaf := &Leaf{
+		config:  config,
+		started: time.Now(),
+		slots:   make(chan struct{}, config.Slots),
+		random:  rand.New(rand.NewPCG(config.Seed, uint64(len(config.ID)))),
+		indexes: map[string]*sample.Index{},
+		held:    map[string]bool{},
+		ran:     map[string]time.Time{},
+	}
+	return leaf, leaf.hold(config.Snapshots)
+}
+
+// hold makes the given versions the ones held.
+func (l *Leaf) hold(snapshots []string) error {
+	held := map[string]bool{}
+	for _, snapshot := range snapshots {
+		if l.indexes[snapshot] == nil {
+			index, err := sample.Build(l.config.Dataset, l.config.Seed, l.config.Records, snapshot)
+			if err != nil {
+				return err
+			}
+			l.indexes[snapshot] = index
+		}
+		held[snapshot] = true
+	}
+	l.held = held
+	return nil
+}
+
+// SetFaults replaces the faults.
+func (l *Leaf) SetFaults(faults Faults) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.faults = faults
+	if len(faults.Snapshots) > 0 {
+		return l.hold(faults.Snapshots)
+	}
+	return nil
+}
+
+// Executions gives what the leaf ran, in order.
+func (l *Leaf) Executions() []Execution {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Execution(nil), l.executions...)
+}
+
+// SearchShard implements LeafServiceServer.
+func (l *Leaf) SearchShard(ctx context.Context, request *leafv1.SearchShardRequest) (*leafv1.SearchShardResponse, error) {
+	arrived := time.Now()
+	faults, refusal := l.admit(request)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer l.leave()
+	if err := l.takeSlot(ctx, faults, request, arrived); err != nil {
+		return nil, err
+	}
+	defer func() { <-l.slots }()
+	index, refusal := l.begin(request, arrived)
+	if refusal != nil {
+		return nil, refusal
+	}
+	l.work(ctx, faults)
+	return l.respond(request, index, faults)
+}
+
+// admit refuses what the leaf won't run and counts the rest in.
+func (l *Leaf) admit(request *leafv1.SearchShardRequest) (Faults, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	waiting := l.inFlight - l.config.Slots
+	switch {
+	case l.faults.Draining:
+		return l.faults, l.refuse(request, leafv1.RefusalReason_REFUSAL_REASON_DRAINING)
+	case waiting >= l.config.Slots*l.config.QueuePerSlot, l.draw(l.faults.ShedShare):
+		return l.faults, l.refuse(request, leafv1.RefusalReason_REFUSAL_REASON_SHEDDING)
+	}
+	l.inFlight++
+	return l.faults, nil
+}
+
+func (l *Leaf) leave() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.inFlight--
+}
+
+func (l *Leaf) takeSlot(ctx context.Context, faults Faults, request *leafv1.SearchShardRequest, arrived time.Time) error {
+	remaining := time.Until(arrived.Add(time.Duration(request.GetTimeRemainingMicros()) * time.Microsecond))
+	timer := time.NewTimer(remaining)
+	defer timer.Stop()
+	cancelled := ctx.Done()
+	if faults.IgnoreCancel {
+		cancelled = nil
+	}
+	select {
+	case l.slots <- struct{}{}:
+		return nil
+	case <-timer.C:
+	case <-cancelled:
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.refuse(request, leafv1.RefusalReason_REFUSAL_REASON_TOO_LATE)
+}
+
+// begin records the execution, or refuses it as the last step before anything ran.
+func (l *Leaf) begin(request *leafv1.SearchShardRequest, arrived time.Time) (*sample.Index, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	snapshot := request.GetIdentity().GetSnapshotId()
+	if !l.held[snapshot] {
+		return nil, l.refuse(request, leafv1.RefusalReason_REFUSAL_REASON_SNAPSHOT_GONE)
+	}
+	if now.Sub(arrived) >= time.Duration(request.GetTimeRemainingMicros())*time.Microsecond {
+		return nil, l.refuse(request, leafv1.RefusalReason_REFUSAL_REASON_TOO_LATE)
+	}
+	if id := request.GetExecutionId(); id != "" {
+		if refusal := l.claim(request, id, now); refusal != nil {
+			return nil, refusal
+		}
+	}
+	if len(l.executions) < executionMemory {
+		l.executions = append(l.executions, Execution{
+			LeafID: l.config.ID, Service: request.GetService(), RequestID: request.GetIdentity().GetRequestId(), SnapshotID: snapshot,
+			ShardID: request.GetIdentity().GetShardId(), Attempt: request.GetIdentity().GetAttempt(),
+			ExecutionID: request.GetExecutionId(), At: now.UnixMicro(),
+		})
+	}
+	return l.indexes[snapshot], nil
+}
+
+// claim refuses an execution id that is late or ran before.
+func (l *Leaf) claim(request *leafv1.SearchShardRequest, id string, now time.Time) error {
+	if now.UnixMilli() > request.GetNotAfterUnixMillis() {
+		return l.refuse(request, leafv1.RefusalReason_REFUSAL_REASON_TOO_LATE)
+	}
+	if until, ran := l.ran[id]; ran && now.Before(until) {
+		return l.refuse(request, leafv1.RefusalReason_REFUSAL_REASON_DUPLICATE_EXECUTION)
+	}
+	l.ran[id] = time.UnixMilli(request.GetNotAfterUnixMillis()).Add(executionIDMemory)
+	return nil
+}
+
+// work takes as long as the leaf's service time.
+func (l *Leaf) work(ctx context.Context, faults Faults) {
+	timer := time.NewTimer(l.serviceTime(faults))
+	defer timer.Stop()
+	cancelled := ctx.Done()
+	if faults.IgnoreCancel {
+		cancelled = nil
+	}
+	select {
+	case <-timer.C:
+	case <-cancelled:
+	}
+}
+
+func (l *Leaf) serviceTime(faults Faults) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	seconds := l.config.MedianServiceTime.Seconds() * math.Exp(l.random.NormFloat64()*l.config.ServiceSpread)
+	if faults.SlowFactor > 0 {
+		seconds *= faults.SlowFactor
+	}
+	if l.draw(faults.StragglerShare) {
+		seconds *= faults.StragglerLow + l.random.Float64()*(faults.StragglerHigh-faults.StragglerLow)
+	}
+	if age := time.Since(l.started); age < l.config.ColdTime {
+		seconds *= 1 + (l.config.ColdFactor-1)*(1-age.Seconds()/l.config.ColdTime.Seconds())
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// respond makes the reply, spoiled as the faults say.
+func (l *Leaf) respond(request *leafv1.SearchShardRequest, index *sample.Index, faults Faults) (*leafv1.SearchShardResponse, error) {
+	response := answer(request, index)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	response.Load = l.load()
+	if l.draw(faults.LoseReplyShare) {
+		return nil, status.Error(codes.Unavailable, "reply lost")
+	}
+	if l.draw(faults.TruncateShare) {
+		truncate(response)
+	}
+	if l.draw(faults.ForeignRowShare) {
+		response.Rows = append(response.Rows, &leafv1.Row{Key: "\x00foreign", Value: []byte("{}")})
+	}
+	if l.draw(faults.DuplicateRowShare) && len(response.Rows) > 0 {
+		response.Rows = append(response.Rows, response.Rows[len(response.Rows)-1])
+	}
+	previous := l.previous
+	l.previous = response
+	if l.draw(faults.CrossShare) && previous != nil {
+		return previous, nil
+	}
+	return response, nil
+}
+
+// answer gives the rows of the asked range, up to the limit.
+func answer(request *leafv1.SearchShardRequest, index *sample.Index) *leafv1.SearchShardResponse {
+	response := &leafv1.SearchShardResponse{
+		Identity: request.GetIdentity(), CoveredFrom: request.GetKeyFrom(), CoveredTo: request.GetKeyTo(),
+	}
+	for _, record := range index.In(keyspace.Range{From: request.GetKeyFrom(), To: request.GetKeyTo()}) {
+		if !search.Matches(request.GetFilter(), record.Key, record.Value) {
+			continue
+		}
+		response.Rows = append(response.Rows, &leafv1.Row{Key: record.Key, Value: record.Value})
+		if len(response.Rows) == int(request.GetLimit()) {
+			response.CoveredTo = keyspace.After(record.Key)
+			break
+		}
+	}
+	return response
+}
+
+// truncate cuts a reply to the first half of its rows and says so.
+func truncate(response *leafv1.SearchShardResponse) {
+	half := len(response.GetRows()) / 2
+	if half == 0 {
+		return
+	}
+	response.Rows = response.Rows[:half]
+	response.CoveredTo = keyspace.After(response.Rows[half-1].GetKey())
+}
+
+func (l *Leaf) load() *leafv1.LeafLoad {
+	load := &leafv1.LeafLoad{Slots: uint32(l.config.Slots), Draining: l.faults.Draining}
+	if !l.faults.ClaimIdle {
+		load.InFlight = uint32(l.inFlight)
+	}
+	return load
+}
+
+func (l *Leaf) draw(share float64) bool { return share > 0 && l.random.Float64() < share }
+
+// shedRetryAfter is when a shedding leaf asks to be asked again, in milliseconds.
+const shedRetryAfter = 50
+
+// refuse makes the typed refusal of an attempt that did not run; the lock must be held.
+func (l *Leaf) refuse(request *leafv1.SearchShardRequest, reason leafv1.RefusalReason) error {
+	state := status.New(codes.Unavailable, reason.String())
+	detailed, err := state.WithDetails(&leafv1.LeafRefusal{
+		Identity: request.GetIdentity(), Reason: reason, RetryAfterMillis: shedRetryAfter, Load: l.load(),
+	})
+	if err != nil {
+		return state.Err()
+	}
+	return detailed.Err()
+}
--- /dev/null
+++ b/internal/lab/platform/server.go
@@ -0,0 +1,53 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	platformv1 "github.com/portgauge/portgauge/gen/portgauge/platform/v1"
+	"github.com/portgauge/portgauge/internal/lab/control"
+)
+
+// Serve serves the platform's protocol, and on a second address the control calls of
+// experiments, until the context ends.
+func (p *Platform) Serve(ctx context.Context, address, controlAddress string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := grpc.NewServer()
+	platformv1.RegisterStoreServiceServer(server, p)
+	platformv1.RegisterMachineListServiceServer(server, p)
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	group.Go(func() error { return control.Serve(ctx, controlAddress, p.controlHandler()) })
+	<-ctx.Done()
+	server.Stop()
+	return group.Wait()
+}
+
+func (p *Platform) controlHandler() http.Handler {
+	router := control.NewRouter()
+	router.PUT("/faults", func(c *gin.Context) {
+		var faults Faults
+		if control.Read(c, &faults) {
+			p.SetFaults(faults)
+			c.Status(http.StatusNoContent)
+		}
+	})
+	router.PUT("/machines", func(c *gin.Context) {
+		var machines []*platformv1.Machine
+		if control.Read(c, &machines) {
+			p.SetMachines(machines)
+			c.Status(http.StatusNoContent)
+		}
+	})
+	router.GET("/writes", func(c *gin.Context) { c.JSON(http.StatusOK, p.Writes()) })
+	router.GET("/counts", func(c *gin.Context) { c.JSON(http.StatusOK, p.Counts()) })
+	return router
+}
--- /dev/null
+++ b/internal/lab/sample/sample.go
@@ -0,0 +1,123 @@
+// Package sample makes the records of the sample indexes from a seed: map tiles keyed by
+// coastline or field, and invoices keyed by debtor and number.
+package sample
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/keyspace"
+)
+
+// Dataset names a sample index.
+type Dataset string
+
+// The sample indexes.
+const (
+	Tiles    Dataset = "tiles"
+	Invoices Dataset = "invoices"
+)
+
+// Record is one row of an index.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Index is all records of one snapshot, sorted by key.
+type Index struct {
+	Snapshot string
+	Records  []Record
+}
+
+// absentOneIn is how many records one is absent of, a different one in each snapshot, so
+// that snapshots differ in which rows they have, too.
+const absentOneIn = 16
+
+// Build makes the index of a snapshot. The same arguments always give the same index.
+func Build(dataset Dataset, seed uint64, count int, snapshot string) (*Index, error) {
+	random := rand.New(rand.NewPCG(seed, 7))
+	index := &Index{Snapshot: snapshot}
+	for number := range count {
+		key, value, err := makeRecord(dataset, random, number, snapshot)
+		if err != nil {
+			return nil, err
+		}
+		if xxhash.Sum64String(snapshot+"\x00"+key)%absentOneIn == 0 {
+			continue
+		}
+		index.Records = append(index.Records, Record{Key: key, Value: value})
+	}
+	sort.Slice(index.Records, func(i, j int) bool { return index.Records[i].Key < index.Records[j].Key })
+	return index, nil
+}
+
+// tile is the value of a record of Tiles.
+type tile struct {
+	Snapshot string  `json:"snapshot"`
+	Kind     string  `json:"kind"`
+	Zoom     int     `json:"zoom"`
+	Cloud    float64 `json:"cloud"`
+	Bytes    int     `json:"bytes"`
+}
+
+// invoice is the value of a record of Invoices.
+type invoice struct {
+	Snapshot string `json:"snapshot"`
+	Debtor   string `json:"debtor"`
+	Cents    int64  `json:"cents"`
+	DueDay   int    `json:"due_day"`
+	Funded   bool   `json:"funded"`
+}
+
+var (
+	places  = []string{"limfjord", "mariager", "vejle", "skagen", "thy", "djursland", "horsens", "herning"}
+	kinds   = []string{"coast", "field"}
+	debtors = []string{"ashgrove", "burrow", "clancy", "donnelly", "eastwall", "fenian", "glasnevin", "howth"}
+)
+
+func makeRecord(dataset Dataset, random *rand.Rand, number int, snapshot string) (string, []byte, error) {
+	switch dataset {
+	case Tiles:
+		kind, place, zoom := kinds[random.IntN(len(kinds))], places[random.IntN(len(places))], 8+random.IntN(8)
+		key := fmt.Sprintf("%s/%s/%05d/z%02d", kind, place, number, zoom)
+		value, err := json.Marshal(tile{Snapshot: snapshot, Kind: kind, Zoom: zoom, Cloud: float64(random.IntN(100)) / 100, Bytes: 1000 + random.IntN(60000)})
+		return key, value, err
+	case Invoices:
+		debtor := fmt.Sprintf("%s-%03d", debtors[random.IntN(len(debtors))], random.IntN(200))
+		key := fmt.Sprintf("%s/%06d", debtor, number)
+		value, err := json.Marshal(invoice{Snapshot: snapshot, Debtor: debtor, Cents: random.Int64N(5_000_000), DueDay: random.IntN(365), Funded: random.IntN(2) == 0})
+		return key, value, err
+	}
+	return "", nil, failure.Invalid("dataset", "%q; must be %q or %q", dataset, Tiles, Invoices)
+}
+
+// In gives the records of a range.
+func (index *Index) In(keys keyspace.Range) []Record {
+	first := sort.Search(len(index.Records), func(i int) bool { return index.Records[i].Key >= keys.From })
+	last := len(index.Records)
+	if keys.To != "" {
+		last = sort.Search(len(index.Records), func(i int) bool { return index.Records[i].Key >= keys.To })
+	}
+	return index.Records[first:max(first, last)]
+}
+
+// Split gives the ranges of count shards of nearly equal size that tile the key space.
+func (index *Index) Split(count int) []keyspace.Range {
+	ranges := make([]keyspace.Range, count)
+	previous := ""
+	for number := range count {
+		ranges[number].From = previous
+		if number == count-1 {
+			break
+		}
+		previous = index.Records[(number+1)*len(index.Records)/count].Key
+		ranges[number].To = previous
+	}
+	return ranges
+}
--- /dev/null
+++ b/internal/leafclient/leafclient.go
@@ -0,0 +1,189 @@
+// Package leafclient asks back ends over gRPC.
+//
+// One connection a leaf is opened on first use and closed when idle or when too many are
+// open: a node never needs a connection to every leaf. The library's own retries, service
+// config and discovery are off. Its transparent replay stays: it replays only streams that
+// never left this process or that the server refused unprocessed, which is proof that the
+// attempt did not run.
+package leafclient
+
+import (
+	"container/list"
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// Config bounds connections and replies.
+type Config struct {
+	// MaximumConnections is how many leafs a node is connected to at most.
+	MaximumConnections int `yaml:"maximum_connections"`
+	// IdleTimeout closes a connection that carries no attempt.
+	IdleTimeout time.Duration `yaml:"idle_timeout"`
+	// MaximumReplyBytes bounds one leaf's reply.
+	MaximumReplyBytes int `yaml:"maximum_reply_bytes"`
+}
+
+// DefaultConfig suits a node of 128 MB.
+func DefaultConfig() Config {
+	return Config{MaximumConnections: 512, IdleTimeout: 5 * time.Minute, MaximumReplyBytes: 8 << 20}
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.MaximumConnections < 1, "maximum_connections", "must be at least 1")
+	checks.Refuse(c.IdleTimeout <= 0, "idle_timeout", "must be positive")
+	checks.Refuse(c.MaximumReplyBytes < 1024, "maximum_reply_bytes", "must be at least 1024")
+	return checks.Err()
+}
+
+// Refusal is a leaf's typed word that it did not run an attempt.
+type Refusal struct {
+	Detail *leafv1.LeafRefusal
+}
+
+// Error names the reason.
+func (r *Refusal) Error() string { return "leaf refused: " + r.Detail.GetReason().String() }
+
+// NeverSentError means that no connection could be opened, so that nothing reached the leaf.
+type NeverSentError struct {
+	Cause error
+}
+
+// Error gives the cause.
+func (e *NeverSentError) Error() string { return "attempt never sent: " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *NeverSentError) Unwrap() error { return e.Cause }
+
+// Pool holds the connections of a node; safe for concurrent use.
+type Pool struct {
+	config Config
+
+	mutex       sync.Mutex
+	connections map[string]*pooled // by address
+	recent      list.List          // of *pooled, most recently used first
+}
+
+type pooled struct {
+	address    string
+	connection *grpc.ClientConn
+	client     leafv1.LeafServiceClient
+	users      int
+	evicted    bool
+	element    *list.Element
+}
+
+// New makes a pool.
+func New(config Config) *Pool {
+	return &Pool{config: config, connections: map[string]*pooled{}}
+}
+
+// SearchShard runs one attempt. Its error is a *Refusal, a *NeverSentError, or any other
+// error, which says nothing about whether the leaf ran it.
+func (p *Pool) SearchShard(ctx context.Context, address string, request *leafv1.SearchShardRequest) (*leafv1.SearchShardResponse, error) {
+	held, err := p.acquire(address)
+	if err != nil {
+		return nil, &NeverSentError{Cause: err}
+	}
+	defer p.release(held)
+	sent := &sendRecord{}
+	response, err := held.client.SearchShard(context.WithValue(ctx, sendRecordKey{}, sent), request)
+	if err != nil {
+		return nil, classify(err, sent)
+	}
+	return response, nil
+}
+
+// classify finds the leaf's refusal, or the proof that the attempt never left, in an error.
+func classify(err error, sent *sendRecord) error {
+	if state, isStatus := status.FromError(err); isStatus {
+		for _, detail := range state.Details() {
+			if refusal, isRefusal := detail.(*leafv1.LeafRefusal); isRefusal {
+				return &Refusal{Detail: refusal}
+			}
+		}
+	}
+	if !sent.headers.Load() {
+		return &NeverSentError{Cause: err}
+	}
+	return err
+}
+
+func (p *Pool) acquire(address string) (*pooled, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if held, found := p.connections[address]; found {
+		held.users++
+		p.recent.MoveToFront(held.element)
+		return held, nil
+	}
+	connection, err := p.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	held := &pooled{address: address, connection: connection, client: leafv1.NewLeafServiceClient(connection), users: 1}
+	held.element = p.recent.PushFront(held)
+	p.connections[address] = held
+	p.evictOldest()
+	return held, nil
+}
+
+func (p *Pool) dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(p.config.IdleTimeout),
+		grpc.WithConnectParams(connectParameters),
+		grpc.WithStatsHandler(sendObserver{}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(p.config.MaximumReplyBytes)))
+}
+
+// evictOldest closes the least recently used connections beyond the limit; one in use is
+// closed when its last attempt ends.
+func (p *Pool) evictOldest() {
+	for p.recent.Len() > p.config.MaximumConnections {
+		oldest := p.recent.Remove(p.recent.Back()).(*pooled)
+		delete(p.connections, oldest.address)
+		oldest.evicted = true
+		if oldest.users == 0 {
+			closeConnection(oldest)
+		}
+	}
+}
+
+func (p *Pool) release(held *pooled) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	held.users--
+	if held.evicted && held.users == 0 {
+		closeConnection(held)
+	}
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, held := range p.connections {
+		delete(p.connections, address)
+		closeConnection(held)
+	}
+	p.recent.Init()
+}
+
+func closeConnection(held *pooled) {
+	// Closing a client connection fails only when it is closed already.
+	if err := held.connection.Close(); err != nil {
+		return
+	}
+}
--- /dev/null
+++ b/internal/leafclient/send_observer.go
@@ -0,0 +1,54 @@
+package leafclient
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/stats"
+)
+
+// connectParameters try a lost leaf again soon, since its replacement takes its address.
+var connectParameters = grpc.ConnectParams{
+	Backoff: backoff.Config{
+		BaseDelay:  50 * time.Millisecond,
+		Multiplier: 1.6,
+		Jitter:     0.2,
+		MaxDelay:   2 * time.Second,
+	},
+	MinConnectTimeout: time.Second,
+}
+
+type sendRecordKey struct{}
+
+// sendRecord notes whether the headers of an attempt were handed to a connection. While
+// they were not, the leaf can't have seen the attempt.
+type sendRecord struct {
+	headers atomic.Bool
+}
+
+// sendObserver fills the sendRecord of each attempt from the library's own events.
+type sendObserver struct{}
+
+var _ stats.Handler = sendObserver{}
+
+// TagRPC implements stats.Handler.
+func (sendObserver) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (sendObserver) HandleRPC(ctx context.Context, event stats.RPCStats) {
+	if _, isHeader := event.(*stats.OutHeader); !isHeader {
+		return
+	}
+	if record, found := ctx.Value(sendRecordKey{}).(*sendRecord); found {
+		record.headers.Store(true)
+	}
+}
+
+// TagConn implements stats.Handler.
+func (sendObserver) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (sendObserver) HandleConn(context.Context, stats.ConnStats) {}
--- /dev/null
+++ b/internal/manifest/manifest.go
@@ -0,0 +1,152 @@
+// Package manifest validates snapshot manifests and answers which shards hold a key range.
+//
+// A manifest is immutable. Its shards tile the key space exactly: sorted by key, the first
+// starts at the lowest key, each next one starts where the last ended, and the last has no
+// upper end. Queries plan over ranges, so a repartition is just another manifest.
+package manifest
+
+import (
+	"fmt"
+	"sort"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/keyspace"
+)
+
+// MaxShards bounds a manifest, so that one change fits the control traffic of a node.
+const MaxShards = 4096
+
+// Shard is one part of the key space with the leafs that hold it.
+type Shard struct {
+	ID      string
+	Range   keyspace.Range
+	Weight  uint64
+	LeafIDs []string
+}
+
+// Manifest is a validated snapshot manifest; shards are in key order.
+type Manifest struct {
+	Service    string
+	SnapshotID string
+	Shards     []Shard
+}
+
+// Part is the piece of one shard that a query asks for.
+type Part struct {
+	Shard *Shard
+	Range keyspace.Range
+}
+
+// New validates a manifest; every failure names the field at fault.
+func New(message *adminv1.SnapshotManifest) (*Manifest, error) {
+	if message.GetService() == "" {
+		return nil, failure.Invalid("manifest.service", "must not be empty")
+	}
+	if message.GetSnapshotId() == "" {
+		return nil, failure.Invalid("manifest.snapshot_id", "must not be empty")
+	}
+	if len(message.GetShards()) == 0 {
+		return nil, failure.Invalid("manifest.shards", "must name at least one shard")
+	}
+	if len(message.GetShards()) > MaxShards {
+		return nil, failure.Invalid("manifest.shards", "%d shards; at most %d", len(message.GetShards()), MaxShards)
+	}
+	shards, err := compileShards(message.GetShards())
+	if err != nil {
+		return nil, err
+	}
+	if err := checkTiling(shards); err != nil {
+		return nil, err
+	}
+	return &Manifest{Service: message.GetService(), SnapshotID: message.GetSnapshotId(), Shards: shards}, nil
+}
+
+func compileShards(messages []*adminv1.Shard) ([]Shard, error) {
+	seen := make(map[string]bool, len(messages))
+	shards := make([]Shard, 0, len(messages))
+	for index, message := range messages {
+		field := fmt.Sprintf("manifest.shards[%d]", index)
+		if message.GetId() == "" {
+			return nil, failure.Invalid(field+".id", "must not be empty")
+		}
+		if seen[message.GetId()] {
+			return nil, failure.Invalid(field+".id", "shard %q is named twice", message.GetId())
+		}
+		seen[message.GetId()] = true
+		if err := checkReplicas(field, message.GetLeafIds()); err != nil {
+			return nil, err
+		}
+		keys := keyspace.Range{From: message.GetKeyFrom(), To: message.GetKeyTo()}
+		if keys.Empty() {
+			return nil, failure.Invalid(field+".key_to", "must be greater than key_from %q", keys.From)
+		}
+		shards = append(shards, Shard{ID: message.GetId(), Range: keys, Weight: max(message.GetWeight(), 1), LeafIDs: message.GetLeafIds()})
+	}
+	sort.SliceStable(shards, func(i, j int) bool { return shards[i].Range.From < shards[j].Range.From })
+	return shards, nil
+}
+
+func checkReplicas(field string, leafIDs []string) error {
+	if len(leafIDs) == 0 {
+		return failure.Invalid(field+".leaf_ids", "must name at least one replica")
+	}
+	seen := make(map[string]bool, len(leafIDs))
+	for index, leafID := range leafIDs {
+		if leafID == "" || seen[leafID] {
+			return failure.Invalid(fmt.Sprintf("%s.leaf_ids[%d]", field, index), "leaf %q is empty or named twice", leafID)
+		}
+		seen[leafID] = true
+	}
+	return nil
+}
+
+// checkTiling refuses gaps and overlaps; shards are sorted by their first key.
+func checkTiling(shards []Shard) error {
+	expected := ""
+	for index, shard := range shards {
+		if index > 0 && expected == "" {
+			return failure.Invalid("manifest.shards", "shard %q overlaps %q, which has no upper end", shard.ID, shards[index-1].ID)
+		}
+		if shard.Range.From > expected {
+			return failure.Invalid("manifest.shards", "gap [%q, %q) before shard %q", expected, shard.Range.From, shard.ID)
+		}
+		if shard.Range.From < expected {
+			return failure.Invalid("manifest.shards", "shard %q overlaps the one before it in [%q, %q)", shard.ID, shard.Range.From, expected)
+		}
+		expected = shard.Range.To
+	}
+	if expected != "" {
+		return failure.Invalid("manifest.shards", "gap [%q, end) after the last shard", expected)
+	}
+	return nil
+}
+
+// CheckLeafs refuses a manifest that names a leaf unknown to its service.
+func (m *Manifest) CheckLeafs(known map[string]bool) error {
+	for _, shard := range m.Shards {
+		for _, leafID := range shard.LeafIDs {
+			if !known[leafID] {
+				return failure.Invalid("manifest.shards", "shard %q names leaf %q, which service %q does not have", shard.ID, leafID, m.Service)
+			}
+		}
+	}
+	return nil
+}
+
+// Plan gives, in key order, the part of each shard that the asked range touches.
+func (m *Manifest) Plan(asked keyspace.Range) []Part {
+	first := sort.Search(len(m.Shards), func(i int) bool {
+		end := m.Shards[i].Range.To
+		return end == "" || end > asked.From
+	})
+	var parts []Part
+	for index := first; index < len(m.Shards); index++ {
+		common, overlaps := m.Shards[index].Range.Intersect(asked)
+		if !overlaps {
+			break
+		}
+		parts = append(parts, Part{Shard: &m.Shards[index], Range: common})
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/membership/config.go
@@ -0,0 +1,54 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// Config tunes failure detection. All nodes of a zone should use the same values.
+type Config struct {
+	// ProbeInterval is how often a node probes one other member.
+	ProbeInterval time.Duration `yaml:"probe_interval"`
+	// ProbeTimeout is how long a direct probe waits before others are asked to probe.
+	ProbeTimeout time.Duration `yaml:"probe_timeout"`
+	// IndirectProbes is how many others are asked.
+	IndirectProbes int `yaml:"indirect_probes"`
+	// SuspicionIntervals is how many probe intervals a suspect has to refute, times the
+	// decimal logarithm of the zone's size.
+	SuspicionIntervals float64 `yaml:"suspicion_intervals"`
+	// RumoursPerMessage bounds the member changes on one datagram.
+	RumoursPerMessage int `yaml:"rumours_per_message"`
+	// RumourFactor times the decimal logarithm of the zone's size is how many times a node
+	// passes a change on.
+	RumourFactor int `yaml:"rumour_factor"`
+	// KeepDead is how long dead members are remembered, so that old rumours don't revive
+	// them.
+	KeepDead time.Duration `yaml:"keep_dead"`
+}
+
+// DefaultConfig keeps control traffic under 1 KB/s whatever the zone's size.
+func DefaultConfig() Config {
+	return Config{
+		ProbeInterval:      time.Second,
+		ProbeTimeout:       300 * time.Millisecond,
+		IndirectProbes:     3,
+		SuspicionIntervals: 3,
+		RumoursPerMessage:  5,
+		RumourFactor:       4,
+		KeepDead:           2 * time.Minute,
+	}
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.ProbeInterval <= 0, "probe_interval", "must be positive")
+	checks.Refuse(c.ProbeTimeout <= 0 || 2*c.ProbeTimeout > c.ProbeInterval, "probe_timeout", "must be positive and at most half of probe_interval")
+	checks.Refuse(c.IndirectProbes < 0, "indirect_probes", "must not be negative")
+	checks.Refuse(c.SuspicionIntervals <= 0, "suspicion_intervals", "must be positive")
+	checks.Refuse(c.RumoursPerMessage < 1 || c.RumoursPerMessage > 6, "rumours_per_message", "must be between 1 and 6")
+	checks.Refuse(c.RumourFactor < 1, "rumour_factor", "must be at least 1")
+	checks.Refuse(c.KeepDead <= 0, "keep_dead", "must be positive")
+	return checks.Err()
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,418 @@
+// Package membership keeps the list of a zone's live nodes by probing and gossip.
+//
+// Each interval a node probes one member, in a shuffled round so that each is probed once a
+// round. A member that does not answer is probed through others, then suspected, and declared
+// dead only after it had time to refute. Changes ride on the probes. Bytes a second are
+// bounded whatever the zone's size. Zones don't probe each other: a cut between zones kills
+// nobody.
+package membership
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/peer"
+)
+
+// Listener is told of what messages from other nodes carry besides membership.
+type Listener interface {
+	// Digest gives the node's own configuration digest, for outgoing messages.
+	Digest() peer.Digest
+	// Notices gives leaf notices to pass on with an outgoing message.
+	Notices() []peer.LeafNotice
+	// Heard is told of the digest and notices of an incoming message.
+	Heard(from string, digest peer.Digest, notices []peer.LeafNotice)
+}
+
+// Membership is the list of live nodes as one node knows it; safe for concurrent use.
+type Membership struct {
+	config    Config
+	transport peer.Transport
+	listener  Listener
+	random    *rand.Rand // guarded by mutex
+
+	mutex    sync.Mutex
+	self     peer.Member
+	members  map[string]*record // by id, self left out
+	rumours  *rumours
+	round    []string // ids still to probe in this round
+	sequence uint64
+	pending  map[uint64]chan struct{} // probes without an answer yet
+	version  uint64                   // raised whenever the set of usable members changes
+	cached   []peer.Member
+	cachedAt uint64
+}
+
+type record struct {
+	member    peer.Member
+	changedAt time.Time
+}
+
+// New makes a membership of one: self, with its id, zone and peer address.
+func New(config Config, self peer.Member, transport peer.Transport, listener Listener, seed uint64) *Membership {
+	self.State = peer.Alive
+	return &Membership{
+		config:    config,
+		transport: transport,
+		listener:  listener,
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		self:      self,
+		members:   map[string]*record{},
+		rumours:   newRumours(),
+		pending:   map[uint64]chan struct{}{},
+		version:   1,
+	}
+}
+
+// Self gives the node itself.
+func (m *Membership) Self() peer.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.self
+}
+
+// Members gives the usable members, self included, sorted by id. Suspects count as usable.
+// The slice is shared: callers must not change it.
+func (m *Membership) Members() []peer.Member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.usable()
+}
+
+func (m *Membership) usable() []peer.Member {
+	if m.cachedAt == m.version {
+		return m.cached
+	}
+	usable := make([]peer.Member, 0, len(m.members)+1)
+	if m.self.State == peer.Alive {
+		usable = append(usable, m.self)
+	}
+	for _, known := range m.members {
+		if isUsable(known.member.State) {
+			usable = append(usable, known.member)
+		}
+	}
+	slices.SortFunc(usable, func(a, b peer.Member) int { return compareIDs(a.ID, b.ID) })
+	m.cached, m.cachedAt = usable, m.version
+	return usable
+}
+
+func isUsable(state peer.MemberState) bool { return state == peer.Alive || state == peer.Suspect }
+
+func compareIDs(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Counts gives the number of members by state, self included.
+func (m *Membership) Counts() map[peer.MemberState]int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	counts := map[peer.MemberState]int{m.self.State: 1}
+	for _, known := range m.members {
+		counts[known.member.State]++
+	}
+	return counts
+}
+
+// Run probes until the context ends.
+func (m *Membership) Run(ctx context.Context) {
+	ticker := time.NewTicker(m.config.ProbeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.expire(time.Now())
+			if target, found := m.nextTarget(); found {
+				go m.probe(ctx, target)
+			}
+		}
+	}
+}
+
+// Join asks a node for its members and tells it of this one.
+func (m *Membership) Join(ctx context.Context, address string) (*peer.Welcome, error) {
+	answer, err := m.transport.Call(ctx, address, peer.Message{Digest: m.listener.Digest(), Join: &peer.Join{Member: m.Self()}})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Welcome == nil {
+		return nil, nil
+	}
+	m.merge(answer.Welcome.Members)
+	m.listener.Heard(address, answer.Digest, answer.Notices)
+	return answer.Welcome, nil
+}
+
+// HandleJoin takes a node in and gives it the members known here.
+func (m *Membership) HandleJoin(join peer.Join) []peer.Member {
+	m.merge([]peer.Member{join.Member})
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if join.Member.Zone != m.self.Zone {
+		return nil
+	}
+	return slices.Clone(m.usable())
+}
+
+// Leave tells some members that this node is stopping, so that no suspicion is needed.
+func (m *Membership) Leave() {
+	m.mutex.Lock()
+	m.self.State = peer.Left
+	m.version++
+	m.rumours.add(m.self)
+	targets := m.sample(leaveFanOut, "")
+	m.mutex.Unlock()
+	for _, target := range targets {
+		m.send(target.Address, peer.Message{})
+	}
+}
+
+// leaveFanOut is how many members are told of a planned stop at once.
+const leaveFanOut = 8
+
+// HandleDatagram takes what a datagram says of members, and answers probes.
+func (m *Membership) HandleDatagram(message peer.Message) {
+	m.merge(message.Members)
+	m.listener.Heard(message.From, message.Digest, message.Notices)
+	switch {
+	case message.Probe != nil:
+		m.answerProbe(message.From, *message.Probe)
+	case message.Acknowledge != nil:
+		m.acknowledged(message.Acknowledge.Sequence)
+	case message.ProbeRequest != nil:
+		go m.probeFor(message.From, *message.ProbeRequest)
+	}
+}
+
+// answerProbe acknowledges a probe meant for this node. A prober that is held for suspect or
+// dead is told so, since it can refute only what it hears of.
+func (m *Membership) answerProbe(prober string, probe peer.Probe) {
+	if probe.TargetID != m.Self().ID {
+		return
+	}
+	m.mutex.Lock()
+	for _, known := range m.members {
+		if known.member.Address == prober && known.member.State != peer.Alive {
+			m.rumours.add(known.member)
+		}
+	}
+	m.mutex.Unlock()
+	m.send(prober, peer.Message{Acknowledge: &peer.Acknowledge{Sequence: probe.Sequence}})
+}
+
+// send adds the digest, notices and rumours that ride on every datagram.
+func (m *Membership) send(address string, message peer.Message) {
+	message.Digest = m.listener.Digest()
+	message.Notices = m.listener.Notices()
+	m.mutex.Lock()
+	message.Members = m.rumours.next(m.config.RumoursPerMessage, m.rumourPasses())
+	m.mutex.Unlock()
+	m.transport.Send(address, message)
+}
+
+// rumourPasses grows with the logarithm of the zone's size.
+func (m *Membership) rumourPasses() int {
+	return m.config.RumourFactor * int(math.Ceil(math.Log10(float64(len(m.members)+2))))
+}
+
+// nextTarget gives the next member of the shuffled round.
+func (m *Membership) nextTarget() (peer.Member, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for range 2 {
+		for len(m.round) > 0 {
+			id := m.round[len(m.round)-1]
+			m.round = m.round[:len(m.round)-1]
+			if known, found := m.members[id]; found && isUsable(known.member.State) {
+				return known.member, true
+			}
+		}
+		for id := range m.members {
+			m.round = append(m.round, id)
+		}
+		slices.Sort(m.round)
+		m.random.Shuffle(len(m.round), func(i, j int) { m.round[i], m.round[j] = m.round[j], m.round[i] })
+	}
+	return peer.Member{}, false
+}
+
+// probe asks a member whether it lives, then asks others to ask, then suspects it.
+func (m *Membership) probe(ctx context.Context, target peer.Member) {
+	sequence, answered := m.expect()
+	defer m.forget(sequence)
+	m.send(target.Address, peer.Message{Probe: &peer.Probe{Sequence: sequence, TargetID: target.ID}})
+	if waitFor(ctx, answered, m.config.ProbeTimeout) {
+		return
+	}
+	m.mutex.Lock()
+	helpers := m.sample(m.config.IndirectProbes, target.ID)
+	m.mutex.Unlock()
+	for _, helper := range helpers {
+		m.send(helper.Address, peer.Message{ProbeRequest: &peer.ProbeRequest{
+			Sequence: sequence, TargetID: target.ID, TargetAddress: target.Address,
+		}})
+	}
+	if waitFor(ctx, answered, 2*m.config.ProbeTimeout) || ctx.Err() != nil {
+		return
+	}
+	target.State = peer.Suspect
+	m.merge([]peer.Member{target})
+}
+
+// probeFor probes a member on behalf of another node and passes its answer on.
+func (m *Membership) probeFor(asker string, request peer.ProbeRequest) {
+	sequence, answered := m.expect()
+	defer m.forget(sequence)
+	m.send(request.TargetAddress, peer.Message{Probe: &peer.Probe{Sequence: sequence, TargetID: request.TargetID}})
+	if waitFor(context.Background(), answered, m.config.ProbeTimeout) {
+		m.send(asker, peer.Message{Acknowledge: &peer.Acknowledge{Sequence: request.Sequence}})
+	}
+}
+
+func waitFor(ctx context.Context, answered <-chan struct{}, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-answered:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (m *Membership) expect() (uint64, <-chan struct{}) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.sequence++
+	answered := make(chan struct{})
+	m.pending[m.sequence] = answered
+	return m.sequence, answered
+}
+
+func (m *Membership) forget(sequence uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	delete(m.pending, sequence)
+}
+
+func (m *Membership) acknowledged(sequence uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if answered, found := m.pending[sequence]; found {
+		close(answered)
+		delete(m.pending, sequence)
+	}
+}
+
+// sample gives random usable members other than self and the excluded one.
+func (m *Membership) sample(count int, excluded string) []peer.Member {
+	var others []peer.Member
+	for _, member := range m.usable() {
+		if member.ID != m.self.ID && member.ID != excluded {
+			others = append(others, member)
+		}
+	}
+	m.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(count, len(others))]
+}
+
+// Random gives a random usable member other than self.
+func (m *Membership) Random() (peer.Member, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	chosen := m.sample(1, "")
+	if len(chosen) == 0 {
+		return peer.Member{}, false
+	}
+	return chosen[0], true
+}
+
+// merge takes word of members; word of other zones is ignored.
+func (m *Membership) merge(members []peer.Member) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, member := range members {
+		if member.Zone != m.self.Zone || member.ID == "" {
+			continue
+		}
+		if member.ID == m.self.ID {
+			m.refute(member)
+			continue
+		}
+		m.take(member)
+	}
+}
+
+// refute answers word that this node is suspect or dead with a higher incarnation.
+func (m *Membership) refute(member peer.Member) {
+	if member.State == peer.Alive || m.self.State == peer.Left || member.Incarnation < m.self.Incarnation {
+		return
+	}
+	m.self.Incarnation = member.Incarnation + 1
+	m.version++
+	m.rumours.add(m.self)
+}
+
+func (m *Membership) take(member peer.Member) {
+	known, found := m.members[member.ID]
+	if found && !supersedes(member, known.member) {
+		return
+	}
+	if !found && !isUsable(member.State) {
+		// A death never heard of before still stops older word of life.
+		m.members[member.ID] = &record{member: member, changedAt: time.Now()}
+		return
+	}
+	m.members[member.ID] = &record{member: member, changedAt: time.Now()}
+	m.rumours.add(member)
+	m.version++
+}
+
+// supersedes reports whether word of a member is newer than what is known.
+func supersedes(word, known peer.Member) bool {
+	if word.Incarnation != known.Incarnation {
+		return word.Incarnation > known.Incarnation
+	}
+	return stateRank(word.State) > stateRank(known.State)
+}
+
+func stateRank(state peer.MemberState) int {
+	return slices.Index([]peer.MemberState{peer.Alive, peer.Suspect, peer.Left, peer.Dead}, state)
+}
+
+// expire declares suspects dead whose time to refute is over, and forgets the long dead.
+func (m *Membership) expire(now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	suspicion := m.suspicionTime()
+	for id, known := range m.members {
+		age := now.Sub(known.changedAt)
+		switch {
+		case known.member.State == peer.Suspect && age >= suspicion:
+			dead := known.member
+			dead.State = peer.Dead
+			m.take(dead)
+		case !isUsable(known.member.State) && age >= m.config.KeepDead:
+			delete(m.members, id)
+		}
+	}
+}
+
+func (m *Membership) suspicionTime() time.Duration {
+	scale := math.Max(1, math.Log10(float64(len(m.members)+1)))
+	return time.Duration(m.config.SuspicionIntervals * scale * float64(m.config.ProbeInterval))
+}
--- /dev/null
+++ b/internal/peer/message.go
@@ -0,0 +1,142 @@
+// Package peer carries messages between nodes: JSON lines, over UDP for small ones that may
+// be lost and over TCP for those that need a reply.
+//
+// A node has one peer address for both. There are no standing connections between nodes: a
+// call opens one, sends a line, reads a line and closes it, since nodes talk to random peers
+// and changes are rare.
+package peer
+
+import "github.com/portgauge/portgauge/internal/catalog"
+
+// MemberState is what is known of a node.
+type MemberState string
+
+// The states of a member. Among equal incarnations a later one in this list wins.
+const (
+	Alive   MemberState = "alive"
+	Suspect MemberState = "suspect"
+	Left    MemberState = "left"
+	Dead    MemberState = "dead"
+)
+
+// Member is one node of a zone.
+type Member struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Incarnation is raised by the member itself only, to refute its suspicion or death.
+	Incarnation int64       `json:"incarnation"`
+	State       MemberState `json:"state"`
+}
+
+// LeafNotice says that a leaf must get no new work for a while.
+type LeafNotice struct {
+	LeafID string `json:"leaf_id"`
+	// Millis is how long the notice holds from its receipt.
+	Millis int64 `json:"millis"`
+}
+
+// Digest tells how far a node's configuration is.
+type Digest struct {
+	Revision int64 `json:"revision"`
+	// AgeMillis is how long ago the revision was last confirmed to be the newest.
+	AgeMillis int64 `json:"age_millis"`
+}
+
+// Message is one line; exactly one of the bodies is set.
+type Message struct {
+	// From is the sender's peer address.
+	From string `json:"from"`
+	// Digest and the rumours ride on every datagram.
+	Digest  Digest       `json:"digest"`
+	Members []Member     `json:"members,omitempty"`
+	Notices []LeafNotice `json:"notices,omitempty"`
+
+	Probe        *Probe        `json:"probe,omitempty"`
+	Acknowledge  *Acknowledge  `json:"acknowledge,omitempty"`
+	ProbeRequest *ProbeRequest `json:"probe_request,omitempty"`
+	Join         *Join         `json:"join,omitempty"`
+	Welcome      *Welcome      `json:"welcome,omitempty"`
+	Push         *Push         `json:"push,omitempty"`
+	Pull         *Pull         `json:"pull,omitempty"`
+	State        *State        `json:"state,omitempty"`
+	StatusQuery  *StatusQuery  `json:"status_query,omitempty"`
+	StatusReply  *StatusReply  `json:"status_reply,omitempty"`
+}
+
+// Probe asks a member whether it lives.
+type Probe struct {
+	Sequence uint64 `json:"sequence"`
+	// TargetID names the member meant, so that a new process on an old address does not
+	// answer for its predecessor.
+	TargetID string `json:"target_id"`
+}
+
+// Acknowledge answers a probe.
+type Acknowledge struct {
+	Sequence uint64 `json:"sequence"`
+}
+
+// ProbeRequest asks a member to probe another on the sender's behalf.
+type ProbeRequest struct {
+	Sequence      uint64 `json:"sequence"`
+	TargetID      string `json:"target_id"`
+	TargetAddress string `json:"target_address"`
+}
+
+// Join asks for the members of the zone and tells of the sender.
+type Join struct {
+	Member Member `json:"member"`
+}
+
+// Contact is a node of another zone.
+type Contact struct {
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+}
+
+// Welcome answers Join.
+type Welcome struct {
+	// Zone is the answering node's own.
+	Zone     string    `json:"zone"`
+	Members  []Member  `json:"members"`
+	Contacts []Contact `json:"contacts,omitempty"`
+}
+
+// Push hands changes to a node, which hands them on to the given addresses.
+type Push struct {
+	Changes []catalog.Change `json:"changes,omitempty"`
+	Notices []LeafNotice     `json:"notices,omitempty"`
+	// Subtree is whom the receiver must hand the push on to, itself left out.
+	Subtree []string `json:"subtree,omitempty"`
+}
+
+// Pull asks for everything after a revision.
+type Pull struct {
+	After int64 `json:"after"`
+}
+
+// State answers Pull and Push: changes, or the whole state when changes don't reach back.
+type State struct {
+	// Initialised is false while the sender has no configuration at all.
+	Initialised bool              `json:"initialised"`
+	Revision    int64             `json:"revision"`
+	Changes     []catalog.Change  `json:"changes,omitempty"`
+	Snapshot    *catalog.Snapshot `json:"snapshot,omitempty"`
+}
+
+// StatusQuery asks how many nodes have a revision in force.
+type StatusQuery struct {
+	Revision int64 `json:"revision"`
+	// WholeZone asks the receiver to ask all members of its zone; otherwise it asks the
+	// given subtree.
+	WholeZone bool     `json:"whole_zone,omitempty"`
+	Subtree   []string `json:"subtree,omitempty"`
+}
+
+// StatusReply answers StatusQuery for the nodes asked that answered.
+type StatusReply struct {
+	Nodes          uint32 `json:"nodes"`
+	InForce        uint32 `json:"in_force"`
+	LowestRevision int64  `json:"lowest_revision"`
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,244 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Handler takes the messages that arrive at a node. Calls come concurrently.
+type Handler interface {
+	// HandleDatagram takes a message that expects no reply on the same path.
+	HandleDatagram(message Message)
+	// HandleCall answers a message.
+	HandleCall(ctx context.Context, message Message) Message
+}
+
+// Transport sends messages to other nodes.
+type Transport interface {
+	// Address is the node's own peer address.
+	Address() string
+	// Send sends a datagram; it may be lost without an error.
+	Send(address string, message Message)
+	// Call sends a message and waits for its answer.
+	Call(ctx context.Context, address string, message Message) (Message, error)
+}
+
+// Bounds of messages in bytes. A datagram beyond its bound is not sent.
+const (
+	MaximumDatagram = 1400
+	MaximumLine     = 32 << 20
+)
+
+// Estimated bytes on the wire beside a message's own, for the accounting of control traffic:
+// the IP and UDP headers of a datagram, and the packets that open, acknowledge and close a
+// TCP connection.
+const (
+	datagramOverhead = 28
+	callOverhead     = 480
+)
+
+// callTimeout bounds the handling of one call at its receiver.
+const callTimeout = 5 * time.Second
+
+// Meter is told of bytes sent and received, overhead included.
+type Meter func(transport string, sent, received int)
+
+// Names of the transports for the meter.
+const (
+	meterDatagram = "udp"
+	meterCall     = "tcp"
+)
+
+// SocketTransport is the Transport over real sockets.
+type SocketTransport struct {
+	datagrams *net.UDPConn
+	listener  *net.TCPListener
+	meter     Meter
+	advertise string
+
+	handler Handler
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+var _ Transport = (*SocketTransport)(nil)
+
+// Listen opens the UDP and TCP sockets of an address given by IP number; with port 0 one
+// free port is chosen for both. Advertise is the address told to others; empty means the
+// one listened on.
+func Listen(address, advertise string, meter Meter) (*SocketTransport, error) {
+	const tries = 20 // the port free for TCP may be taken for UDP
+	var lastErr error
+	for range tries {
+		transport, err := listenOnce(address, meter)
+		if err == nil {
+			if transport.advertise = advertise; advertise == "" {
+				transport.advertise = transport.listener.Addr().String()
+			}
+			return transport, nil
+		}
+		lastErr = err
+	}
+	return nil, merry.Prepend(lastErr, "listen on peer address "+address)
+}
+
+func listenOnce(address string, meter Meter) (*SocketTransport, error) {
+	tcpAddress, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.ListenTCP("tcp", tcpAddress)
+	if err != nil {
+		return nil, err
+	}
+	port := listener.Addr().(*net.TCPAddr).Port
+	datagrams, err := net.ListenUDP("udp", &net.UDPAddr{IP: tcpAddress.IP, Port: port})
+	if err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &SocketTransport{datagrams: datagrams, listener: listener, meter: meter, ctx: ctx, cancel: cancel}, nil
+}
+
+// Serve starts taking messages.
+func (t *SocketTransport) Serve(handler Handler) {
+	t.handler = handler
+	t.done.Add(2)
+	go t.receiveDatagrams()
+	go t.acceptCalls()
+}
+
+// Address implements Transport.
+func (t *SocketTransport) Address() string { return t.advertise }
+
+// Close closes the sockets and waits until no message is being handled.
+func (t *SocketTransport) Close() error {
+	t.cancel()
+	err := errors.Join(t.datagrams.Close(), t.listener.Close())
+	t.done.Wait()
+	return err
+}
+
+// Send implements Transport.
+func (t *SocketTransport) Send(address string, message Message) {
+	message.From = t.advertise
+	line, err := json.Marshal(message)
+	if err != nil || len(line) > MaximumDatagram {
+		return
+	}
+	target, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return
+	}
+	if _, err := t.datagrams.WriteToUDP(line, target); err == nil {
+		t.meter(meterDatagram, len(line)+datagramOverhead, 0)
+	}
+}
+
+// Call implements Transport.
+func (t *SocketTransport) Call(ctx context.Context, address string, message Message) (Message, error) {
+	message.From = t.advertise
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return Message{}, merry.Prepend(err, "call peer")
+	}
+	defer closeQuietly(connection)
+	stop := context.AfterFunc(ctx, func() { closeQuietly(connection) })
+	defer stop()
+	sent, err := writeLine(connection, message)
+	if err != nil {
+		return Message{}, merry.Prepend(err, "call peer")
+	}
+	answer, received, err := readLine(connection)
+	if err != nil {
+		return Message{}, merry.Prepend(err, "call peer")
+	}
+	t.meter(meterCall, sent+callOverhead, received)
+	return answer, nil
+}
+
+func (t *SocketTransport) receiveDatagrams() {
+	defer t.done.Done()
+	buffer := make([]byte, MaximumDatagram+1)
+	for {
+		size, _, err := t.datagrams.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || size > MaximumDatagram {
+			continue
+		}
+		var message Message
+		if json.Unmarshal(buffer[:size], &message) == nil {
+			t.meter(meterDatagram, 0, size+datagramOverhead)
+			t.handler.HandleDatagram(message)
+		}
+	}
+}
+
+func (t *SocketTransport) acceptCalls() {
+	defer t.done.Done()
+	for {
+		connection, err := t.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		t.done.Add(1)
+		go t.answer(connection)
+	}
+}
+
+func (t *SocketTransport) answer(connection net.Conn) {
+	defer t.done.Done()
+	defer closeQuietly(connection)
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { closeQuietly(connection) })
+	defer stop()
+	message, received, err := readLine(connection)
+	if err != nil {
+		return
+	}
+	sent, err := writeLine(connection, t.handler.HandleCall(ctx, message))
+	if err == nil {
+		t.meter(meterCall, sent, received+callOverhead)
+	}
+}
+
+func writeLine(connection net.Conn, message Message) (int, error) {
+	line, err := json.Marshal(message)
+	if err != nil {
+		return 0, err
+	}
+	return connection.Write(append(line, '\n'))
+}
+
+func readLine(connection net.Conn) (Message, int, error) {
+	reader := bufio.NewReader(io.LimitReader(connection, MaximumLine))
+	line, err := reader.ReadBytes('\n')
+	if err != nil {
+		return Message{}, 0, err
+	}
+	var message Message
+	return message, len(line), json.Unmarshal(line, &message)
+}
+
+// closeQuietly closes a connection that is done with; a second close is harmless.
+func closeQuietly(connection io.Closer) {
+	if err := connection.Close(); err != nil {
+		return
+	}
+}
--- /dev/null
+++ b/internal/platformclient/platformclient.go
@@ -0,0 +1,131 @@
+// Package platformclient speaks the platform's gRPC dialect of the store and machine list.
+package platformclient
+
+import (
+	"context"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	platformv1 "github.com/portgauge/portgauge/gen/portgauge/platform/v1"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/machines"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// Client is one connection to the platform; safe for concurrent use.
+type Client struct {
+	connection *grpc.ClientConn
+	store      platformv1.StoreServiceClient
+	machines   platformv1.MachineListServiceClient
+}
+
+var (
+	_ store.Store     = (*Client)(nil)
+	_ machines.Lister = (*Client)(nil)
+)
+
+// New makes a client; the connection is opened on first use.
+func New(address string) (*Client, error) {
+	connection, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig())
+	if err != nil {
+		return nil, merry.Prepend(err, "platform address")
+	}
+	return &Client{
+		connection: connection,
+		store:      platformv1.NewStoreServiceClient(connection),
+		machines:   platformv1.NewMachineListServiceClient(connection),
+	}, nil
+}
+
+// Close closes the connection.
+func (c *Client) Close() error { return c.connection.Close() }
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (*catalog.Entry, error) {
+	response, err := c.store.Get(ctx, &platformv1.GetRequest{Key: key})
+	if err != nil {
+		return nil, merry.Prepend(err, "store get")
+	}
+	return entryFrom(response.GetEntry()), nil
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context) (catalog.Snapshot, error) {
+	response, err := c.store.List(ctx, &platformv1.ListRequest{})
+	if err != nil {
+		return catalog.Snapshot{}, merry.Prepend(err, "store list")
+	}
+	snapshot := catalog.Snapshot{Revision: response.GetRevision()}
+	for _, entry := range response.GetEntries() {
+		snapshot.Entries = append(snapshot.Entries, *entryFrom(entry))
+	}
+	return snapshot, nil
+}
+
+// CompareAndSwap implements store.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte, remove bool) (store.SwapResult, error) {
+	response, err := c.store.CompareAndSwap(ctx, &platformv1.CompareAndSwapRequest{
+		Key: key, ExpectedRevision: expected, Value: value, Delete: remove,
+	})
+	if err != nil {
+		return store.SwapResult{}, merry.Prepend(err, "store compare-and-swap")
+	}
+	return store.SwapResult{Swapped: response.GetSwapped(), Entry: entryFrom(response.GetEntry())}, nil
+}
+
+// Watch implements store.Store.
+func (c *Client) Watch(ctx context.Context, after int64, receive func(store.Event) error) error {
+	stream, err := c.store.Watch(ctx, &platformv1.WatchRequest{AfterRevision: after})
+	if err != nil {
+		return merry.Prepend(err, "store watch")
+	}
+	for {
+		response, err := stream.Recv()
+		if err != nil {
+			return merry.Prepend(err, "store watch")
+		}
+		event := store.Event{Current: response.GetCurrentRevision()}
+		if entry := entryFrom(response.GetEntry()); entry != nil {
+			event.Change = &catalog.Change{Entry: *entry, Previous: response.GetPreviousRevision()}
+		}
+		if err := receive(event); err != nil {
+			return err
+		}
+	}
+}
+
+// ListMachines implements machines.Lister.
+func (c *Client) ListMachines(ctx context.Context, zone string, knownVersion int64) (machines.List, error) {
+	response, err := c.machines.ListMachines(ctx, &platformv1.ListMachinesRequest{Zone: zone, KnownVersion: knownVersion})
+	if err != nil {
+		return machines.List{}, merry.Prepend(err, "list machines")
+	}
+	list := machines.List{Version: response.GetVersion(), Unchanged: response.GetUnchanged()}
+	for _, machine := range response.GetMachines() {
+		list.Machines = append(list.Machines, machineFrom(machine))
+	}
+	return list, nil
+}
+
+func machineFrom(machine *platformv1.Machine) machines.Machine {
+	state := machines.Live
+	if machine.GetState() == platformv1.MachineState_MACHINE_STATE_LEAVING {
+		state = machines.Leaving
+	}
+	return machines.Machine{
+		ID: machine.GetId(), Address: machine.GetAddress(), Zone: machine.GetZone(),
+		State: state, Role: machines.Role(machine.GetRole()),
+	}
+}
+
+func entryFrom(entry *platformv1.Entry) *catalog.Entry {
+	if entry == nil {
+		return nil
+	}
+	return &catalog.Entry{Key: entry.GetKey(), Value: entry.GetValue(), Revision: entry.GetRevision(), Deleted: entry.GetDeleted()}
+}
--- /dev/null
+++ b/internal/search/merge.go
@@ -0,0 +1,131 @@
+package search
+
+import (
+	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
+	"github.com/portgauge/portgauge/internal/keyspace"
+	"github.com/portgauge/portgauge/internal/manifest"
+)
+
+// missingReason says why a range is not covered by an answer. It is part of the public
+// interface.
+type missingReason string
+
+// The reasons for a missing range, besides those of the balancer.
+const (
+	missingDeadline     missingReason = "DEADLINE"
+	missingSnapshotGone missingReason = "SNAPSHOT_GONE"
+	missingLeafFailed   missingReason = "LEAF_FAILED"
+	missingShed         missingReason = "SHED"
+	missingTruncated    missingReason = "TRUNCATED_BY_LEAF"
+	missingAnswerSize   missingReason = "ANSWER_SIZE"
+	missingOutcomeUnknw missingReason = "OUTCOME_UNKNOWN"
+	missingUnknownLeaf  missingReason = "UNKNOWN_LEAF"
+	missingNotRepeated  missingReason = "NOT_REPEATED"
+	missingRetryBudget  missingReason = "RETRY_BUDGET"
+)
+
+// shardOutcome is what the scatter step got for one part of the plan.
+type shardOutcome struct {
+	part  manifest.Part
+	reply *shardReply
+	// reason is set when there is no reply.
+	reason missingReason
+}
+
+// page is a merged answer.
+type page struct {
+	rows []*searchv1.Row
+	// asked is the part of the query's range that this page is about.
+	asked   keyspace.Range
+	nextKey string
+	covered []keyspace.Range
+	missing []missingPart
+	// askedWeight and coveredWeight are in the units of the manifest's weights.
+	askedWeight   float64
+	coveredWeight float64
+}
+
+type missingPart struct {
+	keys   keyspace.Range
+	reason missingReason
+}
+
+// merge joins the parts' rows in key order into one page. Parts come in key order and don't
+// overlap, so rows need no comparing and no row can come twice. The page ends after the
+// limit's row; what lies beyond it is neither covered nor missing.
+func merge(asked keyspace.Range, outcomes []shardOutcome, limit, maximumBytes int) page {
+	merged := page{asked: asked}
+	size := 0
+	for _, outcome := range outcomes {
+		if outcome.reply == nil {
+			merged.miss(outcome.part, outcome.part.Range, outcome.reason)
+			continue
+		}
+		covered := outcome.reply.covered
+		for _, row := range outcome.reply.rows {
+			size += len(row.GetKey()) + len(row.GetValue())
+			if size > maximumBytes && len(merged.rows) > 0 {
+				merged.end(outcome.part, keyspace.Range{From: covered.From, To: row.GetKey()}, row.GetKey())
+				return merged
+			}
+			merged.rows = append(merged.rows, &searchv1.Row{Key: row.GetKey(), Value: row.GetValue()})
+			if len(merged.rows) == limit {
+				next := keyspace.After(row.GetKey())
+				merged.end(outcome.part, keyspace.Range{From: covered.From, To: next}, next)
+				return merged
+			}
+		}
+		merged.cover(outcome.part, covered)
+	}
+	return merged
+}
+
+// cover counts a part's covered range, and what the leaf left out as missing.
+func (p *page) cover(part manifest.Part, covered keyspace.Range) {
+	p.askedWeight += float64(part.Shard.Weight)
+	missing := part.Range.Subtract([]keyspace.Range{covered})
+	p.covered = append(p.covered, covered)
+	if len(missing) == 0 {
+		p.coveredWeight += float64(part.Shard.Weight)
+	}
+	for _, rest := range missing {
+		p.missing = append(p.missing, missingPart{keys: rest, reason: missingTruncated})
+	}
+}
+
+func (p *page) miss(part manifest.Part, keys keyspace.Range, reason missingReason) {
+	p.askedWeight += float64(part.Shard.Weight)
+	p.missing = append(p.missing, missingPart{keys: keys, reason: reason})
+}
+
+// end closes the page inside a part; the asked range shrinks to what the page is about.
+func (p *page) end(part manifest.Part, covered keyspace.Range, next string) {
+	if p.asked.To != "" && next >= p.asked.To {
+		p.cover(part, keyspace.Range{From: covered.From, To: part.Range.To})
+		return
+	}
+	p.askedWeight += float64(part.Shard.Weight)
+	p.coveredWeight += float64(part.Shard.Weight)
+	p.asked.To = next
+	p.nextKey = next
+	if !covered.Empty() {
+		p.covered = append(p.covered, covered)
+	}
+}
+
+func (p *page) complete() bool { return len(p.missing) == 0 }
+
+// report states the page's coverage from what was merged and nothing else.
+func (p *page) coverage() *searchv1.Coverage {
+	coverage := &searchv1.Coverage{Complete: p.complete(), Fraction: 1}
+	if p.askedWeight > 0 {
+		coverage.Fraction = p.coveredWeight / p.askedWeight
+	}
+	for _, part := range p.missing {
+		coverage.Missing = append(coverage.Missing, &searchv1.MissingRange{
+			Range:  &searchv1.KeyRange{From: part.keys.From, To: part.keys.To},
+			Reason: string(part.reason),
+		})
+	}
+	return coverage
+}
--- /dev/null
+++ b/internal/search/request.go
@@ -0,0 +1,110 @@
+package search
+
+import (
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/keyspace"
+)
+
+// Bounds of a request's fields, in bytes.
+const (
+	maximumRequestID = 128
+	maximumFilter    = 1024
+	maximumKey       = 4096
+)
+
+// query is a checked request with its defaults filled in.
+type query struct {
+	id string
+	// callerNamed says that the caller chose the id and may repeat it at another node.
+	callerNamed bool
+	service     string
+	asked       keyspace.Range
+	filter      string
+	limit       int
+	atMostOnce  bool
+	wantsFull   bool
+	// deadline is when the answer must be on its way.
+	deadline time.Time
+	arrived  time.Time
+}
+
+// newQuery checks a request against its service's settings; failures name the field.
+func newQuery(config Config, request *searchv1.SearchRequest, spec *adminv1.ServiceSpec, arrived time.Time) (*query, error) {
+	if err := checkText(request); err != nil {
+		return nil, err
+	}
+	asked := keyspace.Range{From: request.GetRange().GetFrom(), To: request.GetRange().GetTo()}
+	if asked.Empty() {
+		return nil, failure.Invalid("range.to", "must be greater than range.from")
+	}
+	limit := request.GetLimit()
+	if limit > spec.GetPageSize() {
+		return nil, failure.Invalid("limit", "%d is more than the service's page size %d", limit, spec.GetPageSize())
+	}
+	if limit == 0 {
+		limit = spec.GetPageSize()
+	}
+	allowed, err := allowedTime(config, request.GetDeadlineMillis(), spec)
+	if err != nil {
+		return nil, err
+	}
+	id := request.GetRequestId()
+	if id == "" {
+		id = uuid.NewString()
+	}
+	return &query{
+		id:          id,
+		callerNamed: request.GetRequestId() != "",
+		service:     spec.GetName(),
+		asked:       asked,
+		filter:      request.GetFilter(),
+		limit:       int(limit),
+		atMostOnce:  request.GetRepeatability() == searchv1.Repeatability_REPEATABILITY_AT_MOST_ONCE,
+		wantsFull:   request.GetCoverageDemand() == searchv1.CoverageDemand_COVERAGE_DEMAND_FULL,
+		deadline:    arrived.Add(allowed),
+		arrived:     arrived,
+	}, nil
+}
+
+func allowedTime(config Config, askedMillis uint32, spec *adminv1.ServiceSpec) (time.Duration, error) {
+	if askedMillis == 0 {
+		askedMillis = spec.GetDefaultDeadlineMillis()
+	}
+	if askedMillis > spec.GetMaxDeadlineMillis() {
+		return 0, failure.Invalid("deadline_millis", "%d is more than the service's maximum %d", askedMillis, spec.GetMaxDeadlineMillis())
+	}
+	allowed := time.Duration(askedMillis) * time.Millisecond
+	if allowed < config.MinimumDeadline {
+		return 0, failure.Invalid("deadline_millis", "%d is less than the minimum %d", askedMillis, config.MinimumDeadline.Milliseconds())
+	}
+	return allowed, nil
+}
+
+func checkText(request *searchv1.SearchRequest) error {
+	fields := []struct {
+		name    string
+		value   string
+		maximum int
+	}{
+		{"request_id", request.GetRequestId(), maximumRequestID},
+		{"filter", request.GetFilter(), maximumFilter},
+		{"range.from", request.GetRange().GetFrom(), maximumKey},
+		{"range.to", request.GetRange().GetTo(), maximumKey},
+	}
+	for _, field := range fields {
+		if len(field.value) > field.maximum {
+			return failure.Invalid(field.name, "%d bytes; at most %d", len(field.value), field.maximum)
+		}
+		if !utf8.ValidString(field.value) {
+			return failure.Invalid(field.name, "must be valid UTF-8")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/search/verify.go
@@ -0,0 +1,79 @@
+package search
+
+import (
+	"strings"
+
+	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
+	"github.com/portgauge/portgauge/internal/keyspace"
+)
+
+// dropReason says why a leaf's reply is not merged.
+type dropReason string
+
+// The reasons for dropping a reply.
+const (
+	replyAccepted     dropReason = ""
+	dropWrongIdentity dropReason = "WRONG_IDENTITY"
+	dropForeignRow    dropReason = "FOREIGN_ROW"
+	dropUnorderedRows dropReason = "UNORDERED_ROWS"
+	dropTooManyRows   dropReason = "TOO_MANY_ROWS"
+	dropWrongCoverage dropReason = "WRONG_COVERAGE"
+	dropUnmatchedRow  dropReason = "UNMATCHED_ROW"
+)
+
+// shardReply is a verified reply: its rows are all of the covered range's rows that match.
+type shardReply struct {
+	covered keyspace.Range
+	rows    []*leafv1.Row
+}
+
+// verify checks a reply against the attempt it must answer. A reply that differs in any part
+// of the identity, or whose rows can't be that attempt's, is dropped whole.
+func verify(request *leafv1.SearchShardRequest, response *leafv1.SearchShardResponse) (shardReply, dropReason) {
+	if !sameIdentity(request.GetIdentity(), response.GetIdentity()) {
+		return shardReply{}, dropWrongIdentity
+	}
+	asked := keyspace.Range{From: request.GetKeyFrom(), To: request.GetKeyTo()}
+	covered := keyspace.Range{From: response.GetCoveredFrom(), To: response.GetCoveredTo()}
+	if covered.From != asked.From || covered.Empty() || !asked.Covers(covered) {
+		return shardReply{}, dropWrongCoverage
+	}
+	if len(response.GetRows()) > int(request.GetLimit()) {
+		return shardReply{}, dropTooManyRows
+	}
+	if reason := verifyRows(request.GetFilter(), covered, response.GetRows()); reason != replyAccepted {
+		return shardReply{}, reason
+	}
+	return shardReply{covered: covered, rows: response.GetRows()}, replyAccepted
+}
+
+func verifyRows(filter string, covered keyspace.Range, rows []*leafv1.Row) dropReason {
+	previous := ""
+	for index, row := range rows {
+		if !covered.Contains(row.GetKey()) {
+			return dropForeignRow
+		}
+		if index > 0 && row.GetKey() <= previous {
+			return dropUnorderedRows
+		}
+		if !Matches(filter, row.GetKey(), row.GetValue()) {
+			return dropUnmatchedRow
+		}
+		previous = row.GetKey()
+	}
+	return replyAccepted
+}
+
+// Matches reports whether a row is wanted by a filter.
+func Matches(filter, key string, value []byte) bool {
+	return filter == "" || strings.Contains(key, filter) || strings.Contains(string(value), filter)
+}
+
+func sameIdentity(asked, echoed *leafv1.AttemptIdentity) bool {
+	return echoed != nil &&
+		asked.GetNonce() == echoed.GetNonce() &&
+		asked.GetAttempt() == echoed.GetAttempt() &&
+		asked.GetRequestId() == echoed.GetRequestId() &&
+		asked.GetShardId() == echoed.GetShardId() &&
+		asked.GetSnapshotId() == echoed.GetSnapshotId()
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,241 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// environmentPrefix starts the environment variables that override settings.
+const environmentPrefix = "PORTGAUGE_"
+
+// Override is one setting given outside the file.
+type Override struct {
+	// Path is the setting's name, such as search.merge_reserve.
+	Path  string
+	Value string
+	// Source names where it came from, for messages.
+	Source string
+}
+
+// ParseFlag reads an override of the form path=value.
+func ParseFlag(text string) (Override, error) {
+	path, value, found := strings.Cut(text, "=")
+	if !found || path == "" {
+		return Override{}, failure.Invalid("set", "%q; must have the form path=value", text)
+	}
+	return Override{Path: path, Value: value, Source: "--set " + path}, nil
+}
+
+// Load reads settings from a file (none when the path is empty), the environment and flags,
+// and checks them. The error joins all faults, each with its line or source.
+func Load(path string, environment []string, flags []Override) (Settings, error) {
+	document := &yaml.Node{Kind: yaml.MappingNode}
+	if path != "" {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return Settings{}, failure.Wrap(err, failure.InvalidField, failure.NotRun, "read settings file")
+		}
+		if document, err = parse(path, content); err != nil {
+			return Settings{}, err
+		}
+	}
+	return assemble(path, document, append(fromEnvironment(environment), flags...))
+}
+
+// Parse reads settings from the content of a file alone.
+func Parse(name string, content []byte) (Settings, error) {
+	document, err := parse(name, content)
+	if err != nil {
+		return Settings{}, err
+	}
+	return assemble(name, document, nil)
+}
+
+func parse(name string, content []byte) (*yaml.Node, error) {
+	var root yaml.Node
+	if err := yaml.Unmarshal(content, &root); err != nil {
+		return nil, failure.Invalid(name, "not YAML: %v", err)
+	}
+	if len(root.Content) == 0 {
+		return &yaml.Node{Kind: yaml.MappingNode}, nil
+	}
+	if root.Content[0].Kind != yaml.MappingNode {
+		return nil, failure.Invalid(name, "must be a mapping of settings")
+	}
+	return root.Content[0], nil
+}
+
+func assemble(name string, document *yaml.Node, overrides []Override) (Settings, error) {
+	sources := map[string]string{}
+	for _, override := range overrides {
+		if err := setScalar(document, strings.Split(override.Path, "."), override.Value); err != nil {
+			return Settings{}, failure.Invalid(override.Path, "%s: %v", override.Source, err)
+		}
+		sources[override.Path] = override.Source
+	}
+	settings := Default()
+	if err := decodeStrictly(name, document, &settings); err != nil {
+		return Settings{}, err
+	}
+	return settings, locate(name, document, sources, settings.Validate())
+}
+
+// decodeStrictly decodes the document and names every unknown field and mistyped value.
+func decodeStrictly(name string, document *yaml.Node, settings *Settings) error {
+	var checks failure.Checks
+	refuseUnknown(&checks, name, document, "", knownGroups())
+	err := document.Decode(settings)
+	var mistyped *yaml.TypeError
+	switch {
+	case errors.As(err, &mistyped):
+		for _, fault := range mistyped.Errors {
+			checks.Refuse(true, name, "%s", fault)
+		}
+	case err != nil:
+		checks.Refuse(true, name, "%v", err)
+	}
+	return checks.Err()
+}
+
+// knownGroups gives the names of all settings and of the groups they are in.
+func knownGroups() map[string]bool {
+	known := map[string]bool{}
+	for _, path := range Paths() {
+		for end := 0; end < len(path); end++ {
+			if path[end] == '.' {
+				known[path[:end]] = true
+			}
+		}
+		known[path] = true
+	}
+	return known
+}
+
+func refuseUnknown(checks *failure.Checks, name string, node *yaml.Node, prefix string, known map[string]bool) {
+	if node.Kind != yaml.MappingNode {
+		return
+	}
+	for index := 0; index+1 < len(node.Content); index += 2 {
+		key := node.Content[index]
+		path := prefix + key.Value
+		if !known[path] {
+			checks.Refuse(true, path, "is not a setting (%s line %d)", name, key.Line)
+			continue
+		}
+		refuseUnknown(checks, name, node.Content[index+1], path+".", known)
+	}
+}
+
+// locate adds to each fault the line or source that its value came from.
+func locate(name string, document *yaml.Node, sources map[string]string, err error) error {
+	var located failure.Checks
+	for _, fault := range failure.Faults(err) {
+		where := "default"
+		if source, found := sources[fault.Field]; found {
+			where = source
+		} else if line := lineOf(document, strings.Split(fault.Field, ".")); line > 0 {
+			where = fmt.Sprintf("%s line %d", name, line)
+		}
+		located.Refuse(true, fault.Field, "%s (%s)", fault.Message, where)
+	}
+	return located.Err()
+}
+
+func lineOf(node *yaml.Node, path []string) int {
+	value := child(node, path[0])
+	if value == nil {
+		return 0
+	}
+	if len(path) == 1 {
+		return value.Line
+	}
+	return lineOf(value, path[1:])
+}
+
+func child(node *yaml.Node, key string) *yaml.Node {
+	if node.Kind != yaml.MappingNode {
+		return nil
+	}
+	for index := 0; index+1 < len(node.Content); index += 2 {
+		if node.Content[index].Value == key {
+			return node.Content[index+1]
+		}
+	}
+	return nil
+}
+
+// setScalar puts a value at a path, making the mappings on the way.
+func setScalar(node *yaml.Node, path []string, value string) error {
+	existing := child(node, path[0])
+	if len(path) == 1 {
+		var scalar yaml.Node
+		if err := yaml.Unmarshal([]byte(value), &scalar); err != nil || len(scalar.Content) == 0 {
+			return failure.Invalid(path[0], "%q is not a YAML value", value)
+		}
+		if existing != nil {
+			*existing = *scalar.Content[0]
+			return nil
+		}
+		node.Content = append(node.Content, &yaml.Node{Kind: yaml.ScalarNode, Value: path[0]}, scalar.Content[0])
+		return nil
+	}
+	if existing == nil {
+		existing = &yaml.Node{Kind: yaml.MappingNode}
+		node.Content = append(node.Content, &yaml.Node{Kind: yaml.ScalarNode, Value: path[0]}, existing)
+	}
+	if existing.Kind != yaml.MappingNode {
+		return failure.Invalid(path[0], "is not a group of settings")
+	}
+	return setScalar(existing, path[1:], value)
+}
+
+// fromEnvironment finds the overrides among environment variables. Names of settings hold
+// underscores, so each known path is looked up rather than guessed from the variable.
+func fromEnvironment(environment []string) []Override {
+	values := map[string]string{}
+	for _, variable := range environment {
+		if name, value, found := strings.Cut(variable, "="); found && strings.HasPrefix(name, environmentPrefix) {
+			values[name] = value
+		}
+	}
+	var overrides []Override
+	for _, path := range Paths() {
+		name := environmentPrefix + strings.ToUpper(strings.ReplaceAll(path, ".", "_"))
+		if value, found := values[name]; found {
+			overrides = append(overrides, Override{Path: path, Value: value, Source: name})
+		}
+	}
+	return overrides
+}
+
+// Paths gives the names of all settings.
+func Paths() []string {
+	content, err := yaml.Marshal(Default())
+	if err != nil {
+		return nil
+	}
+	var root yaml.Node
+	if err := yaml.Unmarshal(content, &root); err != nil {
+		return nil
+	}
+	return pathsOf(root.Content[0], "")
+}
+
+func pathsOf(node *yaml.Node, prefix string) []string {
+	var paths []string
+	for index := 0; index+1 < len(node.Content); index += 2 {
+		path := prefix + node.Content[index].Value
+		if node.Content[index+1].Kind == yaml.MappingNode {
+			paths = append(paths, pathsOf(node.Content[index+1], path+".")...)
+			continue
+		}
+		paths = append(paths, path)
+	}
+	return paths
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,40 @@
+// Package store is the interface to the platform's configuration store.
+//
+// The store is a small key-value service with compare-and-swap and watches. It is
+// rate-limited, has outages, and may lose a reply after the write took effect.
+package store
+
+import (
+	"context"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+)
+
+// Event is what a watch yields: a change, or only a confirmation that none is newer.
+type Event struct {
+	Change *catalog.Change
+	// Current is the store's newest revision at the time of the event.
+	Current int64
+}
+
+// SwapResult is the outcome of a compare-and-swap whose reply arrived.
+type SwapResult struct {
+	Swapped bool
+	// Entry is the key as it stands after the call; nil when it was never written.
+	Entry *catalog.Entry
+}
+
+// Store reads, writes and watches configuration. An error of CompareAndSwap says nothing
+// about whether the write took effect. Implementations are safe for concurrent use.
+type Store interface {
+	// Get reads one key; nil when it was never written.
+	Get(ctx context.Context, key string) (*catalog.Entry, error)
+	// List reads every key, tombstones included, at one revision.
+	List(ctx context.Context) (catalog.Snapshot, error)
+	// CompareAndSwap writes the key if its revision is still the expected one; 0 means
+	// that the key is absent or deleted.
+	CompareAndSwap(ctx context.Context, key string, expected int64, value []byte, remove bool) (SwapResult, error)
+	// Watch calls receive for each change after a revision, in order, until the context
+	// ends, the connection is lost, or receive fails.
+	Watch(ctx context.Context, after int64, receive func(Event) error) error
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,73 @@
+// Package telemetry holds the metrics and the logger of a node.
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+const namespace = "portgauge"
+
+// Metrics are the counters, gauges and histograms of a node, on a registry of their own.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	// QueryLatency is the time from a query's arrival to its answer, in seconds.
+	QueryLatency *prometheus.HistogramVec
+	// QueryCoverage is the covered fraction of each answer.
+	QueryCoverage *prometheus.HistogramVec
+	// Refusals counts failures by service, code and execution state.
+	Refusals *prometheus.CounterVec
+	// Attempts counts leaf attempts by service and kind: first, hedge or retry.
+	Attempts *prometheus.CounterVec
+	// CancelledAttempts counts attempts that lost to another.
+	CancelledAttempts *prometheus.CounterVec
+	// DroppedReplies counts leaf replies that were not merged, by reason.
+	DroppedReplies *prometheus.CounterVec
+	// ConfigRevision is the revision in force.
+	ConfigRevision prometheus.Gauge
+	// ConfigRejected counts values of the store that could not be put into force.
+	ConfigRejected prometheus.Counter
+	// ConfigRelayed counts configuration messages between nodes, by kind.
+	ConfigRelayed *prometheus.CounterVec
+	// ControlBytes counts bytes sent between nodes for control, by transport.
+	ControlBytes *prometheus.CounterVec
+	// Members is the number of nodes known in the zone, by state.
+	Members *prometheus.GaugeVec
+}
+
+// NewMetrics makes the metrics and registers them with those of the Go runtime.
+func NewMetrics() *Metrics {
+	metrics := &Metrics{
+		Registry:          prometheus.NewRegistry(),
+		QueryLatency:      histogram("query_latency_seconds", "Time from a query's arrival to its answer.", latencyBuckets(), "service", "class"),
+		QueryCoverage:     histogram("query_coverage", "Covered fraction of each answer.", []float64{0, 0.5, 0.9, 0.99, 0.9999, 1}, "service"),
+		Refusals:          counters("failures_total", "Failed queries by code and execution state.", "service", "code", "execution"),
+		Attempts:          counters("leaf_attempts_total", "Leaf attempts by kind.", "service", "kind"),
+		CancelledAttempts: counters("leaf_attempts_cancelled_total", "Leaf attempts that lost to another.", "service"),
+		DroppedReplies:    counters("leaf_replies_dropped_total", "Leaf replies that were not merged.", "service", "reason"),
+		ConfigRevision:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_revision", Help: "Configuration revision in force."}),
+		ConfigRejected:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "config_rejected_total", Help: "Stored values that could not be put into force."}),
+		ConfigRelayed:     counters("config_messages_total", "Configuration messages sent to other nodes.", "kind"),
+		ControlBytes:      counters("control_bytes_sent_total", "Bytes sent to other nodes for control.", "transport"),
+		Members:           prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Nodes known in the zone by state."}, []string{"state"}),
+	}
+	metrics.Registry.MustRegister(
+		metrics.QueryLatency, metrics.QueryCoverage, metrics.Refusals, metrics.Attempts,
+		metrics.CancelledAttempts, metrics.DroppedReplies, metrics.ConfigRevision,
+		metrics.ConfigRejected, metrics.ConfigRelayed, metrics.ControlBytes, metrics.Members,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return metrics
+}
+
+func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// latencyBuckets go from 1 ms to 16 s, doubling.
+func latencyBuckets() []float64 { return prometheus.ExponentialBuckets(0.001, 2, 15) }
