Measure configuration and membership with hollow nodes beside real ones

Cause: the size to design for (3,300 nodes) has to be worked out from measured slopes. Change: 'portgauge-lab scale' runs hollow nodes (the control side of a node on real sockets, many to a process) beside real nodes around the stand-in platform, brings changes at a daily rate and a burst, and compares the store's own record of each write with when the last node had it. Machine-list queries are narrowed to a zone and role, since at full size the whole list can't be read often; lines above 1 KB between nodes are compressed.

--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -14,6 +14,8 @@
 	Leaf     leafCommand     `cmd:"" help:"Run a stand-in back end."`
 	Platform platformCommand `cmd:"" help:"Run a stand-in store and machine list."`
 	Sample   sampleCommand   `cmd:"" help:"Print a service or manifest over stand-in back ends."`
+	Hollow   hollowCommand   `cmd:"" help:"Run hollow nodes, for a scale run."`
+	Scale    scaleCommand    `cmd:"" help:"Measure configuration and membership with hollow nodes beside real ones."`
 }
 
 func main() {
--- a/internal/configsync/contacts.go
+++ b/internal/configsync/contacts.go
@@ -75,51 +75,77 @@
 	s.note(leafID, time.Now().Add(s.config.LeavingHold))
 }
 
-// machineLoop reads the machine list while this node is a watcher, and pushes word of
-// leaving leafs to the zone.
+// machineLoop reads the zone's part of the machine list while this node is a watcher, and
+// spreads word of leaving leafs.
 func (s *Syncer) machineLoop(ctx context.Context) {
-	version := int64(0)
+	version := uint64(0)
 	var leaving []string
 	for pause(ctx, s.config.MachineListInterval) {
 		if s.rank() == notAWatcher {
 			version = 0
 			continue
 		}
-		list, err := s.listMachines(ctx, "", version)
+		list, err := s.listMachines(ctx, machines.Query{Zone: s.members.Self().Zone, Role: machines.RoleLeaf, KnownVersion: version})
 		if err != nil {
 			continue
 		}
 		if !list.Unchanged {
 			version = list.Version
-			leaving = s.takeMachines(list)
+			leaving = leavingLeafs(list)
 		}
 		s.pushLeaving(ctx, leaving)
 	}
 }
 
-// takeMachines learns contacts in other zones and gives the leaving leafs.
-func (s *Syncer) takeMachines(list machines.List) []string {
-	own := s.members.Self().Zone
-	contacts := map[string][]string{}
+func leavingLeafs(list machines.List) []string {
 	var leaving []string
 	for _, machine := range list.Machines {
-		switch {
-		case machine.Role == machines.RoleLeaf && machine.State == machines.Leaving:
+		if machine.State == machines.Leaving {
 			leaving = append(leaving, machine.ID)
-		case machine.Role == machines.RoleNode && machine.Zone != own && machine.State == machines.Live:
-			contacts[machine.Zone] = append(contacts[machine.Zone], machine.Address)
+		}
+	}
+	return leaving
+}
+
+// contactInterval is how often watchers draw new contacts in other zones.
+const contactInterval = time.Minute
+
+// contactLoop draws a few nodes of each other zone from the machine list, for watchers; the
+// others get theirs when they join. The first draw does not wait.
+func (s *Syncer) contactLoop(ctx context.Context) {
+	wait := s.config.MachineListInterval
+	for pause(ctx, wait) {
+		if s.rank() == notAWatcher {
+			continue
+		}
+		list, err := s.listMachines(ctx, machines.Query{Role: machines.RoleNode, MostPerZone: contactsPerZone})
+		if err != nil {
+			continue
+		}
+		wait = contactInterval
+		s.replaceContacts(list)
+	}
+}
+
+// replaceContacts takes the drawn nodes of each other zone that is on the list; contacts of
+// zones that are not stay, since the list lags.
+func (s *Syncer) replaceContacts(list machines.List) {
+	own := s.members.Self().Zone
+	drawn := map[string][]string{}
+	for _, machine := range list.Machines {
+		if machine.Zone != own && machine.State == machines.Live {
+			drawn[machine.Zone] = append(drawn[machine.Zone], machine.Address)
 		}
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for zone, addresses := range contacts {
-		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		s.contacts[zone] = addresses[:min(len(addresses), contactsPerZone)]
+	for zone, addresses := range drawn {
+		s.contacts[zone] = addresses
 	}
-	return leaving
 }
 
-// pushLeaving sends the zone those notices that are news, or about to lapse.
+// pushLeaving sends the own zone, and one node of each other zone for theirs, those notices
+// that are news or about to lapse.
 func (s *Syncer) pushLeaving(ctx context.Context, leaving []string) {
 	until := time.Now().Add(s.config.LeavingHold)
 	var news []peer.LeafNotice
@@ -128,32 +154,48 @@
 			news = append(news, peer.LeafNotice{LeafID: leafID, Millis: s.config.LeavingHold.Milliseconds()})
 		}
 	}
-	if len(news) > 0 && s.rank() == 0 {
-		s.pushToZone(ctx, peer.Push{Notices: news})
+	if len(news) == 0 || s.rank() != 0 {
+		return
+	}
+	s.pushToZone(ctx, peer.Push{Notices: news})
+	for _, addresses := range s.contactsByZone() {
+		go s.pushToOtherZone(ctx, addresses, peer.Push{Notices: news, WholeZone: true})
+	}
+}
+
+// pushToOtherZone hands a push to the first contact that takes it.
+func (s *Syncer) pushToOtherZone(ctx context.Context, addresses []string, push peer.Push) {
+	for _, address := range addresses {
+		if s.handTo(ctx, address, push) {
+			return
+		}
 	}
 }
 
-func (s *Syncer) listMachines(ctx context.Context, zone string, version int64) (machines.List, error) {
+func (s *Syncer) listMachines(ctx context.Context, query machines.Query) (machines.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSilence)
 	defer cancel()
-	return s.machines.ListMachines(ctx, zone, version)
+	return s.machines.ListMachines(ctx, query)
 }
 
 // listZone gives the peer addresses of the zone's nodes by the machine list.
 func (s *Syncer) listZone(ctx context.Context) ([]string, error) {
-	list, err := s.listMachines(ctx, s.members.Self().Zone, 0)
+	list, err := s.listMachines(ctx, machines.Query{Zone: s.members.Self().Zone, Role: machines.RoleNode, MostPerZone: joinCandidates})
 	if err != nil {
 		return nil, err
 	}
 	var addresses []string
 	for _, machine := range list.Machines {
-		if machine.Role == machines.RoleNode && machine.State == machines.Live {
+		if machine.State == machines.Live {
 			addresses = append(addresses, machine.Address)
 		}
 	}
 	return addresses, nil
 }
 
+// joinCandidates is how many nodes of its zone a node draws to join through.
+const joinCandidates = 8
+
 // Contacts gives the nodes known in other zones.
 func (s *Syncer) Contacts() []peer.Contact {
 	s.mutex.Lock()
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -31,7 +31,7 @@
 
 // joinedPause is how long a node that knows others waits until it joins again, which heals
 // a zone whose halves lost each other.
-const joinedPause = 30 * time.Second
+const joinedPause = 2 * time.Minute
 
 // joinTargets is how many nodes a node joins through at once.
 const joinTargets = 3
--- a/internal/configsync/push.go
+++ b/internal/configsync/push.go
@@ -99,7 +99,11 @@
 	if gap {
 		go s.pullFrom(context.Background(), from)
 	}
-	if len(push.Subtree) > 0 {
+	switch {
+	case push.WholeZone:
+		push.WholeZone = false
+		s.pushToZone(context.Background(), push)
+	case len(push.Subtree) > 0:
 		s.relay(context.Background(), push)
 	}
 	return peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -106,7 +106,7 @@
 // Run distributes configuration until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){s.joinLoop, s.watchLoop, s.pushLoop, s.machineLoop, s.crossZoneLoop} {
+	for _, loop := range []func(context.Context){s.joinLoop, s.watchLoop, s.pushLoop, s.machineLoop, s.contactLoop, s.crossZoneLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -65,7 +68,6 @@
 	changed  chan struct{} // closed and replaced at each change, also of faults
 	machines []*platformv1.Machine
 	shown    []*platformv1.Machine // the list as read by others
-	version  int64
 	counts   Counts
 }
 
@@ -75,7 +77,6 @@
 		limiter: rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(callsPerSecond))),
 		entries: map[string]*platformv1.Entry{},
 		changed: make(chan struct{}),
-		version: 1,
 	}
 }
 
@@ -99,7 +100,6 @@
 func (p *Platform) show() {
 	if !p.faults.MachinesStale {
 		p.shown = p.machines
-		p.version++
 	}
 }
 
@@ -257,14 +257,42 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.counts.MachineLists++
-	if request.GetKnownVersion() == p.version {
-		return &platformv1.ListMachinesResponse{Version: p.version, Unchanged: true}, nil
-	}
-	response := &platformv1.ListMachinesResponse{Version: p.version}
+	var wanted []*platformv1.Machine
+	version := xxhash.New()
 	for _, machine := range p.shown {
-		if request.GetZone() == "" || machine.GetZone() == request.GetZone() {
-			response.Machines = append(response.Machines, machine)
+		if matches(request, machine) {
+			wanted = append(wanted, machine)
+			// Writing to a hash can't fail.
+			_, _ = fmt.Fprintln(version, machine.GetId(), machine.GetAddress(), machine.GetState())
 		}
 	}
+	response := &platformv1.ListMachinesResponse{Version: max(version.Sum64(), 1)}
+	if request.GetKnownVersion() == response.GetVersion() {
+		response.Unchanged = true
+		return response, nil
+	}
+	response.Machines = somePerZone(wanted, int(request.GetMostPerZone()))
 	return response, nil
 }
+
+func matches(request *platformv1.ListMachinesRequest, machine *platformv1.Machine) bool {
+	return (request.GetZone() == "" || machine.GetZone() == request.GetZone()) &&
+		(request.GetRole() == "" || machine.GetRole() == request.GetRole())
+}
+
+// somePerZone picks at most so many machines of each zone at random; 0 means all.
+func somePerZone(all []*platformv1.Machine, most int) []*platformv1.Machine {
+	if most == 0 {
+		return all
+	}
+	counts := map[string]int{}
+	var picked []*platformv1.Machine
+	for _, position := range rand.Perm(len(all)) {
+		machine := all[position]
+		if counts[machine.GetZone()] < most {
+			counts[machine.GetZone()]++
+			picked = append(picked, machine)
+		}
+	}
+	return picked
+}
--- /dev/null
+++ b/internal/lab/process/process.go
@@ -0,0 +1,200 @@
+// Package process starts, freezes and ends the processes of an experiment, by their ids.
+package process
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// stopTimeout is how long a process asked to stop may take until it is killed.
+const stopTimeout = 60 * time.Second
+
+// Programs are the paths of the project's binaries.
+type Programs struct {
+	Portgauge string
+	Lab       string
+}
+
+// Build compiles both programs into a folder, from the source tree of the working directory.
+func Build(folder string) (Programs, error) {
+	command := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "./cmd/portgauge", "./cmd/portgauge-lab")
+	if output, err := command.CombinedOutput(); err != nil {
+		return Programs{}, merry.Prepend(err, "build the programs: "+string(output))
+	}
+	return Programs{Portgauge: filepath.Join(folder, "portgauge"), Lab: filepath.Join(folder, "portgauge-lab")}, nil
+}
+
+// Process is one running process of an experiment.
+type Process struct {
+	Name    string
+	command *exec.Cmd
+	ended   chan struct{}
+	err     error // of its end; read after ended is closed
+	output  *tail
+}
+
+// tailBytes is how much of a process's newest output is kept.
+const tailBytes = 64 << 10
+
+// tail keeps the newest output of a process.
+type tail struct {
+	mutex   sync.Mutex
+	content bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (t *tail) Write(chunk []byte) (int, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.content.Write(chunk)
+	if excess := t.content.Len() - tailBytes; excess > 0 {
+		t.content.Next(excess)
+	}
+	return len(chunk), nil
+}
+
+// Start starts a process.
+func Start(name, program string, arguments ...string) (*Process, error) {
+	started := &Process{Name: name, command: exec.Command(program, arguments...), ended: make(chan struct{}), output: &tail{}}
+	started.command.Stdout = started.output
+	started.command.Stderr = started.output
+	if err := started.command.Start(); err != nil {
+		return nil, merry.Prepend(err, "start "+name)
+	}
+	go func() {
+		started.err = started.command.Wait()
+		close(started.ended)
+	}()
+	return started, nil
+}
+
+// Output gives the newest output.
+func (p *Process) Output() string {
+	p.output.mutex.Lock()
+	defer p.output.mutex.Unlock()
+	return p.output.content.String()
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the process without warning and waits for its end.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// Freeze stops the process from running; Wake lets it run on.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Wake lets a frozen process run on.
+func (p *Process) Wake() { p.signal(syscall.SIGCONT) }
+
+// Stop asks the process to stop and waits for its end; it reports whether the process ended
+// in time and without an error.
+func (p *Process) Stop() error {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		return p.err
+	case <-time.After(stopTimeout):
+		p.Kill()
+		return merry.Errorf("%s did not stop in %v", p.Name, stopTimeout)
+	}
+}
+
+func (p *Process) signal(signal syscall.Signal) {
+	if !p.Running() {
+		return
+	}
+	// The process may end at any moment; a signal that comes too late is no fault.
+	if err := p.command.Process.Signal(signal); err != nil {
+		return
+	}
+}
+
+// Usage is what a process has used so far.
+type Usage struct {
+	CPU           time.Duration
+	ResidentBytes int64
+}
+
+// clockTick is the unit of CPU times under /proc, in which Linux counts 100 to a second.
+const clockTick = 10 * time.Millisecond
+
+// Positions of fields in /proc/PID/stat after the command's closing parenthesis.
+const (
+	statUserTime   = 11
+	statSystemTime = 12
+	statResident   = 21
+)
+
+// Usage reads the process's use of CPU and memory.
+func (p *Process) Usage() (Usage, error) {
+	content, err := os.ReadFile("/proc/" + strconv.Itoa(p.command.Process.Pid) + "/stat")
+	if err != nil {
+		return Usage{}, err
+	}
+	_, rest, found := strings.Cut(string(content), ") ")
+	fields := strings.Fields(rest)
+	if !found || len(fields) <= statResident {
+		return Usage{}, merry.New("unexpected form of process statistics")
+	}
+	var values [3]int64
+	for index, position := range []int{statUserTime, statSystemTime, statResident} {
+		if values[index], err = strconv.ParseInt(fields[position], 10, 64); err != nil {
+			return Usage{}, err
+		}
+	}
+	return Usage{
+		CPU:           time.Duration(values[0]+values[1]) * clockTick,
+		ResidentBytes: values[2] * int64(os.Getpagesize()),
+	}, nil
+}
+
+// FreeAddresses gives loopback addresses whose ports were free, for TCP and UDP, a moment
+// ago. All are held until the last is found, so that they differ.
+func FreeAddresses(count int) ([]string, error) {
+	var addresses []string
+	var held []interface{ Close() error }
+	defer func() {
+		for _, socket := range held {
+			if err := socket.Close(); err != nil {
+				return
+			}
+		}
+	}()
+	for len(addresses) < count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, merry.Prepend(err, "find a free port")
+		}
+		held = append(held, listener)
+		address := listener.Addr().String()
+		datagrams, err := net.ListenPacket("udp", address)
+		if err != nil {
+			continue
+		}
+		held = append(held, datagrams)
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
--- a/internal/machines/machines.go
+++ b/internal/machines/machines.go
@@ -30,15 +30,27 @@
 	Role    Role
 }
 
-// List is the content of the machine list at a version.
+// List is the asked part of the machine list at a version.
 type List struct {
 	Machines []Machine
-	Version  int64
+	Version  uint64
 	// Unchanged is set, and Machines left out, when the caller's version is current.
 	Unchanged bool
 }
 
-// Lister reads the machine list; an empty zone means all zones.
+// Query says which part of the list is wanted.
+type Query struct {
+	// Zone and Role narrow the list when set.
+	Zone string
+	Role Role
+	// MostPerZone bounds the machines given of each zone, picked at random; 0 means all.
+	MostPerZone uint32
+	// KnownVersion is the version the caller has.
+	KnownVersion uint64
+}
+
+// Lister reads the machine list. At full size the whole list is too large to read often, so
+// callers ask for the part they need.
 type Lister interface {
-	ListMachines(ctx context.Context, zone string, knownVersion int64) (List, error)
+	ListMachines(ctx context.Context, query Query) (List, error)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,8 +71,9 @@
 	return zap.ParseAtomicLevel(config.LogLevel)
 }
 
-func newPlatform(config settings.Settings, lifecycle fx.Lifecycle) (*platformclient.Client, error) {
-	client, err := platformclient.New(config.Platform.Address)
+func newPlatform(config settings.Settings, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) (*platformclient.Client, error) {
+	sentToPlatform := metrics.ControlBytes.WithLabelValues("platform")
+	client, err := platformclient.New(config.Platform.Address, func(sent, _ int) { sentToPlatform.Add(float64(sent)) })
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/peer/line.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// compressAbove is the size in bytes from which a line is sent compressed. A configuration
+// value is mostly repeated field names and addresses, and shrinks about fivefold.
+const compressAbove = 1024
+
+// compressed is the form of a large message: a line that holds the line, compressed.
+type compressed struct {
+	Gzip []byte `json:"gzip"`
+}
+
+// compressors holds idle compressors, each of which has about 800 KB of tables.
+var compressors = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
+
+// errTooLong is the error of a line beyond MaximumLine once expanded.
+var errTooLong = merry.New("peer message too long")
+
+// writeLine sends a message as one line and gives the bytes sent.
+func writeLine(connection net.Conn, message Message) (int, error) {
+	line, err := encodeLine(message)
+	if err != nil {
+		return 0, err
+	}
+	return connection.Write(append(line, '\n'))
+}
+
+// readLine receives a message and gives the bytes received.
+func readLine(connection net.Conn) (Message, int, error) {
+	reader := bufio.NewReader(io.LimitReader(connection, MaximumLine))
+	line, err := reader.ReadBytes('\n')
+	if err != nil {
+		return Message{}, 0, err
+	}
+	message, err := decodeLine(line)
+	return message, len(line), err
+}
+
+func encodeLine(message Message) ([]byte, error) {
+	line, err := json.Marshal(message)
+	if err != nil || len(line) <= compressAbove {
+		return line, err
+	}
+	var buffer bytes.Buffer
+	writer := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(writer)
+	writer.Reset(&buffer)
+	if _, err := writer.Write(line); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return json.Marshal(compressed{Gzip: buffer.Bytes()})
+}
+
+func decodeLine(line []byte) (Message, error) {
+	var form struct {
+		Message
+		compressed
+	}
+	if err := json.Unmarshal(line, &form); err != nil {
+		return Message{}, err
+	}
+	if len(form.Gzip) == 0 {
+		return form.Message, nil
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(form.Gzip))
+	if err != nil {
+		return Message{}, err
+	}
+	expanded, err := io.ReadAll(io.LimitReader(reader, MaximumLine+1))
+	if err != nil {
+		return Message{}, err
+	}
+	if len(expanded) > MaximumLine {
+		return Message{}, merry.Wrap(errTooLong)
+	}
+	var message Message
+	return message, json.Unmarshal(expanded, &message)
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -109,6 +109,8 @@
 	Notices []LeafNotice     `json:"notices,omitempty"`
 	// Subtree is whom the receiver must hand the push on to, itself left out.
 	Subtree []string `json:"subtree,omitempty"`
+	// WholeZone asks the receiver to hand the push on to all members of its zone.
+	WholeZone bool `json:"whole_zone,omitempty"`
 }
 
 // Pull asks for everything after a revision.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -218,24 +217,6 @@
 	}
 }
 
-func writeLine(connection net.Conn, message Message) (int, error) {
-	line, err := json.Marshal(message)
-	if err != nil {
-		return 0, err
-	}
-	return connection.Write(append(line, '\n'))
-}
-
-func readLine(connection net.Conn) (Message, int, error) {
-	reader := bufio.NewReader(io.LimitReader(connection, MaximumLine))
-	line, err := reader.ReadBytes('\n')
-	if err != nil {
-		return Message{}, 0, err
-	}
-	var message Message
-	return message, len(line), json.Unmarshal(line, &message)
-}
-
 // closeQuietly closes a connection that is done with; a second close is harmless.
 func closeQuietly(connection io.Closer) {
 	if err := connection.Close(); err != nil {
--- /dev/null
+++ b/internal/platformclient/byte_counter.go
@@ -0,0 +1,36 @@
+package platformclient
+
+import (
+	"context"
+
+	"google.golang.org/grpc/stats"
+)
+
+// Meter is told of bytes sent to and received from the platform.
+type Meter func(sent, received int)
+
+// byteCounter tells the meter of each message on the connection.
+type byteCounter struct {
+	meter Meter
+}
+
+var _ stats.Handler = byteCounter{}
+
+// TagRPC implements stats.Handler.
+func (byteCounter) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (c byteCounter) HandleRPC(_ context.Context, event stats.RPCStats) {
+	switch payload := event.(type) {
+	case *stats.OutPayload:
+		c.meter(payload.WireLength, 0)
+	case *stats.InPayload:
+		c.meter(0, payload.WireLength)
+	}
+}
+
+// TagConn implements stats.Handler.
+func (byteCounter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (byteCounter) HandleConn(context.Context, stats.ConnStats) {}
--- a/internal/platformclient/platformclient.go
+++ b/internal/platformclient/platformclient.go
@@ -26,12 +26,14 @@
 	_ machines.Lister = (*Client)(nil)
 )
 
-// New makes a client; the connection is opened on first use.
-func New(address string) (*Client, error) {
+// New makes a client; the connection is opened on first use. The meter is told of the bytes
+// of each message.
+func New(address string, meter Meter) (*Client, error) {
 	connection, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
-		grpc.WithDisableServiceConfig())
+		grpc.WithDisableServiceConfig(),
+		grpc.WithStatsHandler(byteCounter{meter: meter}))
 	if err != nil {
 		return nil, merry.Prepend(err, "platform address")
 	}
@@ -100,8 +102,10 @@
 }
 
 // ListMachines implements machines.Lister.
-func (c *Client) ListMachines(ctx context.Context, zone string, knownVersion int64) (machines.List, error) {
-	response, err := c.machines.ListMachines(ctx, &platformv1.ListMachinesRequest{Zone: zone, KnownVersion: knownVersion})
+func (c *Client) ListMachines(ctx context.Context, query machines.Query) (machines.List, error) {
+	response, err := c.machines.ListMachines(ctx, &platformv1.ListMachinesRequest{
+		Zone: query.Zone, Role: string(query.Role), MostPerZone: query.MostPerZone, KnownVersion: query.KnownVersion,
+	})
 	if err != nil {
 		return machines.List{}, merry.Prepend(err, "list machines")
 	}
