Give experiment processes ports below the kernel's own range

Cause: a scale run at 330 nodes failed with 'address already in use': ports found free by binding port 0 were taken by an outgoing connection before their process started. Change: ports are drawn from 15000-32000, below the range used for outgoing connections.

--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -3,6 +3,9 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -170,11 +173,18 @@
 	}, nil
 }
 
+// Ports for processes come from below the range that the kernel hands out by itself, so that
+// no outgoing connection takes one between its choice and its use.
+const (
+	lowestPort  = 15000
+	highestPort = 32000
+)
+
 // FreeAddresses gives loopback addresses whose ports were free, for TCP and UDP, a moment
 // ago. All are held until the last is found, so that they differ.
 func FreeAddresses(count int) ([]string, error) {
 	var addresses []string
-	var held []interface{ Close() error }
+	var held []io.Closer
 	defer func() {
 		for _, socket := range held {
 			if err := socket.Close(); err != nil {
@@ -182,13 +192,16 @@
 			}
 		}
 	}()
-	for len(addresses) < count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(addresses) < count; tries++ {
+		if tries > highestPort-lowestPort {
+			return nil, merry.New("no free ports")
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(highestPort-lowestPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, merry.Prepend(err, "find a free port")
+			continue
 		}
 		held = append(held, listener)
-		address := listener.Addr().String()
 		datagrams, err := net.ListenPacket("udp", address)
 		if err != nil {
 			continue
