Bound what a start of many nodes asks of the store, and what watchers carry

Cause: (1) a node that knew nobody yet ranked itself first and read the store, so 330 nodes made 502 reads and 242 were refused; (2) gossip alone left zone views incomplete after a start of all nodes (48 of 50 after 90 s), its rumours being dropped after a fixed number of passes; (3) the watcher that starts every push fanned it out itself and read uncompressed values. Ruled out: the stand-in's rate limit as the cause of the incomplete views (they stay so long after the limit has room). Change: a node ranks watchers only once the nodes it joins through know the same members; joins repeat until then, and compare fingerprints, so that a settled zone sends no lists; pushes go to one node drawn for each push, which fans out, as one batch compressed once; payloads are stored compressed; changes of a burst are pushed together every 300 ms.

--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"strings"
 
-	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
@@ -54,17 +53,19 @@
 
 // Envelope is what the store holds under a key: the payload and the ids of recent writes.
 type Envelope struct {
-	ChangeID string          `json:"change_id"`
-	Deleted  bool            `json:"deleted,omitempty"`
-	History  []PastChange    `json:"history,omitempty"`
-	Payload  json.RawMessage `json:"payload,omitempty"`
+	ChangeID string       `json:"change_id"`
+	Deleted  bool         `json:"deleted,omitempty"`
+	History  []PastChange `json:"history,omitempty"`
+	// Payload is the message as compressed JSON: what each watcher reads from the store and
+	// each node is sent at each change.
+	Payload []byte `json:"payload,omitempty"`
 }
 
 // NewEnvelope wraps a message for a write that replaces the given entry, if any.
 func NewEnvelope(changeID string, message proto.Message, replaced *Entry) ([]byte, error) {
 	envelope := Envelope{ChangeID: changeID, Deleted: message == nil}
 	if message != nil {
-		payload, err := protojson.Marshal(message)
+		payload, err := packMessage(message)
 		if err != nil {
 			return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode configuration value")
 		}
@@ -129,8 +130,7 @@
 	if err != nil {
 		return err
 	}
-	options := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err := options.Unmarshal(envelope.Payload, message); err != nil {
+	if err := unpackMessage(envelope.Payload, message); err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "decode configuration value")
 	}
 	return nil
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -23,6 +23,11 @@
 	RetryPause time.Duration `yaml:"retry_pause"`
 	// MaximumRetryPause is the most.
 	MaximumRetryPause time.Duration `yaml:"maximum_retry_pause"`
+	// PushInterval is the least time between two pushes of one watcher; changes of a burst
+	// that come in between are pushed together.
+	PushInterval time.Duration `yaml:"push_interval"`
+	// JoinInterval is how often a node compares the members it knows with others.
+	JoinInterval time.Duration `yaml:"join_interval"`
 	// WatchSilence is how long a watch may be silent before it is opened anew.
 	WatchSilence time.Duration `yaml:"watch_silence"`
 	// MachineListInterval is how often watchers read the machine list.
@@ -41,6 +46,8 @@
 		CallTimeout:         500 * time.Millisecond,
 		RetryPause:          200 * time.Millisecond,
 		MaximumRetryPause:   2 * time.Second,
+		PushInterval:        300 * time.Millisecond,
+		JoinInterval:        30 * time.Second,
 		WatchSilence:        3 * time.Second,
 		MachineListInterval: time.Second,
 		LeavingHold:         30 * time.Second,
@@ -60,6 +67,8 @@
 		{"backup_delay", c.BackupDelay},
 		{"call_timeout", c.CallTimeout},
 		{"retry_pause", c.RetryPause},
+		{"push_interval", c.PushInterval},
+		{"join_interval", c.JoinInterval},
 		{"watch_silence", c.WatchSilence},
 		{"machine_list_interval", c.MachineListInterval},
 		{"leaving_hold", c.LeavingHold},
--- a/internal/configsync/contacts.go
+++ b/internal/configsync/contacts.go
@@ -225,11 +225,8 @@
 // handleJoin takes a node in; one of another zone becomes a contact there.
 func (s *Syncer) handleJoin(join peer.Join) *peer.Welcome {
 	s.addContacts([]peer.Contact{{Zone: join.Member.Zone, Address: join.Member.Address}})
-	return &peer.Welcome{
-		Zone:     s.members.Self().Zone,
-		Members:  s.members.HandleJoin(join),
-		Contacts: s.Contacts(),
-	}
+	members, known := s.members.HandleJoin(join)
+	return &peer.Welcome{Zone: s.members.Self().Zone, Known: known, Members: members, Contacts: s.Contacts()}
 }
 
 func (s *Syncer) randomContact() (string, bool) {
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -5,67 +5,90 @@
 	"math/rand/v2"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/portgauge/portgauge/internal/peer"
 )
 
-// joinLoop joins the zone through the seeds and the machine list, and pulls configuration
-// until the node has some; then it rests, since probes keep membership and digests alive.
+// joinLoop joins the zone through the seeds and the machine list, again and again until what
+// is known of the zone stays the same, and pulls configuration until the node has some. From
+// then on it joins rarely, which heals a zone whose halves lost each other.
 func (s *Syncer) joinLoop(ctx context.Context) {
 	wait := s.config.RetryPause
 	for {
-		s.join(ctx)
-		if s.initialised.Load() && len(s.members.Members()) > 1 {
-			wait = joinedPause
+		stable := s.join(ctx)
+		if stable {
+			s.settle()
 		}
 		if !s.initialised.Load() {
 			s.pullFromZone(ctx)
 		}
+		if stable && s.initialised.Load() {
+			wait = s.config.JoinInterval
+		} else {
+			wait = s.backoff(min(wait, s.config.MaximumRetryPause))
+		}
 		if !pause(ctx, wait) {
 			return
 		}
-		if wait < joinedPause {
-			wait = s.backoff(wait)
-		}
 	}
 }
 
-// joinedPause is how long a node that knows others waits until it joins again, which heals
-// a zone whose halves lost each other.
-const joinedPause = 2 * time.Minute
+// settle marks that the node knows its zone well enough to tell whether it is a watcher.
+func (s *Syncer) settle() {
+	if s.settled.CompareAndSwap(false, true) {
+		s.logger.Info("joined the zone", zap.Int("members", len(s.members.Members())))
+	}
+}
+
+// settleTimeout is after how long a node that can't find others takes itself for alone.
+const settleTimeout = 5 * time.Second
 
 // joinTargets is how many nodes a node joins through at once.
 const joinTargets = 3
 
-func (s *Syncer) join(ctx context.Context) {
+// join tells some nodes of this one and reports whether it found its zone's view stable: all
+// nodes that answered know the same members, or there is none to ask.
+func (s *Syncer) join(ctx context.Context) bool {
 	targets := append([]string(nil), s.seeds...)
 	listed, err := s.listZone(ctx)
 	if err == nil {
 		targets = append(targets, listed...)
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	joined := 0
+	joined, agreed := 0, 0
 	for _, target := range targets {
 		if joined >= joinTargets || ctx.Err() != nil {
-			return
+			break
 		}
 		if target == s.transport.Address() {
 			continue
 		}
-		if s.joinThrough(ctx, target) {
+		reached, same := s.joinThrough(ctx, target)
+		if reached {
 			joined++
 		}
+		if same {
+			agreed++
+		}
+	}
+	if joined == 0 {
+		return time.Since(s.startedAt) > settleTimeout
 	}
+	return agreed == joined
 }
 
-func (s *Syncer) joinThrough(ctx context.Context, target string) bool {
+// joinThrough joins through one node; one of another zone gives contacts but has no say on
+// the own zone.
+func (s *Syncer) joinThrough(ctx context.Context, target string) (reached, same bool) {
 	ctx, cancel := context.WithTimeout(ctx, s.config.CallTimeout)
 	defer cancel()
-	welcome, err := s.members.Join(ctx, target)
+	welcome, same, err := s.members.Join(ctx, target)
 	if err != nil || welcome == nil {
-		return false
+		return false, false
 	}
 	s.addContacts(append(welcome.Contacts, peer.Contact{Zone: welcome.Zone, Address: target}))
-	return true
+	return welcome.Zone == s.members.Self().Zone, same
 }
 
 // pullFromZone asks the watchers first, since they have configuration first, then another.
@@ -151,6 +174,6 @@
 	}
 	for start := 0; start < len(changes); start += maximumBatch {
 		end := min(start+maximumBatch, len(changes))
-		s.pushToZone(ctx, peer.Push{Changes: changes[start:end]})
+		s.pushChanges(ctx, changes[start:end])
 	}
 }
--- a/internal/configsync/push.go
+++ b/internal/configsync/push.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/peer"
@@ -15,8 +16,10 @@
 // maximumBatch bounds the changes in one push.
 const maximumBatch = 64
 
-// pushLoop collects changes for a moment and pushes them together.
+// pushLoop pushes the first change after a quiet time nearly at once, and those of a burst
+// together at intervals.
 func (s *Syncer) pushLoop(ctx context.Context) {
+	var lastPush time.Time
 	for {
 		var batch []catalog.Change
 		select {
@@ -25,26 +28,44 @@
 		case change := <-s.pushes:
 			batch = append(batch, change)
 		}
-		timer := time.NewTimer(s.config.BatchDelay)
-		for collecting := true; collecting && len(batch) < maximumBatch; {
-			select {
-			case change := <-s.pushes:
-				batch = append(batch, change)
-			case <-timer.C:
-				collecting = false
-			}
+		collect := max(s.config.BatchDelay, s.config.PushInterval-time.Since(lastPush))
+		batch = s.collect(batch, collect)
+		lastPush = time.Now()
+		s.pushChanges(ctx, batch)
+	}
+}
+
+// collect adds the changes that come within a time to a batch.
+func (s *Syncer) collect(batch []catalog.Change, span time.Duration) []catalog.Change {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	for len(batch) < maximumBatch {
+		select {
+		case change := <-s.pushes:
+			batch = append(batch, change)
+		case <-timer.C:
+			return batch
 		}
-		timer.Stop()
-		s.pushToZone(ctx, peer.Push{Changes: batch})
 	}
+	return batch
 }
 
-// pushToZone starts a push over a tree of the zone's members drawn for this push.
+// pushChanges pushes changes to the zone.
+func (s *Syncer) pushChanges(ctx context.Context, changes []catalog.Change) {
+	batch, err := peer.PackBatch(changes)
+	if err != nil {
+		s.logger.Error("changes can't be pushed", zap.Error(err))
+		return
+	}
+	s.notePushed(changes)
+	s.pushToZone(ctx, peer.Push{Batch: batch})
+}
+
+// pushToZone starts a push over a tree of the zone's members drawn for this push. The first
+// member of the tree, a different one each time, fans it out, so that the watcher that starts
+// every push does not carry more than others.
 func (s *Syncer) pushToZone(ctx context.Context, push peer.Push) {
 	seed := strconv.FormatInt(time.Now().UnixNano(), 36)
-	if len(push.Changes) > 0 {
-		seed = strconv.FormatInt(push.Changes[0].Entry.Revision, 36)
-	}
 	self := s.members.Self()
 	var members []peer.Member
 	for _, member := range s.members.Members() {
@@ -53,19 +74,22 @@
 		}
 	}
 	sortByWeight(members, func(member peer.Member) uint64 { return xxhash.Sum64String(seed + "\x00" + member.ID) })
-	addresses := make([]string, len(members))
+	push.Subtree = make([]string, len(members))
 	for index, member := range members {
-		addresses[index] = member.Address
+		push.Subtree[index] = member.Address
 	}
-	s.notePushed(push)
-	push.Subtree = addresses
-	s.relay(ctx, push)
+	s.relayOver(ctx, push, 1)
 }
 
-// relay hands a push to the first nodes of its subtree, each with a share of the rest. The
-// share of a node that does not take it is relayed from here.
+// relay hands a push to the first nodes of its subtree, each with a share of the rest.
 func (s *Syncer) relay(ctx context.Context, push peer.Push) {
-	for _, branch := range split(push.Subtree, s.config.FanOut) {
+	s.relayOver(ctx, push, s.config.FanOut)
+}
+
+// relayOver relays over so many branches. The share of a node that does not take the push is
+// relayed from here.
+func (s *Syncer) relayOver(ctx context.Context, push peer.Push, branches int) {
+	for _, branch := range split(push.Subtree, branches) {
 		go func() {
 			handed := push
 			handed.Subtree = branch[1:]
@@ -73,9 +97,7 @@
 				return
 			}
 			s.relayed("push_failed")
-			if len(branch) > 1 {
-				s.relay(ctx, handed)
-			}
+			s.relay(ctx, handed)
 		}()
 	}
 }
@@ -90,12 +112,13 @@
 
 // HandlePush applies a push and hands it on.
 func (s *Syncer) HandlePush(from string, push peer.Push) peer.State {
-	gap := false
-	for _, change := range push.Changes {
+	changes, err := push.Batch.Unpack()
+	gap := err != nil
+	for _, change := range changes {
 		gap = !s.catalog.Apply(change) || gap
 	}
 	s.takeNotices(push.Notices)
-	s.notePushed(push)
+	s.notePushed(changes)
 	if gap {
 		go s.pullFrom(context.Background(), from)
 	}
@@ -109,10 +132,10 @@
 	return peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
 }
 
-func (s *Syncer) notePushed(push peer.Push) {
+func (s *Syncer) notePushed(changes []catalog.Change) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, change := range push.Changes {
+	for _, change := range changes {
 		s.pushed = max(s.pushed, change.Entry.Revision)
 	}
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -57,12 +57,13 @@
 	relayed   func(kind string)
 	members   *membership.Membership
 
+	startedAt   time.Time
+	settled     atomic.Bool // the zone's members are known well enough to rank watchers
 	initialised atomic.Bool
 	ready       chan struct{} // closed once initialised
 	storeDownAt atomic.Int64  // unix nanoseconds; 0 while the watch is up
 	pulling     atomic.Bool
 	pushes      chan catalog.Change
-	wake        chan struct{} // a watcher's rank may have changed
 
 	mutex    sync.Mutex
 	contacts map[string][]string // peer addresses of other zones
@@ -86,9 +87,9 @@
 		logger:    parts.Logger,
 		seeds:     parts.Seeds,
 		relayed:   relayed,
+		startedAt: time.Now(),
 		ready:     make(chan struct{}),
 		pushes:    make(chan catalog.Change, pushBacklog),
-		wake:      make(chan struct{}, 1),
 		contacts:  map[string][]string{},
 		notices:   map[string]*notice{},
 	}
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -26,6 +26,9 @@
 
 // rank gives this node's place among its zone's watchers, 0 being the one that pushes.
 func (s *Syncer) rank() int {
+	if !s.settled.Load() {
+		return notAWatcher
+	}
 	self := s.members.Self().ID
 	members := s.members.Members()
 	own := xxhash.Sum64String(self)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -9,12 +9,15 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/portgauge/portgauge/internal/peer"
 )
 
@@ -141,29 +144,42 @@
 	}
 }
 
-// Join asks a node for its members and tells it of this one.
-func (m *Membership) Join(ctx context.Context, address string) (*peer.Welcome, error) {
-	answer, err := m.transport.Call(ctx, address, peer.Message{Digest: m.listener.Digest(), Join: &peer.Join{Member: m.Self()}})
+// Join tells a node of this one and takes over the members that it knows. It reports whether
+// the two already knew the same.
+func (m *Membership) Join(ctx context.Context, address string) (welcome *peer.Welcome, same bool, err error) {
+	join := &peer.Join{Member: m.Self(), Known: m.fingerprint()}
+	answer, err := m.transport.Call(ctx, address, peer.Message{Digest: m.listener.Digest(), Join: join})
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	if answer.Welcome == nil {
-		return nil, nil
+		return nil, false, nil
 	}
 	m.merge(answer.Welcome.Members)
 	m.listener.Heard(address, answer.Digest, answer.Notices)
-	return answer.Welcome, nil
+	return answer.Welcome, answer.Welcome.Known == join.Known, nil
 }
 
-// HandleJoin takes a node in and gives it the members known here.
-func (m *Membership) HandleJoin(join peer.Join) []peer.Member {
+// HandleJoin takes a node in and gives it the members known here, unless it knows the same.
+func (m *Membership) HandleJoin(join peer.Join) (members []peer.Member, known uint64) {
 	m.merge([]peer.Member{join.Member})
+	known = m.fingerprint()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if join.Member.Zone != m.self.Zone {
-		return nil
+	if join.Member.Zone != m.self.Zone || known == join.Known {
+		return nil, known
+	}
+	return slices.Clone(m.usable()), known
+}
+
+// fingerprint is equal for two nodes that know the same usable members.
+func (m *Membership) fingerprint() uint64 {
+	digest := xxhash.New()
+	for _, member := range m.Members() {
+		// Writing to a hash can't fail.
+		_, _ = fmt.Fprintln(digest, member.ID, member.Incarnation)
 	}
-	return slices.Clone(m.usable())
+	return digest.Sum64()
 }
 
 // Leave tells some members that this node is stopping, so that no suspicion is needed.
--- /dev/null
+++ b/internal/peer/batch.go
@@ -0,0 +1,33 @@
+package peer
+
+import (
+	"encoding/json"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+)
+
+// Batch is a list of changes, compressed once by the node that starts a push, so that relays
+// pass it on as it is.
+type Batch []byte
+
+// PackBatch makes a batch.
+func PackBatch(changes []catalog.Change) (Batch, error) {
+	content, err := json.Marshal(changes)
+	if err != nil {
+		return nil, err
+	}
+	return compress(content)
+}
+
+// Unpack gives the changes of a batch; an empty batch has none.
+func (b Batch) Unpack() ([]catalog.Change, error) {
+	if len(b) == 0 {
+		return nil, nil
+	}
+	content, err := expand(b)
+	if err != nil {
+		return nil, err
+	}
+	var changes []catalog.Change
+	return changes, json.Unmarshal(content, &changes)
+}
--- a/internal/peer/line.go
+++ b/internal/peer/line.go
@@ -49,20 +49,15 @@
 
 func encodeLine(message Message) ([]byte, error) {
 	line, err := json.Marshal(message)
-	if err != nil || len(line) <= compressAbove {
+	// A push is mostly its batch, which is compressed already.
+	if err != nil || len(line) <= compressAbove || message.Push != nil {
 		return line, err
 	}
-	var buffer bytes.Buffer
-	writer := compressors.Get().(*gzip.Writer)
-	defer compressors.Put(writer)
-	writer.Reset(&buffer)
-	if _, err := writer.Write(line); err != nil {
-		return nil, err
-	}
-	if err := writer.Close(); err != nil {
+	packed, err := compress(line)
+	if err != nil {
 		return nil, err
 	}
-	return json.Marshal(compressed{Gzip: buffer.Bytes()})
+	return json.Marshal(compressed{Gzip: packed})
 }
 
 func decodeLine(line []byte) (Message, error) {
@@ -76,17 +71,40 @@
 	if len(form.Gzip) == 0 {
 		return form.Message, nil
 	}
-	reader, err := gzip.NewReader(bytes.NewReader(form.Gzip))
+	expanded, err := expand(form.Gzip)
 	if err != nil {
 		return Message{}, err
 	}
-	expanded, err := io.ReadAll(io.LimitReader(reader, MaximumLine+1))
+	var message Message
+	return message, json.Unmarshal(expanded, &message)
+}
+
+func compress(content []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(writer)
+	writer.Reset(&buffer)
+	if _, err := writer.Write(content); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// expand refuses content that would be longer than the longest line.
+func expand(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return Message{}, err
+		return nil, err
 	}
-	if len(expanded) > MaximumLine {
-		return Message{}, merry.Wrap(errTooLong)
+	content, err := io.ReadAll(io.LimitReader(reader, MaximumLine+1))
+	if err != nil {
+		return nil, err
 	}
-	var message Message
-	return message, json.Unmarshal(expanded, &message)
+	if len(content) > MaximumLine {
+		return nil, merry.Wrap(errTooLong)
+	}
+	return content, nil
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -87,6 +87,8 @@
 // Join asks for the members of the zone and tells of the sender.
 type Join struct {
 	Member Member `json:"member"`
+	// Known is the fingerprint of the members that the sender knows.
+	Known uint64 `json:"known"`
 }
 
 // Contact is a node of another zone.
@@ -98,15 +100,18 @@
 // Welcome answers Join.
 type Welcome struct {
 	// Zone is the answering node's own.
-	Zone     string    `json:"zone"`
-	Members  []Member  `json:"members"`
+	Zone string `json:"zone"`
+	// Known is the fingerprint of the members that the answering node knows; Members is left
+	// out when the asking node knows the same.
+	Known    uint64    `json:"known"`
+	Members  []Member  `json:"members,omitempty"`
 	Contacts []Contact `json:"contacts,omitempty"`
 }
 
 // Push hands changes to a node, which hands them on to the given addresses.
 type Push struct {
-	Changes []catalog.Change `json:"changes,omitempty"`
-	Notices []LeafNotice     `json:"notices,omitempty"`
+	Batch   Batch        `json:"batch,omitempty"`
+	Notices []LeafNotice `json:"notices,omitempty"`
 	// Subtree is whom the receiver must hand the push on to, itself left out.
 	Subtree []string `json:"subtree,omitempty"`
 	// WholeZone asks the receiver to hand the push on to all members of its zone.
