Pass on only news of members, and let a push arrive before pulling

Cause: a joining node gossiped the whole list it had been given, and a node that heard a newer revision pulled at once, fetching what was on its way as a push. Change: lists taken over at a join are not passed on; a pull waits 700 ms for the push.

--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -26,6 +26,9 @@
 	// PushInterval is the least time between two pushes of one watcher; changes of a burst
 	// that come in between are pushed together.
 	PushInterval time.Duration `yaml:"push_interval"`
+	// PullDelay is how long a node that hears of a newer revision waits for its push until it
+	// pulls.
+	PullDelay time.Duration `yaml:"pull_delay"`
 	// JoinInterval is how often a node compares the members it knows with others.
 	JoinInterval time.Duration `yaml:"join_interval"`
 	// WatchSilence is how long a watch may be silent before it is opened anew.
@@ -47,6 +50,7 @@
 		RetryPause:          200 * time.Millisecond,
 		MaximumRetryPause:   2 * time.Second,
 		PushInterval:        300 * time.Millisecond,
+		PullDelay:           700 * time.Millisecond,
 		JoinInterval:        30 * time.Second,
 		WatchSilence:        3 * time.Second,
 		MachineListInterval: time.Second,
@@ -68,6 +72,7 @@
 		{"call_timeout", c.CallTimeout},
 		{"retry_pause", c.RetryPause},
 		{"push_interval", c.PushInterval},
+		{"pull_delay", c.PullDelay},
 		{"join_interval", c.JoinInterval},
 		{"watch_silence", c.WatchSilence},
 		{"machine_list_interval", c.MachineListInterval},
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -63,6 +63,7 @@
 	ready       chan struct{} // closed once initialised
 	storeDownAt atomic.Int64  // unix nanoseconds; 0 while the watch is up
 	pulling     atomic.Bool
+	pullPending atomic.Bool
 	pushes      chan catalog.Change
 
 	mutex    sync.Mutex
@@ -133,10 +134,24 @@
 		s.catalog.Confirm(time.Now().Add(-time.Duration(digest.AgeMillis) * time.Millisecond))
 	}
 	if digest.Revision > revision {
-		go s.pullFrom(context.Background(), from)
+		s.pullLater(from, digest.Revision)
 	}
 }
 
+// pullLater pulls from a peer that is ahead, unless the push of what it has arrives first:
+// digests travel beside pushes, and pulling at once would fetch most changes twice.
+func (s *Syncer) pullLater(from string, revision int64) {
+	if !s.pullPending.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(s.config.PullDelay, func() {
+		s.pullPending.Store(false)
+		if s.catalog.Revision() < revision {
+			s.pullFrom(context.Background(), from)
+		}
+	})
+}
+
 // pause waits for a time with jitter, so that nodes that failed together don't retry
 // together; false when the context ended.
 func pause(ctx context.Context, duration time.Duration) bool {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -155,7 +155,7 @@
 	if answer.Welcome == nil {
 		return nil, false, nil
 	}
-	m.merge(answer.Welcome.Members)
+	m.mergeQuietly(answer.Welcome.Members)
 	m.listener.Heard(address, answer.Digest, answer.Notices)
 	return answer.Welcome, answer.Welcome.Known == join.Known, nil
 }
@@ -357,18 +357,23 @@
 	return chosen[0], true
 }
 
-// merge takes word of members; word of other zones is ignored.
+// merge takes word of members and passes on what is news; word of other zones is ignored.
 func (m *Membership) merge(members []peer.Member) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for _, member := range members {
-		if member.Zone != m.self.Zone || member.ID == "" {
-			continue
-		}
-		if member.ID == m.self.ID {
-			m.refute(member)
-			continue
+		if m.take(member) {
+			m.rumours.add(member)
 		}
+	}
+}
+
+// mergeQuietly takes a whole list over without passing it on: what is news to a node that
+// joins is known to the others.
+func (m *Membership) mergeQuietly(members []peer.Member) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, member := range members {
 		m.take(member)
 	}
 }
@@ -383,19 +388,26 @@
 	m.rumours.add(m.self)
 }
 
-func (m *Membership) take(member peer.Member) {
+// take learns of a member and reports whether that changed the usable members or their states.
+func (m *Membership) take(member peer.Member) bool {
+	if member.Zone != m.self.Zone || member.ID == "" {
+		return false
+	}
+	if member.ID == m.self.ID {
+		m.refute(member)
+		return false
+	}
 	known, found := m.members[member.ID]
 	if found && !supersedes(member, known.member) {
-		return
+		return false
 	}
+	m.members[member.ID] = &record{member: member, changedAt: time.Now()}
 	if !found && !isUsable(member.State) {
-		// A death never heard of before still stops older word of life.
-		m.members[member.ID] = &record{member: member, changedAt: time.Now()}
-		return
+		// A death never heard of before still stops older word of life, but is no news.
+		return false
 	}
-	m.members[member.ID] = &record{member: member, changedAt: time.Now()}
-	m.rumours.add(member)
 	m.version++
+	return true
 }
 
 // supersedes reports whether word of a member is newer than what is known.
@@ -421,7 +433,9 @@
 		case known.member.State == peer.Suspect && age >= suspicion:
 			dead := known.member
 			dead.State = peer.Dead
-			m.take(dead)
+			if m.take(dead) {
+				m.rumours.add(dead)
+			}
 		case !isUsable(known.member.State) && age >= m.config.KeepDead:
 			delete(m.members, id)
 		}
