Decode a change once and in binary form

Cause: a CPU profile of a hollow host in a burst (50 changes in a second, 1,000 nodes, 8 s) has 57% in decoding each change's payload as JSON; pulls that follow add to it. Ruled out: compression by relays (gone since batches are packed once) and lost datagrams (the kernel counted none). Change: payloads are stored in binary form; changes that come together are put into force together, so that a key changed several times is decoded once.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -83,23 +83,45 @@
 
 // Apply takes a change if it follows directly on the revision in force. It reports whether
 // the change is now in force, be it by this call or an earlier one; false means a gap.
-func (c *Catalog) Apply(change Change) bool {
+func (c *Catalog) Apply(change Change) bool { return c.ApplyAll([]Change{change}) }
+
+// ApplyAll takes changes in order of revision, up to the first gap, and puts them into force
+// together, so that a key changed many times is decoded once. It reports whether the last of
+// them is now in force.
+func (c *Catalog) ApplyAll(changes []Change) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	current := c.view.Load()
-	if change.Entry.Revision <= current.Revision {
-		return true
+	revision := current.Revision
+	var applied []Change
+	newest := map[string]Entry{}
+	complete := true
+	for _, change := range changes {
+		if change.Entry.Revision <= revision {
+			continue
+		}
+		if change.Previous > revision {
+			complete = false
+			break
+		}
+		revision = change.Entry.Revision
+		newest[change.Entry.Key] = change.Entry
+		applied = append(applied, change)
 	}
-	if change.Previous > current.Revision {
-		return false
+	if len(applied) == 0 {
+		return complete
+	}
+	next := &View{Revision: revision, Services: cloneServices(current.Services)}
+	for key, entry := range newest {
+		c.entries[key] = entry
+		c.compile(next, entry)
 	}
-	c.entries[change.Entry.Key] = change.Entry
-	c.remember(change)
-	next := &View{Revision: change.Entry.Revision, Services: cloneServices(current.Services)}
-	c.compile(next, change.Entry)
 	c.view.Store(next)
-	c.publish(change)
-	return true
+	for _, change := range applied {
+		c.remember(change)
+		c.publish(change)
+	}
+	return complete
 }
 
 // Replace takes a whole state if it is newer than the one in force, and reports whether.
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -56,8 +56,8 @@
 	ChangeID string       `json:"change_id"`
 	Deleted  bool         `json:"deleted,omitempty"`
 	History  []PastChange `json:"history,omitempty"`
-	// Payload is the message as compressed JSON: what each watcher reads from the store and
-	// each node is sent at each change.
+	// Payload is the message in compressed binary form: each watcher reads it from the store
+	// and each node is sent it at each change.
 	Payload []byte `json:"payload,omitempty"`
 }
 
--- a/internal/catalog/payload.go
+++ b/internal/catalog/payload.go
@@ -6,7 +6,6 @@
 	"io"
 
 	"github.com/ansel1/merry/v2"
-	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -16,9 +15,10 @@
 // errPayloadTooLong is the error of a payload beyond the bound.
 var errPayloadTooLong = merry.New("configuration payload too long")
 
-// packMessage encodes a message as compressed JSON.
+// packMessage encodes a message in compressed binary form: decoding it as JSON took most of a
+// node's time in a burst of changes.
 func packMessage(message proto.Message) ([]byte, error) {
-	content, err := protojson.Marshal(message)
+	content, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
 	if err != nil {
 		return nil, err
 	}
@@ -46,5 +46,5 @@
 	if len(content) > maximumPayload {
 		return merry.Wrap(errPayloadTooLong)
 	}
-	return protojson.UnmarshalOptions{DiscardUnknown: true}.Unmarshal(content, message)
+	return proto.Unmarshal(content, message)
 }
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -132,9 +132,7 @@
 	if state.Snapshot != nil {
 		s.catalog.Replace(*state.Snapshot)
 	}
-	for _, change := range state.Changes {
-		s.catalog.Apply(change)
-	}
+	s.catalog.ApplyAll(state.Changes)
 }
 
 // HandlePull gives a peer what it lacks.
--- a/internal/configsync/push.go
+++ b/internal/configsync/push.go
@@ -113,10 +113,7 @@
 // HandlePush applies a push and hands it on.
 func (s *Syncer) HandlePush(from string, push peer.Push) peer.State {
 	changes, err := push.Batch.Unpack()
-	gap := err != nil
-	for _, change := range changes {
-		gap = !s.catalog.Apply(change) || gap
-	}
+	gap := err != nil || !s.catalog.ApplyAll(changes)
 	s.takeNotices(push.Notices)
 	s.notePushed(changes)
 	if gap {
--- a/internal/lab/control/control.go
+++ b/internal/lab/control/control.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -17,11 +18,12 @@
 // callTimeout bounds one control call.
 const callTimeout = 10 * time.Second
 
-// NewRouter makes an empty router.
+// NewRouter makes a router that serves CPU profiles and nothing else yet.
 func NewRouter() *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
+	router.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
 	return router
 }
 
--- a/internal/lab/scale/changer.go
+++ b/internal/lab/scale/changer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
 	"github.com/portgauge/portgauge/gen/portgauge/admin/v1/adminv1connect"
@@ -37,9 +37,7 @@
 		}
 		made.specs = append(made.specs, spec)
 	}
-	if content, err := protojson.Marshal(made.specs[0]); err == nil {
-		made.valueBytes = len(content)
-	}
+	made.valueBytes = proto.Size(made.specs[0])
 	return made
 }
 
