Replay traces over real processes and judge stated outcomes

Cause: the users want every promise proved by replay, under failure, from what leafs, store and callers recorded. A client that could not open a connection now says so as not run, and a caller goes on to another node.

--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -16,6 +16,7 @@
 	Sample   sampleCommand   `cmd:"" help:"Print a service or manifest over stand-in back ends."`
 	Hollow   hollowCommand   `cmd:"" help:"Run hollow nodes, for a scale run."`
 	Scale    scaleCommand    `cmd:"" help:"Measure configuration and membership with hollow nodes beside real ones."`
+	Replay   replayCommand   `cmd:"" help:"Replay traces over real processes and judge their outcomes."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/portgauge-lab/replay.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/lab/replay"
+)
+
+// replayCommand replays traces.
+type replayCommand struct {
+	Files []string `arg:"" help:"Traces (JSON lines)."`
+	Check bool     `help:"Only check the traces; run nothing."`
+}
+
+// Run replays each trace in turn and fails if any outcome does.
+func (c *replayCommand) Run() error {
+	var traces []*replay.Trace
+	for _, file := range c.Files {
+		trace, err := replay.Read(file)
+		if err != nil {
+			return err
+		}
+		traces = append(traces, trace)
+	}
+	if c.Check {
+		_, err := fmt.Printf("%d traces, no fault found\n", len(traces))
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	programs, cleanUp, err := buildPrograms()
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	totalPassed, totalFailed := 0, 0
+	for _, trace := range traces {
+		passed, failed, err := replay.Run(ctx, trace, programs, os.Stdout)
+		if err != nil {
+			fmt.Printf("FAIL %s could not be played: %v\n", trace.Header.Name, err)
+		}
+		totalPassed += passed
+		totalFailed += failed
+	}
+	fmt.Printf("%d passed, %d failed\n", totalPassed, totalFailed)
+	if totalFailed > 0 {
+		return failure.New(failure.Internal, failure.Unknown, "%d outcomes failed", totalFailed)
+	}
+	return nil
+}
--- a/internal/api/errors.go
+++ b/internal/api/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -67,9 +68,20 @@
 	}
 }
 
+// dialOperation is what net calls the opening of a connection in its errors.
+const dialOperation = "dial"
+
+// unreachableRetryAfter is when to ask a node again that could not be connected to.
+const unreachableRetryAfter = 100 * time.Millisecond
+
 // FailureOf reads the typed failure from an error that a client of the API received. An
-// error without one came from the transport, so that nothing is known of the execution.
+// error without one came from the transport: where no connection was opened nothing ran,
+// otherwise nothing is known of the execution.
 func FailureOf(err error) *failure.Failure {
+	var networkError *net.OpError
+	if errors.As(err, &networkError) && networkError.Op == dialOperation {
+		return failure.Wrap(err, failure.Unreachable, failure.NotRun, "no connection to the node").WithRetryAfter(unreachableRetryAfter)
+	}
 	var rpcError *connect.Error
 	if !errors.As(err, &rpcError) {
 		return failure.From(err)
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -27,6 +27,7 @@
 	failure.RevisionConflict:   ExitConflict,
 	failure.NotRepeatable:      ExitConflict,
 	failure.NotReady:           ExitUnavailable,
+	failure.Unreachable:        ExitUnavailable,
 	failure.Draining:           ExitUnavailable,
 	failure.Overloaded:         ExitUnavailable,
 	failure.StoreUnavailable:   ExitUnavailable,
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -33,6 +33,7 @@
 	StoreUnavailable   Code = "STORE_UNAVAILABLE"
 	OutcomeUnknown     Code = "OUTCOME_UNKNOWN"
 	Cancelled          Code = "CANCELLED"
+	Unreachable        Code = "UNREACHABLE"
 	Internal           Code = "INTERNAL"
 )
 
--- a/internal/lab/leaf/leaf.go
+++ b/internal/lab/leaf/leaf.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 
@@ -38,6 +40,8 @@
 	// ColdTime is how long after its start a leaf is slower, by ColdFactor at first.
 	ColdTime   time.Duration
 	ColdFactor float64
+	// Record is a file that each execution is written to before it runs, if set.
+	Record string
 }
 
 // Validate names every field at fault.
@@ -69,6 +73,9 @@
 // executionMemory is how many executions a leaf remembers.
 const executionMemory = 1 << 20
 
+// recordMode is the mode of the file of executions.
+const recordMode = 0o600
+
 // executionIDMemory is how long a leaf refuses a second copy of an execution id beyond its
 // not-after time.
 const executionIDMemory = 10 * time.Minute
@@ -89,6 +96,7 @@
 	executions []Execution
 	ran        map[string]time.Time // execution ids, until when they are remembered
 	previous   *leafv1.SearchShardResponse
+	record     *os.File
 }
 
 // New makes a leaf and builds its indexes.
@@ -102,6 +110,13 @@
 		held:    map[string]bool{},
 		ran:     map[string]time.Time{},
 	}
+	if config.Record != "" {
+		record, err := os.OpenFile(config.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, recordMode)
+		if err != nil {
+			return nil, failure.Invalid("record", "%v", err)
+		}
+		leaf.record = record
+	}
 	return leaf, leaf.hold(config.Snapshots)
 }
 
@@ -217,14 +232,27 @@
 			return nil, refusal
 		}
 	}
+	return l.indexes[snapshot], l.note(Execution{
+		LeafID: l.config.ID, Service: request.GetService(), RequestID: request.GetIdentity().GetRequestId(), SnapshotID: snapshot,
+		ShardID: request.GetIdentity().GetShardId(), Attempt: request.GetIdentity().GetAttempt(),
+		ExecutionID: request.GetExecutionId(), At: now.UnixMicro(),
+	})
+}
+
+// note records an execution, in the file too if there is one, so that it outlives the leaf.
+func (l *Leaf) note(execution Execution) error {
 	if len(l.executions) < executionMemory {
-		l.executions = append(l.executions, Execution{
-			LeafID: l.config.ID, Service: request.GetService(), RequestID: request.GetIdentity().GetRequestId(), SnapshotID: snapshot,
-			ShardID: request.GetIdentity().GetShardId(), Attempt: request.GetIdentity().GetAttempt(),
-			ExecutionID: request.GetExecutionId(), At: now.UnixMicro(),
-		})
+		l.executions = append(l.executions, execution)
+	}
+	if l.record == nil {
+		return nil
+	}
+	line, err := json.Marshal(execution)
+	if err != nil {
+		return err
 	}
-	return l.indexes[snapshot], nil
+	_, err = l.record.Write(append(line, '\n'))
+	return err
 }
 
 // claim refuses an execution id that is late or ran before.
--- /dev/null
+++ b/internal/lab/replay/replay.go
@@ -0,0 +1,231 @@
+package replay
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"sync"
+	"time"
+
+	platformv1 "github.com/portgauge/portgauge/gen/portgauge/platform/v1"
+	"github.com/portgauge/portgauge/internal/lab/control"
+	"github.com/portgauge/portgauge/internal/lab/leaf"
+	"github.com/portgauge/portgauge/internal/lab/platform"
+	"github.com/portgauge/portgauge/internal/lab/process"
+)
+
+// evidence is everything recorded while a trace ran.
+type evidence struct {
+	began      time.Time
+	calls      []call
+	operations []writeRecord
+	writes     []platform.Write
+	counts     platform.Counts
+	executions []leaf.Execution
+	observed   *observers
+	// stopFailures are processes that a planned stop did not end cleanly.
+	stopFailures []string
+	nodes        []string
+}
+
+// player runs one trace.
+type player struct {
+	trace     *Trace
+	cluster   *cluster
+	callers   *callers
+	operators *operators
+	observed  *observers
+	began     time.Time
+
+	mutex        sync.Mutex
+	stopFailures []string
+	background   sync.WaitGroup
+}
+
+// Run replays a trace and prints a line for each outcome; it gives how many passed and failed.
+func Run(ctx context.Context, trace *Trace, programs process.Programs, output io.Writer) (passed, failed int, err error) {
+	recorded, err := play(ctx, trace, programs)
+	if err != nil {
+		return 0, len(trace.Outcomes), err
+	}
+	for _, outcome := range trace.Outcomes {
+		result := judges[outcome.Check](recorded, outcome)
+		word := "PASS"
+		if result.passed {
+			passed++
+		} else {
+			failed++
+			word = "FAIL"
+		}
+		if _, err := fmt.Fprintf(output, "%s %s %s: %s\n", word, trace.Header.Name, outcome.Check, result.figure); err != nil {
+			return passed, failed, err
+		}
+	}
+	return passed, failed, nil
+}
+
+func play(ctx context.Context, trace *Trace, programs process.Programs) (*evidence, error) {
+	folder, err := makeFolder()
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err := os.RemoveAll(folder); err != nil {
+			return
+		}
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	started := newCluster(&trace.Header, programs, folder)
+	defer started.stop()
+	if err := started.start(ctx); err != nil {
+		return nil, err
+	}
+	p := &player{
+		trace: trace, cluster: started, callers: newCallers(started, newIndexCache(&trace.Header)),
+		operators: &operators{cluster: started}, observed: newObservers(started), began: time.Now(),
+	}
+	return p.run(ctx)
+}
+
+// run plays the events in order of time, waits for what they started, and gathers records.
+func (p *player) run(ctx context.Context) (*evidence, error) {
+	followContext, stopFollowing := context.WithCancel(ctx)
+	defer stopFollowing()
+	for _, node := range p.cluster.nodes {
+		go p.observed.follow(followContext, node)
+	}
+	events := append([]Event(nil), p.trace.Events...)
+	sort.SliceStable(events, func(i, j int) bool { return events[i].AtMS < events[j].AtMS })
+	for number, event := range events {
+		time.Sleep(time.Until(p.at(event.AtMS)))
+		if err := p.perform(ctx, number, event); err != nil {
+			return nil, err
+		}
+	}
+	p.background.Wait()
+	p.callers.done.Wait()
+	p.operators.done.Wait()
+	time.Sleep(time.Until(p.at(p.trace.Header.DurationMS)))
+	return p.gather(ctx)
+}
+
+func (p *player) at(millis int64) time.Time {
+	return p.began.Add(time.Duration(millis) * time.Millisecond)
+}
+
+func (p *player) perform(ctx context.Context, number int, event Event) error {
+	seed := p.trace.Header.Seed + uint64(number)
+	switch {
+	case event.Load != nil:
+		p.background.Go(func() { p.callers.run(ctx, event.Load, seed, p.at(event.Load.UntilMS)) })
+	case event.Publish != nil:
+		spec := p.service(event.Publish.Service)
+		p.background.Go(func() { p.operators.publish(ctx, event.Publish, spec, p.at(event.Publish.UntilMS)) })
+	case event.Apply != nil:
+		p.background.Go(func() { p.operators.apply(ctx, event.Apply, p.at(event.Apply.UntilMS)) })
+	case event.LeafFaults != nil:
+		for _, leafID := range event.LeafFaults.Leafs {
+			if err := control.Put(ctx, p.cluster.leafs[leafID].control, "/faults", event.LeafFaults.Faults); err != nil {
+				return err
+			}
+		}
+	case event.PlatformFaults != nil:
+		return control.Put(ctx, p.cluster.platformControl, "/faults", event.PlatformFaults.Faults)
+	case event.Machine != nil:
+		return p.changeMachine(ctx, event.Machine)
+	case event.Cut != nil:
+		p.cluster.setCut(event.Cut.Between, true)
+	case event.Heal != nil:
+		p.cluster.setCut(event.Heal.Between, false)
+	case event.Start != nil:
+		return p.cluster.restart(event.Start.Process)
+	case event.Stop != nil:
+		p.background.Go(func() { p.plannedStop(event.Stop.Process) })
+	case event.Kill != nil:
+		p.cluster.process(event.Kill.Process).Kill()
+	case event.Freeze != nil:
+		p.cluster.process(event.Freeze.Process).Freeze()
+	case event.Wake != nil:
+		p.cluster.process(event.Wake.Process).Wake()
+	}
+	return nil
+}
+
+func (p *player) plannedStop(name string) {
+	if err := p.cluster.process(name).Stop(); err != nil {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.stopFailures = append(p.stopFailures, fmt.Sprintf("%s: %v", name, err))
+	}
+}
+
+func (p *player) service(name string) ServiceSpec {
+	for _, spec := range p.trace.Header.Services {
+		if spec.Name == name {
+			return spec
+		}
+	}
+	return ServiceSpec{}
+}
+
+func (p *player) changeMachine(ctx context.Context, change *MachineChange) error {
+	state := platformv1.MachineState_MACHINE_STATE_LIVE
+	if change.State == "leaving" {
+		state = platformv1.MachineState_MACHINE_STATE_LEAVING
+	}
+	p.cluster.mutex.Lock()
+	p.cluster.machines[change.ID].State = state
+	p.cluster.mutex.Unlock()
+	return p.cluster.putMachines(ctx)
+}
+
+func (p *player) gather(ctx context.Context) (*evidence, error) {
+	recorded := &evidence{
+		began: p.began, calls: p.callers.calls, operations: p.operators.writes, observed: p.observed, stopFailures: p.stopFailures,
+	}
+	for id := range p.cluster.nodes {
+		recorded.nodes = append(recorded.nodes, id)
+	}
+	if err := control.Get(ctx, p.cluster.platformControl, "/writes", &recorded.writes); err != nil {
+		return nil, err
+	}
+	if err := control.Get(ctx, p.cluster.platformControl, "/counts", &recorded.counts); err != nil {
+		return nil, err
+	}
+	for _, served := range p.cluster.leafs {
+		executions, err := readExecutions(served.record)
+		if err != nil {
+			return nil, err
+		}
+		recorded.executions = append(recorded.executions, executions...)
+	}
+	return recorded, nil
+}
+
+// readExecutions reads what a leaf wrote down before it ran anything; a killed leaf may have
+// left its last line short.
+func readExecutions(path string) ([]leaf.Execution, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err := file.Close(); err != nil {
+			return
+		}
+	}()
+	var executions []leaf.Execution
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		var execution leaf.Execution
+		if json.Unmarshal(scanner.Bytes(), &execution) == nil {
+			executions = append(executions, execution)
+		}
+	}
+	return executions, scanner.Err()
+}
--- /dev/null
+++ b/internal/lab/replay/validate.go
@@ -0,0 +1,119 @@
+package replay
+
+import (
+	"slices"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/lab/sample"
+)
+
+// platformName names the platform in cuts.
+const platformName = "platform"
+
+func (t *Trace) checkHeader(where string) error {
+	header := &t.Header
+	var checks failure.Checks
+	checks.Refuse(header.Name == "", where+" name", "must not be empty")
+	checks.Refuse(header.Dataset != sample.Tiles && header.Dataset != sample.Invoices, where+" dataset", "%q; must be tiles or invoices", header.Dataset)
+	checks.Refuse(header.Records < 1, where+" records", "must be at least 1")
+	checks.Refuse(header.DurationMS < 1, where+" duration_ms", "must be at least 1")
+	checks.Refuse(len(header.Nodes) == 0, where+" nodes", "must name at least one")
+	checks.Refuse(len(header.Leafs) == 0, where+" leafs", "must name at least one")
+	for _, leafSpec := range header.Leafs {
+		checks.Refuse(leafSpec.ID == "" || leafSpec.Zone == "", where+" leafs", "each must have id and zone")
+		checks.Refuse(leafSpec.Slots < 1, where+" leafs", "%s: slots must be at least 1", leafSpec.ID)
+		checks.Refuse(len(leafSpec.Snapshots) == 0, where+" leafs", "%s: snapshots must name at least one", leafSpec.ID)
+	}
+	for _, service := range header.Services {
+		checks.Refuse(service.Shards < 1 || service.Replicas < 1, where+" services", "%s: shards and replicas must be at least 1", service.Name)
+		for _, leafID := range service.Leafs {
+			checks.Refuse(!t.isLeaf(leafID), where+" services", "%s: no leaf %q", service.Name, leafID)
+		}
+	}
+	return checks.Err()
+}
+
+func (t *Trace) isLeaf(id string) bool {
+	return slices.ContainsFunc(t.Header.Leafs, func(spec LeafSpec) bool { return spec.ID == id })
+}
+
+func (t *Trace) isNode(id string) bool {
+	return slices.ContainsFunc(t.Header.Nodes, func(spec NodeSpec) bool { return spec.ID == id })
+}
+
+func (t *Trace) isZone(name string) bool {
+	return slices.ContainsFunc(t.Header.Nodes, func(spec NodeSpec) bool { return spec.Zone == name })
+}
+
+func (t *Trace) isService(name string) bool {
+	return slices.ContainsFunc(t.Header.Services, func(spec ServiceSpec) bool { return spec.Name == name })
+}
+
+func (t *Trace) checkEvent(where string, event *Event) error {
+	var checks failure.Checks
+	checks.Refuse(event.AtMS < 0 || event.AtMS > t.Header.DurationMS, where+" at_ms", "%d; must lie within duration_ms %d", event.AtMS, t.Header.DurationMS)
+	kinds := 0
+	count := func(set bool) bool {
+		if set {
+			kinds++
+		}
+		return set
+	}
+	if load := event.Load; count(load != nil) {
+		checks.Refuse(!t.isService(load.Service), where+" load.service", "no service %q", load.Service)
+		checks.Refuse(len(load.Nodes) == 0, where+" load.nodes", "must name at least one")
+		checks.Refuse(load.PerSecond <= 0, where+" load.per_second", "must be positive")
+		checks.Refuse(load.UntilMS <= event.AtMS, where+" load.until_ms", "must be later than at_ms")
+		for _, node := range load.Nodes {
+			checks.Refuse(!t.isNode(node), where+" load.nodes", "no node %q", node)
+		}
+	}
+	if publish := event.Publish; count(publish != nil) {
+		checks.Refuse(!t.isService(publish.Service), where+" publish.service", "no service %q", publish.Service)
+		checks.Refuse(!t.isNode(publish.Node), where+" publish.node", "no node %q", publish.Node)
+		checks.Refuse(len(publish.Snapshots) == 0 || len(publish.Shards) == 0 || publish.Replicas < 1, where+" publish", "snapshots, shards and replicas must be given")
+	}
+	if apply := event.Apply; count(apply != nil) {
+		checks.Refuse(!t.isService(apply.Service), where+" apply.service", "no service %q", apply.Service)
+		checks.Refuse(!t.isNode(apply.Node), where+" apply.node", "no node %q", apply.Node)
+		checks.Refuse(apply.EveryMS < 1, where+" apply.every_ms", "must be at least 1")
+	}
+	if faults := event.LeafFaults; count(faults != nil) {
+		for _, leafID := range faults.Leafs {
+			checks.Refuse(!t.isLeaf(leafID), where+" leaf_faults.leafs", "no leaf %q", leafID)
+		}
+	}
+	count(event.PlatformFaults != nil)
+	if machine := event.Machine; count(machine != nil) {
+		checks.Refuse(!t.isLeaf(machine.ID) && !t.isNode(machine.ID), where+" machine.id", "no process %q", machine.ID)
+		checks.Refuse(machine.State != "live" && machine.State != "leaving", where+" machine.state", "%q; must be live or leaving", machine.State)
+	}
+	for name, target := range map[string]*Target{"kill": event.Kill, "freeze": event.Freeze, "wake": event.Wake, "stop": event.Stop, "start": event.Start} {
+		if count(target != nil) {
+			checks.Refuse(!t.isLeaf(target.Process) && !t.isNode(target.Process), where+" "+name+".process", "no process %q", target.Process)
+		}
+	}
+	for name, cut := range map[string]*Cut{"cut": event.Cut, "heal": event.Heal} {
+		if count(cut != nil) {
+			checks.Refuse(len(cut.Between) != 2, where+" "+name+".between", "must hold two names")
+			for _, end := range cut.Between {
+				known := end == platformName || t.isLeaf(end) || t.isNode(end) || t.isZone(end)
+				checks.Refuse(!known, where+" "+name+".between", "%q is no zone, node, leaf or %q", end, platformName)
+			}
+		}
+	}
+	checks.Refuse(kinds != 1, where, "must hold exactly one kind of event, not %d", kinds)
+	return checks.Err()
+}
+
+func (t *Trace) checkOutcome(where string, outcome *Outcome) error {
+	var checks failure.Checks
+	_, known := judges[outcome.Check]
+	checks.Refuse(!known, where+" check", "%q is not a check", outcome.Check)
+	checks.Refuse(outcome.Service != "" && !t.isService(outcome.Service), where+" service", "no service %q", outcome.Service)
+	checks.Refuse(outcome.Leaf != "" && !t.isLeaf(outcome.Leaf), where+" leaf", "no leaf %q", outcome.Leaf)
+	for _, node := range outcome.Nodes {
+		checks.Refuse(!t.isNode(node), where+" nodes", "no node %q", node)
+	}
+	return checks.Err()
+}
--- /dev/null
+++ b/internal/lab/replay/verdict.go
@@ -0,0 +1,116 @@
+package replay
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"sync"
+
+	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
+	"github.com/portgauge/portgauge/internal/keyspace"
+	"github.com/portgauge/portgauge/internal/lab/sample"
+	"github.com/portgauge/portgauge/internal/search"
+)
+
+// verdict counts what is wrong with one answer.
+type verdict struct {
+	// Mixed rows carry another snapshot's mark than the answer names.
+	Mixed int
+	// Foreign rows are not among those that the request asked for.
+	Foreign int
+	// Unsaid rows should be there, and the answer does not say that their range is missing.
+	Unsaid int
+	// Surplus rows lie in ranges that the answer says are missing.
+	Surplus int
+	// WrongFraction is set when completeness and missing ranges contradict each other.
+	WrongFraction bool
+}
+
+// indexCache holds the sample index of each snapshot, by which answers are judged.
+type indexCache struct {
+	header  *Header
+	mutex   sync.Mutex
+	indexes map[string]*sample.Index
+}
+
+func newIndexCache(header *Header) *indexCache {
+	return &indexCache{header: header, indexes: map[string]*sample.Index{}}
+}
+
+func (c *indexCache) index(snapshot string) *sample.Index {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if known, found := c.indexes[snapshot]; found {
+		return known
+	}
+	built, err := sample.Build(c.header.Dataset, c.header.Seed, c.header.Records, snapshot)
+	if err != nil {
+		built = &sample.Index{Snapshot: snapshot}
+	}
+	c.indexes[snapshot] = built
+	return built
+}
+
+func (c *indexCache) randomRange(random *rand.Rand) *searchv1.KeyRange {
+	records := c.index(c.header.Services[0].Snapshot).Records
+	first, second := random.IntN(len(records)), random.IntN(len(records))
+	if first == second {
+		return nil
+	}
+	return &searchv1.KeyRange{From: records[min(first, second)].Key, To: records[max(first, second)].Key}
+}
+
+// judge compares an answer with the rows of the snapshot that it names.
+func (c *indexCache) judge(request *searchv1.SearchRequest, response *searchv1.SearchResponse) verdict {
+	report := response.GetReport()
+	index := c.index(report.GetSnapshotId())
+	asked := keyspace.Range{From: request.GetRange().GetFrom(), To: request.GetRange().GetTo()}
+	if next := report.GetNextKey(); next != "" {
+		asked.To = next
+	}
+	var missing []keyspace.Range
+	for _, part := range report.GetCoverage().GetMissing() {
+		missing = append(missing, keyspace.Range{From: part.GetRange().GetFrom(), To: part.GetRange().GetTo()})
+	}
+	result := verdict{WrongFraction: report.GetCoverage().GetComplete() != (len(missing) == 0) ||
+		(report.GetCoverage().GetFraction() == 1) != (len(missing) == 0)}
+	expected := expectedRows(index, asked, request.GetFilter())
+	for _, row := range response.GetRows() {
+		value, found := expected[row.GetKey()]
+		switch {
+		case !bytes.Contains(row.GetValue(), []byte(`"snapshot":"`+report.GetSnapshotId()+`"`)):
+			result.Mixed++
+		case !found || !bytes.Equal(value, row.GetValue()):
+			result.Foreign++
+		case inAny(missing, row.GetKey()):
+			result.Surplus++
+		}
+		delete(expected, row.GetKey())
+	}
+	for key := range expected {
+		if !inAny(missing, key) {
+			result.Unsaid++
+		}
+	}
+	return result
+}
+
+// expectedRows gives the wanted rows; a key that comes twice in an answer counts as foreign
+// the second time, since it is taken out at the first.
+func expectedRows(index *sample.Index, asked keyspace.Range, filter string) map[string][]byte {
+	expected := map[string][]byte{}
+	for _, record := range index.In(asked) {
+		if search.Matches(filter, record.Key, record.Value) {
+			expected[record.Key] = record.Value
+		}
+	}
+	return expected
+}
+
+func inAny(ranges []keyspace.Range, key string) bool {
+	for _, keys := range ranges {
+		if keys.Contains(key) {
+			return true
+		}
+	}
+	return false
+}
