--- a/cmd/portgauge-lab/leaf.go
+++ b/cmd/portgauge-lab/leaf.go
@@ -33,7 +33,7 @@
 	config := leaf.Config{
 		ID: c.ID, Dataset: c.Dataset, Seed: c.Seed, Records: c.Records, Snapshots: c.Snapshots,
 		Slots: c.Slots, QueuePerSlot: c.QueuePerSlot, MedianServiceTime: c.MedianServiceTime, ServiceSpread: c.ServiceSpread,
-		ColdTime: c.ColdTime, ColdFactor: c.ColdFactor, Record: c.Record,
+		ColdTime: c.ColdTime, ColdFactor: c.ColdFactor, Record: c.Record, KeepExecutions: true,
 	}
 	if err := config.Validate(); err != nil {
 		return err
--- /dev/null
+++ b/cmd/portgauge-lab/load.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/cli"
+	"github.com/portgauge/portgauge/internal/lab/load"
+)
+
+// loadCommand sends searches to running nodes.
+type loadCommand struct {
+	Addresses []string      `help:"Caller addresses of nodes." default:"127.0.0.1:7400"`
+	Service   string        `arg:"" help:"Service to search."`
+	PerSecond float64       `help:"Searches a second." default:"100"`
+	Duration  time.Duration `help:"How long searches are sent; at most an hour." default:"10s"`
+	Deadline  time.Duration `help:"Deadline of each search." default:"500ms"`
+	Limit     uint32        `help:"Page size; 0 means the service's." default:"100"`
+	Filter    string        `help:"Text that rows must contain."`
+	Seed      uint64        `help:"Seed of the arrivals." default:"1"`
+}
+
+// longestLoad bounds a load, so that it ends by itself.
+const longestLoad = time.Hour
+
+// Run prints the result as JSON.
+func (c *loadCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	result, _, err := load.Run(ctx, load.Config{
+		Addresses: c.Addresses, Service: c.Service, PerSecond: c.PerSecond, Duration: min(c.Duration, longestLoad),
+		Deadline: c.Deadline, Limit: c.Limit, Filter: c.Filter, Seed: c.Seed, Progress: os.Stderr,
+	})
+	if err != nil {
+		return err
+	}
+	return cli.PrintValue(os.Stdout, cli.JSON, result, nil, nil)
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -93,6 +93,10 @@
 	if len(usable) == 0 {
 		return Choice{Reason: noChoice(full)}
 	}
+	if b.config.Method == Random {
+		return Choice{Leaf: usable[rand.IntN(len(usable))].leaf}
+	}
+	usable = dropCold(usable)
 	fastest := fastestLatency(usable)
 	usable = b.dropSlow(usable, fastest)
 	return Choice{Leaf: b.betterOfTwo(usable, fastest)}
@@ -110,6 +114,21 @@
 	state standing
 }
 
+// dropCold leaves a cold replica out of most choices, so that it warms up on a growing share
+// of its part. Where all would be left out, all stay.
+func dropCold(usable []scored) []scored {
+	kept := make([]scored, 0, len(usable))
+	for _, candidate := range usable {
+		if candidate.state.warmth >= 1 || rand.Float64() < candidate.state.warmth {
+			kept = append(kept, candidate)
+		}
+	}
+	if len(kept) == 0 {
+		return usable
+	}
+	return kept
+}
+
 // exploreShare is the share of choices that may still go to a replica far slower than its
 // peers, so that its recovery is seen.
 const exploreShare = 0.01
--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -6,8 +6,21 @@
 	"github.com/portgauge/portgauge/internal/failure"
 )
 
+// Method is how a replica is picked among the usable ones.
+type Method string
+
+// The methods.
+const (
+	// TwoChoices takes the better of two random replicas.
+	TwoChoices Method = "two_choices"
+	// Random takes any, whatever is known of them; the baseline of experiments.
+	Random Method = "random"
+)
+
 // Config tunes replica choice.
 type Config struct {
+	// Method is how a replica is picked.
+	Method Method `yaml:"method"`
 	// EjectAfter is how many attempts in a row must fail before a leaf is ejected.
 	EjectAfter int `yaml:"eject_after"`
 	// EjectFor is how long an ejected leaf waits before its next trial.
@@ -28,6 +41,7 @@
 // DefaultConfig suits leafs that answer within tens of milliseconds.
 func DefaultConfig() Config {
 	return Config{
+		Method:        TwoChoices,
 		EjectAfter:    5,
 		EjectFor:      2 * time.Second,
 		SlowFactor:    4,
@@ -41,6 +55,7 @@
 // Validate names every field at fault.
 func (c Config) Validate() error {
 	var checks failure.Checks
+	checks.Refuse(c.Method != TwoChoices && c.Method != Random, "method", "%q; must be %q or %q", c.Method, TwoChoices, Random)
 	checks.Refuse(c.EjectAfter < 1, "eject_after", "must be at least 1")
 	checks.Refuse(c.EjectFor <= 0, "eject_for", "must be positive")
 	checks.Refuse(c.SlowFactor <= 1, "slow_factor", "must be greater than 1")
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -12,8 +12,8 @@
 // minimumLatency in seconds keeps scores of leafs apart before any reply was seen.
 const minimumLatency = 1e-6
 
-// coldFactor is how many times worse a leaf looks at the start of its warm-up.
-const coldFactor = 4
+// leastWarmth is the share of choices that a cold leaf takes part in at first.
+const leastWarmth = 0.1
 
 // shedBackoff multiplies a leaf's in-flight limit when it sheds load.
 const shedBackoff = 0.7
@@ -145,7 +145,8 @@
 	ejected  bool
 	full     bool
 	latency  float64 // moving average in seconds; 0 when unknown
-	load     float64 // attempts in flight, the reported load and the penalty of a cold leaf
+	load     float64 // attempts in flight and the reported load, plus the attempt to come
+	warmth   float64 // share of its full part that a new or returned leaf should get
 }
 
 // score is the expected cost of one more attempt; lower is better. A leaf of unknown
@@ -171,15 +172,16 @@
 	if now.Sub(l.reportedAt) < config.LoadAge {
 		busy += l.reportedLoad
 	}
-	result.load = (busy + 1) * l.coldPenalty(config, now)
+	result.load = busy + 1
+	result.warmth = l.warmth(config, now)
 	return result
 }
 
-// coldPenalty makes a leaf that is new or back look worse until it has warmed up.
-func (l *Leaf) coldPenalty(config Config, now time.Time) float64 {
+// warmth grows from leastWarmth to 1 over the warm-up.
+func (l *Leaf) warmth(config Config, now time.Time) float64 {
 	age := now.Sub(l.warmSince)
 	if age >= config.WarmUp {
 		return 1
 	}
-	return 1 + (coldFactor-1)*(1-age.Seconds()/config.WarmUp.Seconds())
+	return math.Max(leastWarmth, age.Seconds()/config.WarmUp.Seconds())
 }
--- a/internal/lab/leaf/leaf.go
+++ b/internal/lab/leaf/leaf.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -40,6 +41,8 @@
 	// ColdTime is how long after its start a leaf is slower, by ColdFactor at first.
 	ColdTime   time.Duration
 	ColdFactor float64
+	// KeepExecutions keeps what ran in memory, to be read through the control calls.
+	KeepExecutions bool
 	// Record is a file that each execution is written to before it runs, if set.
 	Record string
 }
@@ -97,6 +100,9 @@
 	ran        map[string]time.Time // execution ids, until when they are remembered
 	previous   *leafv1.SearchShardResponse
 	record     *os.File
+
+	executed atomic.Int64
+	refused  atomic.Int64
 }
 
 // New makes a leaf and builds its indexes.
@@ -241,7 +247,8 @@
 
 // note records an execution, in the file too if there is one, so that it outlives the leaf.
 func (l *Leaf) note(execution Execution) error {
-	if len(l.executions) < executionMemory {
+	l.executed.Add(1)
+	if l.config.KeepExecutions && len(l.executions) < executionMemory {
 		l.executions = append(l.executions, execution)
 	}
 	if l.record == nil {
@@ -366,6 +373,7 @@
 
 // refuse makes the typed refusal of an attempt that did not run; the lock must be held.
 func (l *Leaf) refuse(request *leafv1.SearchShardRequest, reason leafv1.RefusalReason) error {
+	l.refused.Add(1)
 	state := status.New(codes.Unavailable, reason.String())
 	detailed, err := state.WithDetails(&leafv1.LeafRefusal{
 		Identity: request.GetIdentity(), Reason: reason, RetryAfterMillis: shedRetryAfter, Load: l.load(),
