--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -114,18 +114,19 @@
 	state standing
 }
 
-// dropCold leaves a cold replica out of most choices, so that it warms up on a growing share
-// of its part. Where all would be left out, all stay.
+// dropCold leaves a replica that is colder than its peers out of some choices, so that it
+// warms up on a growing share of its part.
 func dropCold(usable []scored) []scored {
+	warmest := 0.0
+	for _, candidate := range usable {
+		warmest = max(warmest, candidate.state.warmth)
+	}
 	kept := make([]scored, 0, len(usable))
 	for _, candidate := range usable {
-		if candidate.state.warmth >= 1 || rand.Float64() < candidate.state.warmth {
+		if rand.Float64()*warmest < candidate.state.warmth {
 			kept = append(kept, candidate)
 		}
 	}
-	if len(kept) == 0 {
-		return usable
-	}
 	return kept
 }
 
