Count cancelled attempts in the hedge delay

Cause: the delay came from answered attempts only, so stragglers, which are cancelled, were missing from it; hedges of ordinary attempts used up the budget (extra load 1.02, the bound). Change: what a cancelled attempt took so far counts; the quantile is 98.7.

--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -51,7 +51,7 @@
 // DefaultConfig keeps extra load near 2%.
 func DefaultConfig() Config {
 	return Config{
-		Quantile:      98.5,
+		Quantile:      98.7,
 		Window:        5 * time.Second,
 		MinimumDelay:  time.Millisecond,
 		MaximumStages: 2,
--- a/internal/search/scatter.go
+++ b/internal/search/scatter.go
@@ -45,6 +45,7 @@
 	inFlight   int
 	stage      int
 	hedgeAt    time.Time // zero when no hedge is to come
+	startedAt  time.Time // of the first attempt
 	done       bool
 	reply      *shardReply
 	reason     missingReason
@@ -130,6 +131,9 @@
 	shard.inFlight++
 	s.count(kind)
 	now := time.Now()
+	if shard.startedAt.IsZero() {
+		shard.startedAt = now
+	}
 	started := &attempt{
 		shard:   index,
 		kind:    kind,
@@ -304,10 +308,17 @@
 	}
 }
 
-// countCancelled counts the attempts whose reply nobody waits for any more.
+// countCancelled counts the attempts whose reply nobody waits for any more. What they took so
+// far counts as their latency: left out, stragglers would vanish from the quantile by which
+// hedges are sent, and hedges of ordinary attempts would use up the budget.
 func (s *scatter) countCancelled() {
+	now := time.Now()
 	for index := range s.shards {
-		s.extra.Cancelled += uint32(s.shards[index].inFlight)
+		shard := &s.shards[index]
+		s.extra.Cancelled += uint32(shard.inFlight)
+		for range shard.inFlight {
+			s.policy.Observe(now.Sub(shard.startedAt))
+		}
 	}
 	s.engine.metrics.CancelledAttempts.WithLabelValues(s.query.service).Add(float64(s.extra.Cancelled))
 }
