Send hedge stages at equal delays, and again when the budget refills

Cause: the second stage came at three times the first delay, so a query whose hedge straggled too (0.64% of queries at 64 shards) showed it in p99.9; and a hedge refused for lack of budget was never tried again. Change: stages at equal delays; a refused hedge is scheduled anew; quantile 98.3.

--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -2,8 +2,8 @@
 // bounds how often that and retries may happen.
 //
 // A hedge is sent after a high quantile of the recent latency of the service's leaf
-// attempts. With 64 shards a query, two stragglers in one query are common, so hedges come
-// in stages: the second after twice the delay of the first. Both draw on one token budget,
+// attempts. With 64 shards a query, a hedge that straggles too is common, so hedges come in
+// stages, each after the same delay from the one before. All draw on one token budget,
 // a share of the attempts, so that extra load stays bounded whatever the leafs do.
 package hedging
 
@@ -51,7 +51,7 @@
 // DefaultConfig keeps extra load near 2%.
 func DefaultConfig() Config {
 	return Config{
-		Quantile:      98.7,
+		Quantile:      98.3,
 		Window:        5 * time.Second,
 		MinimumDelay:  time.Millisecond,
 		MaximumStages: 2,
@@ -165,7 +165,7 @@
 	if stage >= p.config.MaximumStages || delay == 0 {
 		return 0, false
 	}
-	return delay << stage, true
+	return delay, true
 }
 
 // AllowHedge takes a token for a hedge; false while the service sheds load.
--- a/internal/search/scatter.go
+++ b/internal/search/scatter.go
@@ -301,10 +301,16 @@
 			continue
 		}
 		shard.hedgeAt = time.Time{}
-		shard.stage++
-		if shard.attempts < s.engine.config.MaximumAttempts && s.policy.AllowHedge() {
-			s.launch(index, hedgeAttempt)
+		if shard.attempts >= s.engine.config.MaximumAttempts {
+			continue
 		}
+		if !s.policy.AllowHedge() {
+			// The budget is empty now; the shard may still be late when it is not.
+			s.scheduleHedge(shard, now)
+			continue
+		}
+		shard.stage++
+		s.launch(index, hedgeAttempt)
 	}
 }
 
