Keep leaf queues short for urgent work, and refuse hopeless waits at once

Change: each end of a query refuses waiting ones that can't finish any more; a bulk service lowers its limit when most of its leafs have attempts waiting; a congested query lowers the limits of less urgent services that run, before its own.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -50,6 +50,8 @@
 
 type waiter struct {
 	admitted chan struct{}
+	refused  chan struct{} // closed when the wait has become hopeless
+	deadline time.Time
 }
 
 // NewGate makes a gate.
@@ -92,7 +94,7 @@
 		g.mutex.Unlock()
 		return nil, refused
 	}
-	place := &waiter{admitted: make(chan struct{})}
+	place := &waiter{admitted: make(chan struct{}), refused: make(chan struct{}), deadline: deadline}
 	element := g.waiting.PushBack(place)
 	g.mutex.Unlock()
 	return g.wait(ctx, deadline, place, element)
@@ -104,20 +106,22 @@
 	if g.waiting.Len() >= g.limits.Queue {
 		return failure.New(failure.Overloaded, failure.NotRun, "%d queries run and %d wait", g.running, g.waiting.Len()).WithRetryAfter(retryAfter)
 	}
-	needed := wait + time.Duration(g.serviceTime*float64(time.Second))
-	if time.Until(deadline) < needed {
+	if time.Until(deadline) < wait+g.needed() {
 		return failure.New(failure.Overloaded, failure.NotRun, "the expected wait of %v leaves too little time", wait).WithRetryAfter(retryAfter)
 	}
 	return nil
 }
 
 func (g *Gate) wait(ctx context.Context, deadline time.Time, place *waiter, element *list.Element) (*Ticket, error) {
-	latestStart := deadline.Add(-time.Duration(g.typicalServiceTime() * float64(time.Second)))
+	g.mutex.Lock()
+	latestStart := deadline.Add(-g.needed())
+	g.mutex.Unlock()
 	timer := time.NewTimer(time.Until(latestStart))
 	defer timer.Stop()
 	select {
 	case <-place.admitted:
 		return &Ticket{gate: g, started: time.Now()}, nil
+	case <-place.refused:
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -135,16 +139,35 @@
 	return nil, failure.New(failure.Overloaded, failure.NotRun, "no place became free in time").WithRetryAfter(max(g.expectedWait(), minimumRetryAfter))
 }
 
-func (g *Gate) typicalServiceTime() float64 {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.serviceTime
+// neededFactor times the typical service time is what a query must have left to be worth
+// starting.
+const neededFactor = 1.5
+
+// needed is the time that a query must have left when it starts.
+func (g *Gate) needed() time.Duration {
+	return time.Duration(neededFactor * g.serviceTime * float64(time.Second))
 }
 
 // expectedWait estimates how long a query that joins the queue now will wait.
-func (g *Gate) expectedWait() time.Duration {
-	ahead := float64(g.waiting.Len() + 1)
-	return time.Duration(ahead * g.serviceTime / math.Max(1, g.inUse) * float64(time.Second))
+func (g *Gate) expectedWait() time.Duration { return g.waitBehind(g.waiting.Len()) }
+
+// waitBehind estimates the wait of a query behind so many waiting ones.
+func (g *Gate) waitBehind(ahead int) time.Duration {
+	return time.Duration(float64(ahead+1) * g.serviceTime / math.Max(1, g.inUse) * float64(time.Second))
+}
+
+// refuseHopeless refuses, from the end of the queue, those whose wait has become too long for
+// their deadline, as when the limit in use went down. They hear so at once.
+func (g *Gate) refuseHopeless(now time.Time) {
+	for g.waiting.Len() > 0 {
+		last := g.waiting.Back()
+		place := last.Value.(*waiter)
+		if now.Add(g.waitBehind(g.waiting.Len() - 1)).Add(g.needed()).Before(place.deadline) {
+			return
+		}
+		g.waiting.Remove(last)
+		close(place.refused)
+	}
 }
 
 // Done gives the place back. Congested says that leafs shed load during the query.
@@ -161,6 +184,16 @@
 		g.inUse = math.Min(float64(g.limits.Concurrency), g.inUse+1/g.inUse)
 	}
 	g.admitWaiting()
+	g.refuseHopeless(now)
+}
+
+// Congested lowers the limit in use for the sake of a more urgent service.
+func (g *Gate) Congested() {
+	now := time.Now()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.reduce(now)
+	g.refuseHopeless(now)
 }
 
 func (g *Gate) reduce(now time.Time) {
--- a/internal/search/attempt.go
+++ b/internal/search/attempt.go
@@ -46,6 +46,8 @@
 	reason    missingReason
 	execution execution
 	outcome   balancer.Outcome
+	// queued says that the leaf had more attempts than slots, by its own word.
+	queued bool
 }
 
 // LeafCaller runs one attempt at a leaf; leafclient.Pool is the real one.
@@ -73,7 +75,8 @@
 		return attemptResult{reason: missingLeafFailed, execution: executionUnknown, outcome: balancer.Failed}
 	}
 	e.reportLoad(attempt.leaf, response.GetLoad())
-	return attemptResult{reply: &reply, execution: executionRan, outcome: balancer.Succeeded}
+	load := response.GetLoad()
+	return attemptResult{reply: &reply, execution: executionRan, outcome: balancer.Succeeded, queued: load.GetInFlight() > load.GetSlots()}
 }
 
 func (e *Engine) judgeError(ctx context.Context, attempt *attempt, err error) attemptResult {
--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -162,10 +162,32 @@
 		return nil, err
 	}
 	answer, congested, err := e.answer(ctx, query)
+	if congested && e.yieldTo(service.Spec) {
+		congested = false
+	}
 	ticket.Done(congested)
 	return answer, err
 }
 
+// yieldTo lowers the limits of less urgent services that are running, and reports whether
+// there was one; then the more urgent service keeps its own.
+func (e *Engine) yieldTo(spec *adminv1.ServiceSpec) bool {
+	yielded := false
+	for name, other := range e.catalog.View().Services {
+		if other.Spec == nil || other.Spec.GetUrgency() <= spec.GetUrgency() {
+			continue
+		}
+		e.mutex.Lock()
+		gate, found := e.gates[name]
+		e.mutex.Unlock()
+		if found && gate.Usage().Running > 0 {
+			gate.Congested()
+			yielded = true
+		}
+	}
+	return yielded
+}
+
 // service pins the configuration and snapshot in force for a query.
 func (e *Engine) service(name string) (*catalog.Service, error) {
 	service, found := e.catalog.View().Services[name]
@@ -182,22 +204,23 @@
 // hold the pinned one, as long as the request may repeat and has time.
 func (e *Engine) answer(ctx context.Context, query *query) (*searchv1.SearchResponse, bool, error) {
 	var extra searchv1.ExtraLoad
-	ran, maybeRan, shed := false, false, false
+	ran, maybeRan, congested := false, false, false
 	for replans := 0; ; replans++ {
 		service, err := e.service(query.service)
 		if err != nil {
-			return nil, shed, err
+			return nil, congested, err
 		}
 		scatter := newScatter(ctx, e, query, service, e.policy(service.Spec), service.Manifest.Plan(query.asked))
 		outcomes := scatter.run()
 		addExtraLoad(&extra, &scatter.extra)
-		ran, maybeRan, shed = ran || scatter.ran, maybeRan || scatter.maybeRan, shed || scatter.shed
+		ran, maybeRan = ran || scatter.ran, maybeRan || scatter.maybeRan
+		congested = congested || scatter.congested()
 		if scatter.snapshotGone() && e.mayReplan(query, service, replans, ran || maybeRan) {
 			continue
 		}
 		merged := merge(query.asked, outcomes, query.limit, e.config.MaximumAnswerBytes)
 		response := e.report(query, service, &merged, &extra)
-		return response, shed, e.failureOf(ctx, query, &merged, response, executionOf(ran, maybeRan))
+		return response, congested, e.failureOf(ctx, query, &merged, response, executionOf(ran, maybeRan))
 	}
 }
 
--- a/internal/search/scatter.go
+++ b/internal/search/scatter.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
-
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
 	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
+	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/hedging"
@@ -34,6 +34,8 @@
 	ran      bool
 	maybeRan bool
 	shed     bool
+	// queued counts replies of leafs that had more attempts than slots.
+	queued int
 }
 
 // shardState is the progress of one part of the plan.
@@ -213,6 +215,9 @@
 		s.maybeRan = true
 	case executionNotRun:
 	}
+	if result.queued {
+		s.queued++
+	}
 	if result.outcome == balancer.Shed {
 		s.shed = true
 		s.policy.Shed()
@@ -338,6 +343,17 @@
 	return outcomes
 }
 
+// congested reports whether leafs lack capacity for the query: one shed load or, for bulk
+// services, most of them have attempts waiting. Bulk work leaves the queues of leafs short,
+// so that urgent work beside it finds them so.
+func (s *scatter) congested() bool {
+	if s.shed {
+		return true
+	}
+	isBulk := s.service.Spec.GetUrgency() == adminv1.Urgency_URGENCY_BULK
+	return isBulk && 2*s.queued > len(s.shards)
+}
+
 // snapshotGone reports whether a part failed because its leafs no longer hold the snapshot.
 func (s *scatter) snapshotGone() bool {
 	for index := range s.shards {
