--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -44,6 +44,10 @@
 // settleTimeout is after how long a node that can't find others takes itself for alone.
 const settleTimeout = 5 * time.Second
 
+// aloneTimeout is the same when the machine list answers and names nobody: it lags, so that
+// others that start at the same moment may be missing from it.
+const aloneTimeout = time.Second
+
 // joinTargets is how many nodes a node joins through at once.
 const joinTargets = 3
 
@@ -73,7 +77,11 @@
 		}
 	}
 	if joined == 0 {
-		return time.Since(s.startedAt) > settleTimeout
+		wait := settleTimeout
+		if err == nil && len(targets) == 0 {
+			wait = aloneTimeout
+		}
+		return time.Since(s.startedAt) > wait
 	}
 	return agreed == joined
 }
--- /dev/null
+++ b/internal/lab/replay/trace_test.go
@@ -0,0 +1,65 @@
+package replay
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+const goodHeader = `{"header":{"name":"t","seed":1,"dataset":"tiles","records":10,"duration_ms":1000,` +
+	`"nodes":[{"id":"n","zone":"z"}],"leafs":[{"id":"l","zone":"z","slots":1,"median_ms":1,"snapshots":["v1"]}],` +
+	`"services":[{"name":"s","leafs":["l"],"snapshot":"v1","shards":1,"replicas":1}]}}` + "\n"
+
+const goodOutcome = `{"outcome":{"check":"own_answers"}}` + "\n"
+
+func TestCommittedTracesAreWellFormed(t *testing.T) {
+	is := is.New(t)
+	paths, err := filepath.Glob("../../../traces/*.jsonl")
+	is.NoErr(err)
+	is.True(len(paths) >= 10)
+	for _, path := range paths {
+		_, err := Read(path)
+		is.NoErr(err)
+	}
+}
+
+func TestMalformedTracesAreRefusedWithLineAndField(t *testing.T) {
+	cases := map[string]struct {
+		content string
+		words   []string
+	}{
+		"not JSON":        {goodHeader + "nonsense\n", []string{"line 2"}},
+		"unknown field":   {goodHeader + `{"event":{"at_ms":1,"kil":{}}}`, []string{"line 2", "kil"}},
+		"no header":       {goodOutcome, []string{"line 1", "header"}},
+		"two headers":     {goodHeader + goodHeader, []string{"line 2", "second header"}},
+		"no outcome":      {goodHeader, []string{"no outcome"}},
+		"unknown check":   {goodHeader + `{"outcome":{"check":"luck"}}`, []string{"line 2", "check", "luck"}},
+		"unknown process": {goodHeader + `{"event":{"at_ms":1,"kill":{"process":"x"}}}`, []string{"kill.process"}},
+		"two kinds":       {goodHeader + `{"event":{"at_ms":1,"kill":{"process":"l"},"wake":{"process":"l"}}}`, []string{"exactly one"}},
+		"too late":        {goodHeader + `{"event":{"at_ms":2000,"kill":{"process":"l"}}}`, []string{"at_ms"}},
+		"cut of one":      {goodHeader + `{"event":{"at_ms":1,"cut":{"between":["z"]}}}`, []string{"cut.between"}},
+		"rate":            {goodHeader + `{"event":{"at_ms":1,"load":{"service":"s","nodes":["n"],"until_ms":9,"per_second":0}}}`, []string{"load.per_second"}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("trace", []byte(test.content))
+			is.True(failure.Is(err, failure.InvalidField))
+			for _, word := range test.words {
+				is.True(strings.Contains(err.Error(), word)) // word
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(goodHeader + goodOutcome))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		// Any outcome but a crash is fine.
+		_, _ = Parse("fuzz", content)
+	})
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+func TestAllFaultsAreNamedAtOnceWithTheirLines(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("node.yaml", []byte(`
+node:
+  zone: ""
+listen:
+  callers: localhost:7400
+search:
+  merge_reserve: 1h
+hedging:
+  quantile: 20
+`))
+	text := map[string]string{}
+	for _, fault := range failure.Faults(err) {
+		text[fault.Field] = fault.Message
+	}
+	is.Equal(len(text), 4)
+	is.True(strings.Contains(text["node.zone"], "node.yaml line 3"))
+	is.True(strings.Contains(text["listen.callers"], "node.yaml line 5"))
+	is.True(strings.Contains(text["hedging.quantile"], "node.yaml line 9"))
+	is.True(strings.Contains(text["search.minimum_deadline"], "default"))
+}
+
+func TestUnknownFieldsAndTypesAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("node.yaml", []byte("node:\n  zone: a\n  zoon: b\nserach: {}\nstop:\n  drain_timeout: soon\n"))
+	faults := failure.Faults(err)
+	is.Equal(len(faults), 3)
+	is.Equal(faults[0].Field, "node.zoon")
+	is.Equal(faults[1].Field, "serach")
+	is.True(strings.Contains(faults[2].Message, "line 6"))
+}
+
+func TestFlagsWinOverEnvironmentOverFile(t *testing.T) {
+	is := is.New(t)
+	flag, err := ParseFlag("stop.drain_timeout=3s")
+	is.NoErr(err)
+	environment := []string{"PORTGAUGE_NODE_ZONE=env", "PORTGAUGE_STOP_DRAIN_TIMEOUT=2s", "PORTGAUGE_CONFIG_SYNC_FAN_OUT=7", "OTHER=1"}
+	loaded, err := Load("", environment, []Override{flag})
+	is.NoErr(err)
+	is.Equal(loaded.Node.Zone, "env")
+	is.Equal(loaded.Stop.DrainTimeout, 3*time.Second)
+	is.Equal(loaded.ConfigSync.FanOut, 7)
+}
+
+func TestFaultOfAFlagNamesTheFlag(t *testing.T) {
+	is := is.New(t)
+	_, err := Load("", nil, []Override{{Path: "node.zone", Value: "z"}, {Path: "balancer.eject_after", Value: "0", Source: "--set balancer.eject_after"}})
+	is.True(strings.Contains(err.Error(), "--set balancer.eject_after"))
+	_, err = ParseFlag("nonsense")
+	is.True(failure.Is(err, failure.InvalidField))
+}
+
+// What 'settings show' prints is a settings file with no fault but the zone, which has no
+// default.
+func TestDefaultsAreValid(t *testing.T) {
+	is := is.New(t)
+	content, err := yaml.Marshal(Default())
+	is.NoErr(err)
+	_, err = Parse("defaults", content)
+	is.Equal(len(failure.Faults(err)), 1)
+	is.Equal(failure.Faults(err)[0].Field, "node.zone")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("node:\n  zone: a\n"))
+	f.Add([]byte("seeds: [127.0.0.1:1]\nstop: {drain_timeout: 1s}\n"))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		// Any outcome but a crash is fine.
+		_, _ = Parse("fuzz", content)
+	})
+}
