--- a/cmd/portgauge/main.go
+++ b/cmd/portgauge/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
 
 	"github.com/portgauge/portgauge/internal/cli"
 )
@@ -18,6 +19,8 @@
 	Settings settingsCommand `cmd:"" help:"Check a settings file, or show all settings."`
 	Demo     demoCommand     `cmd:"" help:"Run a node with stand-in back ends in this process, break one, show what answers say."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
+
+	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install shell completions."`
 }
 
 func main() {
@@ -34,6 +37,7 @@
 	if err != nil {
 		return cli.Fail(os.Stderr, err)
 	}
+	kongplete.Complete(parser)
 	command, err := parser.Parse(arguments)
 	if err != nil {
 		parser.Errorf("%s", err)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -22,6 +22,7 @@
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/wait"
 )
 
 // LeafNoticer is told of leafs that must get no new work.
@@ -169,15 +170,7 @@
 // pause waits for a time with jitter, so that nodes that failed together don't retry
 // together; false when the context ended.
 func pause(ctx context.Context, duration time.Duration) bool {
-	jittered := time.Duration(float64(duration) * (0.5 + rand.Float64()))
-	timer := time.NewTimer(jittered)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return wait.For(ctx, time.Duration(float64(duration)*(0.5+rand.Float64())))
 }
 
 // backoff doubles a pause up to the most allowed.
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -6,35 +6,34 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/ansel1/merry/v2"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
 	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
 	"github.com/portgauge/portgauge/internal/api"
 	"github.com/portgauge/portgauge/internal/cli"
-	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/lab/leaf"
 	"github.com/portgauge/portgauge/internal/lab/platform"
+	"github.com/portgauge/portgauge/internal/lab/process"
+	"github.com/portgauge/portgauge/internal/lab/retry"
 	"github.com/portgauge/portgauge/internal/lab/sample"
 	"github.com/portgauge/portgauge/internal/node"
 	"github.com/portgauge/portgauge/internal/settings"
 )
 
 const (
-	serviceName    = "catalog-search"
-	snapshotName   = "v1"
-	leafCount      = 3
-	shardCount     = 6
-	recordCount    = 2000
-	sampleSeed     = 1
-	callsPerSecond = 100
-	demoTimeout    = 60 * time.Second
-	retryPause     = 100 * time.Millisecond
-	zone           = "zone-a"
+	serviceName     = "catalog-search"
+	snapshotName    = "v1"
+	leafCount       = 3
+	shardCount      = 6
+	recordCount     = 2000
+	sampleSeed      = 1
+	callsPerSecond  = 100
+	demoTimeout     = 60 * time.Second
+	addressesOfNode = 3
+	zone            = "zone-a"
 )
 
 // cluster is what runs in the demonstration.
@@ -57,15 +56,16 @@
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
 	demo := &cluster{output: output}
-	platformAddress, err := freeAddress()
+	addresses, err := process.FreeAddresses(1 + leafCount + addressesOfNode)
 	if err != nil {
 		return err
 	}
+	platformAddress, addresses := addresses[0], addresses[1:]
 	go serveQuietly(func() error { return platform.New(callsPerSecond).Serve(ctx, platformAddress, "") })
-	if err := demo.startLeafs(ctx); err != nil {
+	if err := demo.startLeafs(ctx, addresses[:leafCount]); err != nil {
 		return err
 	}
-	stopNode, err := demo.startNode(ctx, platformAddress)
+	stopNode, err := demo.startNode(ctx, platformAddress, addresses[leafCount:])
 	if err != nil {
 		return err
 	}
@@ -82,12 +82,8 @@
 	}
 }
 
-func (c *cluster) startLeafs(ctx context.Context) error {
-	for number := range leafCount {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
+func (c *cluster) startLeafs(ctx context.Context, addresses []string) error {
+	for number, address := range addresses {
 		id := fmt.Sprintf("leaf-%d", number+1)
 		served, err := leaf.New(leaf.Config{
 			ID: id, Dataset: sample.Tiles, Seed: sampleSeed, Records: recordCount, Snapshots: []string{snapshotName},
@@ -107,19 +103,13 @@
 	return nil
 }
 
-func (c *cluster) startNode(ctx context.Context, platformAddress string) (func() error, error) {
+func (c *cluster) startNode(ctx context.Context, platformAddress string, addresses []string) (func() error, error) {
 	config := settings.Default()
 	config.Node.Zone = zone
 	config.Platform.Address = platformAddress
 	config.LogLevel = "error"
 	config.Stop.AnnounceDelay = 0
-	for _, address := range []*string{&config.Listen.Callers, &config.Listen.Operators, &config.Listen.Peers} {
-		free, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
-		*address = free
-	}
+	config.Listen.Callers, config.Listen.Operators, config.Listen.Peers = addresses[0], addresses[1], addresses[2]
 	c.callers, c.operators = config.Listen.Callers, config.Listen.Operators
 	app := node.New(config, c.output)
 	if err := app.Start(ctx); err != nil {
@@ -156,7 +146,7 @@
 		ids = append(ids, running.id)
 	}
 	client := cli.AdminClient(c.operators)
-	err := retry(ctx, func() error {
+	err := retry.Eventually(ctx, demoTimeout, func() error {
 		_, err := client.ApplyService(ctx, connect.NewRequest(&adminv1.ApplyServiceRequest{Spec: sample.Service(serviceName, leafs)}))
 		return err
 	})
@@ -172,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	return retry(ctx, func() error {
+	return retry.Eventually(ctx, demoTimeout, func() error {
 		_, err := cli.SearchClient(c.callers).Search(ctx, connect.NewRequest(&searchv1.SearchRequest{Service: serviceName, Limit: 1}))
 		return err
 	})
@@ -203,30 +193,3 @@
 		return
 	}
 }
-
-// retry repeats a call while the parts are starting.
-func retry(ctx context.Context, call func() error) error {
-	for {
-		err := call()
-		if err == nil {
-			return nil
-		}
-		if failed := api.FailureOf(err); failed.Code == failure.InvalidField {
-			return failed
-		}
-		select {
-		case <-ctx.Done():
-			return merry.Prepend(err, "the demonstration did not start in time")
-		case <-time.After(retryPause):
-		}
-	}
-}
-
-// freeAddress gives a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", merry.Prepend(err, "find a free port")
-	}
-	return listener.Addr().String(), listener.Close()
-}
--- a/internal/lab/experiment/cluster.go
+++ b/internal/lab/experiment/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/portgauge/portgauge/internal/lab/leaf"
 	"github.com/portgauge/portgauge/internal/lab/load"
 	"github.com/portgauge/portgauge/internal/lab/process"
+	"github.com/portgauge/portgauge/internal/lab/retry"
 	"github.com/portgauge/portgauge/internal/lab/sample"
 )
 
@@ -69,7 +70,6 @@
 
 const (
 	startTimeout   = 30 * time.Second
-	startPause     = 100 * time.Millisecond
 	addressesEach  = 3
 	callsPerSecond = 500
 )
@@ -158,7 +158,7 @@
 			ids = append(ids, id)
 			service.spec.Leafs = append(service.spec.Leafs, &adminv1.Leaf{Id: id, Address: c.addresses[number], Zone: c.plan.zones[number%len(c.plan.zones)]})
 		}
-		err := eventually(ctx, func() error {
+		err := retry.Eventually(ctx, startTimeout, func() error {
 			_, err := client.ApplyService(ctx, connect.NewRequest(&adminv1.ApplyServiceRequest{Spec: service.spec}))
 			return err
 		})
@@ -172,7 +172,7 @@
 	}
 	for _, service := range services {
 		for _, node := range c.nodes {
-			err := eventually(ctx, func() error {
+			err := retry.Eventually(ctx, startTimeout, func() error {
 				_, err := cli.SearchClient(node.callers).Search(ctx, connect.NewRequest(&searchv1.SearchRequest{Service: service.spec.GetName(), Limit: 1}))
 				return err
 			})
@@ -184,22 +184,6 @@
 	return nil
 }
 
-func eventually(ctx context.Context, call func() error) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	for {
-		err := call()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(startPause):
-		}
-	}
-}
-
 // setFaults changes the faults of a part of the leafs.
 func (c *cluster) setFaults(ctx context.Context, first, end int, faults leaf.Faults) error {
 	return control.Put(ctx, c.control, "/faults", leaf.GroupFaults{First: first, End: end, Faults: faults})
--- a/internal/lab/replay/cluster.go
+++ b/internal/lab/replay/cluster.go
@@ -20,6 +20,7 @@
 	"github.com/portgauge/portgauge/internal/lab/control"
 	"github.com/portgauge/portgauge/internal/lab/forwarder"
 	"github.com/portgauge/portgauge/internal/lab/process"
+	"github.com/portgauge/portgauge/internal/lab/retry"
 	"github.com/portgauge/portgauge/internal/lab/sample"
 )
 
@@ -103,7 +104,7 @@
 		}
 		addresses = addresses[addressesPerNode:]
 	}
-	if err := eventually(ctx, func() error { return c.putMachines(ctx) }); err != nil {
+	if err := retry.Eventually(ctx, startTimeout, func() error { return c.putMachines(ctx) }); err != nil {
 		return err
 	}
 	for _, node := range c.nodes {
@@ -215,7 +216,7 @@
 func (c *cluster) createService(ctx context.Context, spec ServiceSpec) error {
 	first := c.nodes[c.header.Nodes[0].ID]
 	client := cli.AdminClient(first.operators)
-	err := eventually(ctx, func() error {
+	err := retry.Eventually(ctx, startTimeout, func() error {
 		_, err := client.ApplyService(ctx, connect.NewRequest(&adminv1.ApplyServiceRequest{Spec: c.serviceSpec(spec)}))
 		return err
 	})
@@ -230,7 +231,7 @@
 		return api.FailureOf(err)
 	}
 	for _, node := range c.nodes {
-		err := eventually(ctx, func() error {
+		err := retry.Eventually(ctx, startTimeout, func() error {
 			status, err := cli.AdminClient(node.operators).ListSnapshots(ctx, connect.NewRequest(&adminv1.ListSnapshotsRequest{Service: spec.Name}))
 			if err == nil && len(status.Msg.GetSnapshots()) == 0 {
 				return merry.Errorf("node %s has no snapshot of %s", node.spec.ID, spec.Name)
@@ -348,22 +349,5 @@
 	return ""
 }
 
-// eventually repeats a call until it succeeds or the start takes too long.
-func eventually(ctx context.Context, call func() error) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
-	defer cancel()
-	for {
-		err := call()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(startPause):
-		}
-	}
-}
-
 // makeFolder makes the folder of a run's records.
 func makeFolder() (string, error) { return os.MkdirTemp("", "portgauge-replay-") }
--- a/internal/lab/scale/changer.go
+++ b/internal/lab/scale/changer.go
@@ -11,6 +11,7 @@
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
 	"github.com/portgauge/portgauge/gen/portgauge/admin/v1/adminv1connect"
 	"github.com/portgauge/portgauge/internal/api"
+	"github.com/portgauge/portgauge/internal/lab/retry"
 )
 
 // serviceCount is how many services the changes are spread over.
@@ -44,7 +45,7 @@
 // createAll creates the services; the first call may come before its node is ready.
 func (c *changer) createAll(ctx context.Context) error {
 	for range c.specs {
-		err := eventually(ctx, startTimeout, func() error {
+		err := retry.Eventually(ctx, startTimeout, func() error {
 			_, err := c.change(ctx)
 			return err
 		})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/settings"
 	"github.com/portgauge/portgauge/internal/telemetry"
+	"github.com/portgauge/portgauge/internal/wait"
 )
 
 // closeReserve is the time kept for closing after the drain.
@@ -181,7 +182,7 @@
 		members.Leave()
 		engine.Announce()
 		logger.Info("stopping: announced")
-		if !sleep(ctx, config.Stop.AnnounceDelay) {
+		if !wait.For(ctx, config.Stop.AnnounceDelay) {
 			return ctx.Err()
 		}
 		ctx, cancel := context.WithTimeout(ctx, config.Stop.DrainTimeout)
@@ -220,14 +221,3 @@
 		},
 	})
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -15,6 +15,7 @@
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/telemetry"
+	"github.com/portgauge/portgauge/internal/wait"
 )
 
 // operatorParts are what the operators' server needs.
@@ -47,7 +48,7 @@
 }
 
 func (k *leafKeeper) run(ctx context.Context) {
-	for sleep(ctx, keepInterval) {
+	for wait.For(ctx, keepInterval) {
 		k.keep()
 	}
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -139,23 +139,21 @@
 		where := "default"
 		if source, found := sources[fault.Field]; found {
 			where = source
-		} else if line := lineOf(document, strings.Split(fault.Field, ".")); line > 0 {
-			where = fmt.Sprintf("%s line %d", name, line)
+		} else if value := valueAt(document, strings.Split(fault.Field, ".")); value != nil {
+			where = fmt.Sprintf("%s line %d: %q", name, value.Line, value.Value)
 		}
 		located.Refuse(true, fault.Field, "%s (%s)", fault.Message, where)
 	}
 	return located.Err()
 }
 
-func lineOf(node *yaml.Node, path []string) int {
+// valueAt gives the value at a path of the document, or nil.
+func valueAt(node *yaml.Node, path []string) *yaml.Node {
 	value := child(node, path[0])
-	if value == nil {
-		return 0
+	if value == nil || len(path) == 1 {
+		return value
 	}
-	if len(path) == 1 {
-		return value.Line
-	}
-	return lineOf(value, path[1:])
+	return valueAt(value, path[1:])
 }
 
 func child(node *yaml.Node, key string) *yaml.Node {
