--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -63,6 +63,7 @@
 	}
 	k.balancer.Forget(known)
 	k.metrics.ConfigRevision.Set(float64(view.Revision))
+	k.metrics.ConfigAge.Set(time.Since(k.catalog.ConfirmedAt()).Seconds())
 	counts := k.members.Counts()
 	for _, state := range []peer.MemberState{peer.Alive, peer.Suspect, peer.Left, peer.Dead} {
 		k.metrics.Members.WithLabelValues(string(state)).Set(float64(counts[state]))
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -26,6 +26,8 @@
 	DroppedReplies *prometheus.CounterVec
 	// ConfigRevision is the revision in force.
 	ConfigRevision prometheus.Gauge
+	// ConfigAge is how long ago the revision in force was last confirmed to be the newest.
+	ConfigAge prometheus.Gauge
 	// ConfigRejected counts values of the store that could not be put into force.
 	ConfigRejected prometheus.Counter
 	// ConfigRelayed counts configuration messages between nodes, by kind.
@@ -47,6 +49,7 @@
 		CancelledAttempts: counters("leaf_attempts_cancelled_total", "Leaf attempts that lost to another.", "service"),
 		DroppedReplies:    counters("leaf_replies_dropped_total", "Leaf replies that were not merged.", "service", "reason"),
 		ConfigRevision:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_revision", Help: "Configuration revision in force."}),
+		ConfigAge:         prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_age_seconds", Help: "Time since the configuration in force was confirmed to be the newest."}),
 		ConfigRejected:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "config_rejected_total", Help: "Stored values that could not be put into force."}),
 		ConfigRelayed:     counters("config_messages_total", "Configuration messages sent to other nodes.", "kind"),
 		ControlBytes:      counters("control_bytes_sent_total", "Bytes sent to other nodes for control.", "transport"),
@@ -54,7 +57,7 @@
 	}
 	metrics.Registry.MustRegister(
 		metrics.QueryLatency, metrics.QueryCoverage, metrics.Refusals, metrics.Attempts,
-		metrics.CancelledAttempts, metrics.DroppedReplies, metrics.ConfigRevision,
+		metrics.CancelledAttempts, metrics.DroppedReplies, metrics.ConfigRevision, metrics.ConfigAge,
 		metrics.ConfigRejected, metrics.ConfigRelayed, metrics.ControlBytes, metrics.Members,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
