Make two traces prove what they name

Cause: with a mechanism taken out two traces still passed. 06-leaving-reply: the leaf refused by itself, so that a node that did not heed its word executed nothing there. 08-configuration: with two nodes a zone both watch the store, so that pushes and digests were not needed.

--- a/internal/lab/leaf/faults.go
+++ b/internal/lab/leaf/faults.go
@@ -27,6 +27,8 @@
 	ClaimIdle bool `json:"claim_idle,omitempty"`
 	// Draining refuses new attempts and says so.
 	Draining bool `json:"draining,omitempty"`
+	// ClaimDraining says so in replies but serves on.
+	ClaimDraining bool `json:"claim_draining,omitempty"`
 	// Snapshots replaces the versions held, when not empty; others are gone.
 	Snapshots []string `json:"snapshots,omitempty"`
 }
--- a/internal/lab/leaf/leaf.go
+++ b/internal/lab/leaf/leaf.go
@@ -359,7 +359,7 @@
 }
 
 func (l *Leaf) load() *leafv1.LeafLoad {
-	load := &leafv1.LeafLoad{Slots: uint32(l.config.Slots), Draining: l.faults.Draining}
+	load := &leafv1.LeafLoad{Slots: uint32(l.config.Slots), Draining: l.faults.Draining || l.faults.ClaimDraining}
 	if !l.faults.ClaimIdle {
 		load.InFlight = uint32(l.inFlight)
 	}
