Push word of a leaving leaf to other zones even if it came by gossip first

Cause: one of 100 runs of a test failed: a watcher that had heard of a leaving leaf by gossip, from the watcher beside it, no longer counted it as news when it read the machine list, and pushed it to nobody; other zones were never told. Ruled out: loss or timing of pushes (the push was never started).

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -305,11 +305,28 @@
 
 // Word of a leaving leaf on the machine list reaches nodes of all zones within seconds.
 func TestLeavingLeafIsToldToAllZones(t *testing.T) {
+	testLeavingLeafIsTold(t, func(*fleet) {})
+}
+
+// The same when the watcher that pushes has the word by gossip before it reads the list.
+func TestLeavingLeafHeardByGossipIsToldToAllZones(t *testing.T) {
+	testLeavingLeafIsTold(t, func(f *fleet) {
+		for id, node := range f.nodes {
+			if id[:2] == "z0" {
+				node.syncer.takeNotices([]peer.LeafNotice{{LeafID: "leaf-1", Millis: DefaultConfig().LeavingHold.Milliseconds()}})
+			}
+		}
+	})
+}
+
+func testLeavingLeafIsTold(t *testing.T, before func(*fleet)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := newFleet(t, 3, 8)
 		defer f.stopAll()
 		time.Sleep(20 * time.Second)
+		before(f)
 		f.platform.mutex.Lock()
 		f.platform.machines = append(f.platform.machines, machines.Machine{ID: "leaf-1", Zone: "z0", Role: machines.RoleLeaf, State: machines.Leaving})
 		f.platform.mutex.Unlock()
--- a/internal/configsync/contacts.go
+++ b/internal/configsync/contacts.go
@@ -17,6 +17,9 @@
 type notice struct {
 	until  time.Time
 	passes int
+	// pushedUntil is what this node pushed, as a watcher; word that came by gossip was not
+	// pushed to other zones yet.
+	pushedUntil time.Time
 }
 
 // Notices ride on datagrams: at most so many on one, each passed on so many times.
@@ -45,8 +48,8 @@
 	return chosen
 }
 
-// renewalShare is how much later than known a notice must hold to count as news.
-const renewalShare = 4
+// renewalShare divides the hold of a notice: one that holds so much longer than known is news.
+const renewalShare = 2
 
 // takeNotices learns of leaving leafs from another node.
 func (s *Syncer) takeNotices(notices []peer.LeafNotice) {
@@ -57,16 +60,36 @@
 	}
 }
 
-// note records word of a leaving leaf and reports whether it is news.
-func (s *Syncer) note(leafID string, until time.Time) bool {
+// note records word of a leaving leaf; a renewal of some length is passed on anew.
+func (s *Syncer) note(leafID string, until time.Time) {
 	s.leafs.SetLeaving(leafID, until)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known, found := s.notices[leafID]
-	if found && until.Sub(known.until) < s.config.LeavingHold/renewalShare {
+	if !found {
+		s.notices[leafID] = &notice{until: until}
+		return
+	}
+	if s.isRenewal(until, known.until) {
+		known.until, known.passes = until, 0
+	}
+}
+
+// isRenewal reports whether a notice holds so much longer than known that it counts as news.
+func (s *Syncer) isRenewal(until, known time.Time) bool {
+	return until.Sub(known) >= s.config.LeavingHold/renewalShare
+}
+
+// claimPush reports whether a notice is due to be pushed by this watcher, and counts it as
+// pushed.
+func (s *Syncer) claimPush(leafID string, until time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known, found := s.notices[leafID]
+	if !found || !s.isRenewal(until, known.pushedUntil) {
 		return false
 	}
-	s.notices[leafID] = &notice{until: until}
+	known.pushedUntil = until
 	return true
 }
 
@@ -145,16 +168,18 @@
 }
 
 // pushLeaving sends the own zone, and one node of each other zone for theirs, those notices
-// that are news or about to lapse.
+// that this watcher has not pushed yet or that are about to lapse.
 func (s *Syncer) pushLeaving(ctx context.Context, leaving []string) {
 	until := time.Now().Add(s.config.LeavingHold)
+	isFirst := s.rank() == 0
 	var news []peer.LeafNotice
 	for _, leafID := range leaving {
-		if s.note(leafID, until) {
+		s.note(leafID, until)
+		if isFirst && s.claimPush(leafID, until) {
 			news = append(news, peer.LeafNotice{LeafID: leafID, Millis: s.config.LeavingHold.Milliseconds()})
 		}
 	}
-	if len(news) == 0 || s.rank() != 0 {
+	if len(news) == 0 {
 		return
 	}
 	s.pushToZone(ctx, peer.Push{Notices: news})
