--- a/internal/lab/experiment/tail.go
+++ b/internal/lab/experiment/tail.go
@@ -37,7 +37,8 @@
 
 // startTail starts a baseline node and today's before the same leafs.
 func startTail(ctx context.Context, programs process.Programs) (*cluster, error) {
-	plan := leafPlan{count: tailShards * tailReplicas, slots: 16, queuePerSlot: 16, median: 2 * time.Millisecond, zones: []string{zoneName}}
+	// Each leaf holds up to three neighbouring shards.
+	plan := leafPlan{count: tailShards + tailReplicas - 1, slots: 16, queuePerSlot: 16, median: 2 * time.Millisecond, zones: []string{zoneName}}
 	nodes := []nodePlan{{name: "baseline", zone: zoneName, set: baselineSettings}, {name: "today", zone: zoneName}}
 	services := []servicePlan{
 		{spec: wideSpec("plain", false), shards: tailShards, replicas: tailReplicas, end: plan.count},
@@ -52,22 +53,18 @@
 	node    string
 	service string
 	faults  leaf.Faults
-	// first and end bound the leafs with faults; all when end is 0.
-	first, end int
+	// everyNth leaf has the faults; 0 means all.
+	everyNth int
 }
 
 // runTailArms runs arms in turn on the same arrivals; each begins with a warm-up.
 func runTailArms(ctx context.Context, c *cluster, options Options, rate float64, arms []*tailArm) error {
 	for repetition := range options.Repetitions {
 		for _, measured := range arms {
-			end := measured.end
-			if end == 0 {
-				end = c.plan.count
-			}
 			if err := c.setFaults(ctx, 0, c.plan.count, leaf.Faults{}); err != nil {
 				return err
 			}
-			if err := c.setFaults(ctx, measured.first, end, measured.faults); err != nil {
+			if err := c.setEveryNth(ctx, max(measured.everyNth, 1), measured.faults); err != nil {
 				return err
 			}
 			config := load.Config{Service: measured.service, PerSecond: rate, Duration: warmUp, Deadline: tailDeadline, Limit: tailPageSize, Seed: uint64(1000 + repetition)}
@@ -85,6 +82,20 @@
 	return nil
 }
 
+// setEveryNth changes the faults of every nth leaf. The replicas of a shard are neighbours, so
+// that with n replicas exactly one of each shard is among them.
+func (c *cluster) setEveryNth(ctx context.Context, nth int, faults leaf.Faults) error {
+	if nth == 1 {
+		return c.setFaults(ctx, 0, c.plan.count, faults)
+	}
+	for number := 0; number < c.plan.count; number += nth {
+		if err := c.setFaults(ctx, number, number+1, faults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func rateOr(options Options, otherwise float64) float64 {
 	if options.PerSecond > 0 {
 		return options.PerSecond
@@ -123,9 +134,8 @@
 	}
 	defer c.stop()
 	slow := leaf.Faults{SlowFactor: 10, ClaimIdle: true}
-	third := c.plan.count / 3
-	baseline := &tailArm{arm: arm{name: "random, no hedge"}, node: "baseline", service: "plain", faults: slow, end: third}
-	today := &tailArm{arm: arm{name: "today"}, node: "today", service: "hedged", faults: slow, end: third}
+	baseline := &tailArm{arm: arm{name: "random, no hedge"}, node: "baseline", service: "plain", faults: slow, everyNth: tailReplicas}
+	today := &tailArm{arm: arm{name: "today"}, node: "today", service: "hedged", faults: slow, everyNth: tailReplicas}
 	clean := &tailArm{arm: arm{name: "today, none slow"}, node: "today", service: "hedged"}
 	if err := runTailArms(ctx, c, options, rateOr(options, tailPerSecond), []*tailArm{baseline, today, clean}); err != nil {
 		return err
