--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -132,7 +132,7 @@
 
 // exploreShare is the share of choices that may still go to a replica far slower than its
 // peers, so that its recovery is seen.
-const exploreShare = 0.002
+const exploreShare = 0.01
 
 // fastestLatency gives the lowest known latency in seconds; 0 when none is known.
 func fastestLatency(usable []scored) float64 {
