Compress in one place, start programs in one place, drop what nothing used

Change: internal/compression serves both; withPrograms serves the three commands; the flag and the method are gone; the comment stands where the digest is taken. Ruled out: merging the per-package sends of test fleets, which differ in what they cut. Conclusion: behaviour is unchanged but for the flag that did nothing.

--- a/cmd/portgauge-lab/experiment.go
+++ b/cmd/portgauge-lab/experiment.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/lab/experiment"
+	"github.com/portgauge/portgauge/internal/lab/process"
 )
 
 // experimentCommand runs an experiment.
@@ -20,13 +19,8 @@
 
 // Run prints the arms and their ratios.
 func (c *experimentCommand) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	programs, cleanUp, err := buildPrograms()
-	if err != nil {
-		return err
-	}
-	defer cleanUp()
 	options := experiment.Options{Repetitions: c.Repetitions, Slice: c.Slice, PerSecond: c.PerSecond}
-	return experiment.Run(ctx, c.Name, options, programs, os.Stdout)
+	return withPrograms(func(ctx context.Context, programs process.Programs) error {
+		return experiment.Run(ctx, c.Name, options, programs, os.Stdout)
+	})
 }
--- a/cmd/portgauge-lab/replay.go
+++ b/cmd/portgauge-lab/replay.go
@@ -4,10 +4,9 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/lab/process"
 	"github.com/portgauge/portgauge/internal/lab/replay"
 )
 
@@ -31,13 +30,13 @@
 		_, err := fmt.Printf("%d traces, no fault found\n", len(traces))
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	programs, cleanUp, err := buildPrograms()
-	if err != nil {
-		return err
-	}
-	defer cleanUp()
+	return withPrograms(func(ctx context.Context, programs process.Programs) error {
+		return playAll(ctx, traces, programs)
+	})
+}
+
+// playAll replays each trace in turn and fails if any outcome does.
+func playAll(ctx context.Context, traces []*replay.Trace, programs process.Programs) error {
 	totalPassed, totalFailed := 0, 0
 	for _, trace := range traces {
 		passed, failed, err := replay.Run(ctx, trace, programs, os.Stdout)
--- a/cmd/portgauge-lab/scale.go
+++ b/cmd/portgauge-lab/scale.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/lab/process"
@@ -21,23 +19,19 @@
 	Steady        time.Duration `help:"How long changes come at the daily rate." default:"60s"`
 	ChangesPerDay int           `help:"The daily rate." default:"14000"`
 	Burst         int           `help:"Changes in the one second that follows." default:"50"`
-	Shards        int           `help:"Shards of each service." default:"64"`
 	Leafs         int           `help:"Leafs of each service." default:"85"`
 }
 
 // Run prints one JSON line for each size.
 func (c *scaleCommand) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	programs, cleanUp, err := buildPrograms()
-	if err != nil {
-		return err
-	}
-	defer cleanUp()
+	return withPrograms(c.runSizes)
+}
+
+func (c *scaleCommand) runSizes(ctx context.Context, programs process.Programs) error {
 	for _, size := range c.Sizes {
 		result, err := scale.Run(ctx, scale.Config{
 			Nodes: size, RealNodes: c.RealNodes, Zones: c.Zones, Hosts: c.Hosts, Settle: c.Settle, Steady: c.Steady,
-			ChangesPerDay: c.ChangesPerDay, Burst: c.Burst, Shards: c.Shards, Leafs: c.Leafs,
+			ChangesPerDay: c.ChangesPerDay, Burst: c.Burst, Leafs: c.Leafs,
 		}, programs, os.Stderr)
 		if err != nil {
 			return err
@@ -48,18 +42,3 @@
 	}
 	return nil
 }
-
-// buildPrograms compiles the programs into a folder that cleanUp removes.
-func buildPrograms() (programs process.Programs, cleanUp func(), err error) {
-	folder, err := os.MkdirTemp("", "portgauge-lab-")
-	if err != nil {
-		return programs, nil, err
-	}
-	cleanUp = func() {
-		if err := os.RemoveAll(folder); err != nil {
-			return
-		}
-	}
-	programs, err = process.Build(folder)
-	return programs, cleanUp, err
-}
--- /dev/null
+++ b/internal/compression/compression.go
@@ -0,0 +1,48 @@
+// Package compression compresses values and messages, and expands them within a bound.
+package compression
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrTooLong is the error of content beyond its bound once expanded.
+var ErrTooLong = merry.New("content too long once expanded")
+
+// compressors holds idle compressors, each of which has about 800 KB of tables.
+var compressors = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
+
+// Compress gives the content in gzip form.
+func Compress(content []byte) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(writer)
+	writer.Reset(&buffer)
+	if _, err := writer.Write(content); err != nil {
+		return nil, err
+	}
+	if err := writer.Close(); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// Expand gives the content of a gzip form, or ErrTooLong beyond so many bytes.
+func Expand(packed []byte, maximumBytes int64) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	content, err := io.ReadAll(io.LimitReader(reader, maximumBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(content)) > maximumBytes {
+		return nil, merry.Wrap(ErrTooLong)
+	}
+	return content, nil
+}
--- a/internal/configsync/handler.go
+++ b/internal/configsync/handler.go
@@ -24,6 +24,8 @@
 // HandleCall implements peer.Handler.
 func (h *PeerHandler) HandleCall(ctx context.Context, message peer.Message) peer.Message {
 	syncer := h.syncer
+	// The digest is taken before the state so that it never claims more than the state has;
+	// a state's own revision says the rest.
 	answer := peer.Message{Digest: syncer.Digest()}
 	switch {
 	case message.Join != nil:
@@ -38,7 +40,5 @@
 		reply := syncer.HandleStatus(ctx, *message.StatusQuery)
 		answer.StatusReply = &reply
 	}
-	// The digest is taken before the state so that it never claims more than the state has;
-	// a state's own revision says the rest.
 	return answer
 }
--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -181,8 +181,3 @@
 
 // Shed records that a leaf of the service refused for lack of capacity.
 func (p *Policy) Shed() { p.shedAt.Store(time.Now().UnixNano()) }
-
-// Shedding reports whether a leaf of the service shed load a short while ago.
-func (p *Policy) Shedding() bool {
-	return time.Since(time.Unix(0, p.shedAt.Load())) < p.config.ShedPause
-}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -35,9 +35,8 @@
 	ChangesPerDay int
 	// Burst is how many changes come in one second after that.
 	Burst int
-	// Shards and Leafs shape the services that are changed.
-	Shards int
-	Leafs  int
+	// Leafs is how many leafs each service that is changed has.
+	Leafs int
 }
 
 // Validate names every field at fault.
@@ -49,7 +48,7 @@
 	checks.Refuse(c.Hosts < 1 || c.Hosts > 100, "hosts", "must be between 1 and 100")
 	checks.Refuse(c.Steady < time.Second, "steady", "must be at least 1s")
 	checks.Refuse(c.Burst < 0, "burst", "must not be negative")
-	checks.Refuse(c.Leafs < 1 || c.Shards < 1, "shards, leafs", "must be at least 1")
+	checks.Refuse(c.Leafs < 1, "leafs", "must be at least 1")
 	return checks.Err()
 }
 
--- a/internal/peer/batch.go
+++ b/internal/peer/batch.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/compression"
 )
 
 // Batch is a list of changes, compressed once by the node that starts a push, so that relays
@@ -16,7 +17,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return compress(content)
+	return compression.Compress(content)
 }
 
 // Unpack gives the changes of a batch; an empty batch has none.
@@ -24,7 +25,7 @@
 	if len(b) == 0 {
 		return nil, nil
 	}
-	content, err := expand(b)
+	content, err := compression.Expand(b, MaximumLine)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/line.go
+++ b/internal/peer/line.go
@@ -2,14 +2,11 @@
 
 import (
 	"bufio"
-	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"io"
 	"net"
-	"sync"
 
-	"github.com/ansel1/merry/v2"
+	"github.com/portgauge/portgauge/internal/compression"
 )
 
 // compressAbove is the size in bytes from which a line is sent compressed. A configuration
@@ -21,12 +18,6 @@
 	Gzip []byte `json:"gzip"`
 }
 
-// compressors holds idle compressors, each of which has about 800 KB of tables.
-var compressors = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
-
-// errTooLong is the error of a line beyond MaximumLine once expanded.
-var errTooLong = merry.New("peer message too long")
-
 // writeLine sends a message as one line and gives the bytes sent.
 func writeLine(connection net.Conn, message Message) (int, error) {
 	line, err := encodeLine(message)
@@ -53,7 +44,7 @@
 	if err != nil || len(line) <= compressAbove || message.Push != nil {
 		return line, err
 	}
-	packed, err := compress(line)
+	packed, err := compression.Compress(line)
 	if err != nil {
 		return nil, err
 	}
@@ -71,40 +62,10 @@
 	if len(form.Gzip) == 0 {
 		return form.Message, nil
 	}
-	expanded, err := expand(form.Gzip)
+	expanded, err := compression.Expand(form.Gzip, MaximumLine)
 	if err != nil {
 		return Message{}, err
 	}
 	var message Message
 	return message, json.Unmarshal(expanded, &message)
 }
-
-func compress(content []byte) ([]byte, error) {
-	var buffer bytes.Buffer
-	writer := compressors.Get().(*gzip.Writer)
-	defer compressors.Put(writer)
-	writer.Reset(&buffer)
-	if _, err := writer.Write(content); err != nil {
-		return nil, err
-	}
-	if err := writer.Close(); err != nil {
-		return nil, err
-	}
-	return buffer.Bytes(), nil
-}
-
-// expand refuses content that would be longer than the longest line.
-func expand(packed []byte) ([]byte, error) {
-	reader, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, err
-	}
-	content, err := io.ReadAll(io.LimitReader(reader, MaximumLine+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(content) > MaximumLine {
-		return nil, merry.Wrap(errTooLong)
-	}
-	return content, nil
-}
