--- /dev/null
+++ b/cmd/portgauge/dialects.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"github.com/portgauge/portgauge/internal/node"
+	"github.com/portgauge/portgauge/internal/settings"
+	"github.com/portgauge/portgauge/platform"
+)
+
+// dialects gives the protocols of platforms that this program speaks besides its own.
+func dialects() []node.Dialect {
+	return []node.Dialect{{
+		Name: platform.Name,
+		HTTP: platform.Dialect(),
+		Connect: func(config settings.Platform, called func(call string, status int)) node.PlatformStore {
+			return platform.NewClient(config.Address, config.WatchWait, called)
+		},
+	}}
+}
--- a/cmd/portgauge/node.go
+++ b/cmd/portgauge/node.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	app := node.New(config, os.Stdout)
+	app := node.New(config, os.Stdout, dialects()...)
 	if err := app.Err(); err != nil {
 		return err
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -52,6 +52,8 @@
 	Leaf *Leaf
 	// Reason says why there is no leaf to ask.
 	Reason NoChoice
+	// Troubled says that the leaf is ejected or stalled, and was chosen for want of another.
+	Troubled bool
 }
 
 // NoChoice says why no replica can be asked.
@@ -81,25 +83,26 @@
 		case state.draining:
 		case state.full:
 			full = true
-		case state.ejected:
+		case state.ejected, state.stalled:
 			ejected = append(ejected, scored{leaf, state})
 		default:
 			usable = append(usable, scored{leaf, state})
 		}
 	}
-	if len(usable) == 0 {
+	troubled := len(usable) == 0
+	if troubled {
 		usable = ejected
 	}
 	if len(usable) == 0 {
 		return Choice{Reason: noChoice(full)}
 	}
 	if b.config.Method == Random {
-		return Choice{Leaf: usable[rand.IntN(len(usable))].leaf}
+		return Choice{Leaf: usable[rand.IntN(len(usable))].leaf, Troubled: troubled}
 	}
 	usable = dropCold(usable)
 	fastest := fastestLatency(usable)
 	usable = b.dropSlow(usable, fastest)
-	return Choice{Leaf: b.betterOfTwo(usable, fastest)}
+	return Choice{Leaf: b.betterOfTwo(usable, fastest), Troubled: troubled}
 }
 
 func noChoice(full bool) NoChoice {
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -53,6 +53,11 @@
 	warmSince     time.Time
 	reportedLoad  float64 // share of slots in use, by the leaf's own word
 	reportedAt    time.Time
+	// silentSince is the start of the oldest attempt since which the leaf answered nothing;
+	// zero when it owes no answer.
+	silentSince time.Time
+	// leftAt is when an attempt without an answer was last given up.
+	leftAt time.Time
 }
 
 func newLeaf(id, zone string, config Config, now time.Time) *Leaf {
@@ -71,6 +76,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.inFlight++
+	if l.silentSince.IsZero() {
+		l.silentSince = now
+	}
 	if !l.ejectedUntil.IsZero() && now.After(l.ejectedUntil) {
 		l.trial = true
 	}
@@ -82,6 +90,7 @@
 	defer l.mutex.Unlock()
 	l.inFlight--
 	l.trial = false
+	l.heard(outcome, now)
 	switch outcome {
 	case Succeeded:
 		l.succeed(config, took, now)
@@ -101,6 +110,50 @@
 	}
 }
 
+// heard keeps how long the leaf has been silent: any answer ends the silence, an attempt that
+// was given up does not.
+func (l *Leaf) heard(outcome Outcome, now time.Time) {
+	if outcome == Abandoned || outcome == Failed {
+		l.leftAt = now
+		return
+	}
+	l.silentSince = time.Time{}
+	if l.inFlight > 0 {
+		l.silentSince = now
+	}
+}
+
+// Bounds of the silence after which a leaf counts as stalled, and of the pauses between the
+// attempts that see whether it is back.
+const (
+	stallFactor       = 3
+	minimumStall      = 20 * time.Millisecond
+	unknownStall      = 150 * time.Millisecond
+	minimumStallPause = 50 * time.Millisecond
+	maximumStallPause = 2 * time.Second
+)
+
+// stalled reports whether the leaf owes answers for much longer than it usually takes. One
+// attempt at a time sees whether it is back, after pauses that grow with the silence.
+func (l *Leaf) stalled(now time.Time) bool {
+	if l.silentSince.IsZero() {
+		return false
+	}
+	silence := now.Sub(l.silentSince)
+	limit := unknownStall
+	if l.latency > 0 {
+		limit = max(minimumStall, time.Duration(stallFactor*l.latency*float64(time.Second)))
+	}
+	if silence < limit {
+		return false
+	}
+	if l.inFlight > 0 {
+		return true
+	}
+	pause := min(max(silence/2, minimumStallPause), maximumStallPause)
+	return now.Sub(l.leftAt) < pause
+}
+
 func (l *Leaf) succeed(config Config, took time.Duration, now time.Time) {
 	l.observe(took)
 	l.failures = 0
@@ -143,6 +196,7 @@
 type standing struct {
 	draining bool
 	ejected  bool
+	stalled  bool
 	full     bool
 	latency  float64 // moving average in seconds; 0 when unknown
 	load     float64 // attempts in flight and the reported load, plus the attempt to come
@@ -165,6 +219,7 @@
 	result := standing{
 		draining: now.Before(l.drainingUntil),
 		ejected:  !l.ejectedUntil.IsZero() && (l.trial || now.Before(l.ejectedUntil)),
+		stalled:  l.stalled(now),
 		full:     float64(l.inFlight) >= l.limit,
 		latency:  l.latency,
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -7,7 +7,9 @@
 	"time"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/manifest"
+	"github.com/portgauge/portgauge/internal/routing"
 )
 
 // recentLimit is how many changes a node keeps to bring others up to date without sending
@@ -15,7 +17,7 @@
 const recentLimit = 1500
 
 // recentBytes bounds the memory of those changes.
-const recentBytes = 8 << 20
+const recentBytes = 4 << 20
 
 // Service is one service as it is in force; immutable.
 type Service struct {
@@ -31,6 +33,16 @@
 type View struct {
 	Revision int64
 	Services map[string]*Service
+	// Routes is the routing table; nil while there is none.
+	Routes *routing.Table
+	// Leafs is what discovery tells of leafs.
+	Leafs *leafset.Set
+	// Nodes are the registered nodes of the fleet by id.
+	Nodes map[string]NodeRecord
+}
+
+func emptyView(revision int64) *View {
+	return &View{Revision: revision, Services: map[string]*Service{}, Leafs: leafset.Empty(), Nodes: map[string]NodeRecord{}}
 }
 
 // Snapshot is the whole state, for a node that is too far behind for single changes.
@@ -57,7 +69,7 @@
 // can't be decoded; such a key keeps its last good value in force.
 func New(rejected func(key string, err error)) *Catalog {
 	catalog := &Catalog{entries: map[string]Entry{}, subscribers: map[int]chan Change{}, rejected: rejected}
-	catalog.view.Store(&View{Services: map[string]*Service{}})
+	catalog.view.Store(emptyView(0))
 	return catalog
 }
 
@@ -105,18 +117,20 @@
 			break
 		}
 		revision = change.Entry.Revision
-		newest[change.Entry.Key] = change.Entry
+		for _, entry := range change.Entries() {
+			newest[entry.Key] = entry
+		}
 		applied = append(applied, change)
 	}
 	if len(applied) == 0 {
 		return complete
 	}
-	next := &View{Revision: revision, Services: cloneServices(current.Services)}
-	for key, entry := range newest {
-		c.entries[key] = entry
-		c.compile(next, entry)
+	draft := newDraft(current, revision)
+	for _, entry := range newest {
+		c.keep(entry)
+		c.compile(draft, entry)
 	}
-	c.view.Store(next)
+	c.view.Store(draft.done())
 	for _, change := range applied {
 		c.remember(change)
 		c.publish(change)
@@ -134,18 +148,38 @@
 	}
 	c.entries = make(map[string]Entry, len(snapshot.Entries))
 	c.recent, c.recentSize = nil, 0
-	next := &View{Revision: snapshot.Revision, Services: map[string]*Service{}}
+	draft := newDraft(emptyView(snapshot.Revision), snapshot.Revision)
+	// Routes that can't be read must not leave the node without any.
+	draft.view.Routes = current.Routes
 	for _, entry := range snapshot.Entries {
-		c.entries[entry.Key] = entry
-		c.compile(next, entry)
+		c.keep(entry)
+		c.compile(draft, entry)
 		if entry.Revision > current.Revision {
 			c.publish(Change{Entry: entry})
 		}
 	}
-	c.view.Store(next)
+	c.view.Store(draft.done())
 	return true
 }
 
+func (c Change) size() int {
+	size := 0
+	for _, entry := range c.Entries() {
+		size += len(entry.Value)
+	}
+	return size
+}
+
+// keep remembers an entry; a tombstone of a record that comes and goes with its process is
+// dropped, since ids are never used again and the tombstones would pile up.
+func (c *Catalog) keep(entry Entry) {
+	if entry.Deleted && isTransient(entry.Key) {
+		delete(c.entries, entry.Key)
+		return
+	}
+	c.entries[entry.Key] = entry
+}
+
 // Since gives the changes after a revision, or false when they are no longer kept.
 func (c *Catalog) Since(revision int64) ([]Change, bool) {
 	c.mutex.Lock()
@@ -208,78 +242,9 @@
 
 func (c *Catalog) remember(change Change) {
 	c.recent = append(c.recent, change)
-	c.recentSize += len(change.Entry.Value)
+	c.recentSize += change.size()
 	for len(c.recent) > recentLimit || (c.recentSize > recentBytes && len(c.recent) > 1) {
-		c.recentSize -= len(c.recent[0].Entry.Value)
+		c.recentSize -= c.recent[0].size()
 		c.recent = c.recent[1:]
 	}
 }
-
-// compile puts one entry into a view that is not yet in force.
-func (c *Catalog) compile(view *View, entry Entry) {
-	var err error
-	if name, isService := serviceOfKey(entry.Key); isService {
-		err = compileService(view, name, entry)
-	} else if name, isSnapshot := serviceOfSnapshotKey(entry.Key); isSnapshot {
-		err = compileSnapshot(view, name, entry)
-	}
-	if err != nil && c.rejected != nil {
-		c.rejected(entry.Key, err)
-	}
-}
-
-func compileService(view *View, name string, entry Entry) error {
-	service := editable(view, name)
-	service.Revision = entry.Revision
-	if entry.Deleted {
-		service.Spec, service.Leafs = nil, nil
-		return nil
-	}
-	spec, err := DecodeService(entry)
-	if err != nil {
-		return err
-	}
-	service.Spec = spec
-	service.Leafs = make(map[string]*adminv1.Leaf, len(spec.GetLeafs()))
-	for _, leaf := range spec.GetLeafs() {
-		service.Leafs[leaf.GetId()] = leaf
-	}
-	return nil
-}
-
-func compileSnapshot(view *View, name string, entry Entry) error {
-	service := editable(view, name)
-	service.SnapshotRevision = entry.Revision
-	if entry.Deleted {
-		service.Manifest = nil
-		return nil
-	}
-	message, err := DecodeSnapshot(entry)
-	if err != nil {
-		return err
-	}
-	compiled, err := manifest.New(message)
-	if err != nil {
-		return err
-	}
-	service.Manifest = compiled
-	return nil
-}
-
-// editable gives a copy of the service that belongs to the new view alone.
-func editable(view *View, name string) *Service {
-	service := &Service{}
-	if known, found := view.Services[name]; found {
-		*service = *known
-	}
-	view.Services[name] = service
-	return service
-}
-
-func cloneServices(services map[string]*Service) map[string]*Service {
-	clone := make(map[string]*Service, len(services)+1)
-	for name, service := range services {
-		clone[name] = service
-	}
-	return clone
-}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -64,7 +65,7 @@
 func checkView(t *rapid.T, node *Catalog, log []Change) {
 	view := node.View()
 	for _, entry := range stateAt(log, view.Revision).Entries {
-		name, _ := serviceOfKey(entry.Key)
+		name := strings.TrimPrefix(entry.Key, servicePrefix)
 		service := view.Services[name]
 		if service == nil || service.Revision != entry.Revision || (service.Spec == nil) != entry.Deleted {
 			t.Fatalf("service %s at revision %d is not the store's", name, view.Revision)
--- /dev/null
+++ b/internal/catalog/draft.go
@@ -0,0 +1,183 @@
+package catalog
+
+import (
+	"encoding/json"
+	"maps"
+	"strings"
+	"time"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/manifest"
+	"github.com/portgauge/portgauge/internal/routing"
+)
+
+// NodeRecord is a node's own word on itself.
+type NodeRecord struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// Address is the node's peer address.
+	Address string `json:"address"`
+}
+
+// isTransient reports whether a key holds the record of a process, which ends with it.
+func isTransient(key string) bool {
+	return strings.HasPrefix(key, leafPrefix) || strings.HasPrefix(key, nodePrefix)
+}
+
+// draft is a view that is not yet in force. Parts of the view before it are copied only when
+// they change.
+type draft struct {
+	view       *View
+	leafs      *leafset.Editor // nil while no leaf changed
+	ownsNodes  bool
+	ownService bool
+}
+
+func newDraft(current *View, revision int64) *draft {
+	next := *current
+	next.Revision = revision
+	return &draft{view: &next}
+}
+
+func (d *draft) done() *View {
+	if d.leafs != nil {
+		d.view.Leafs = d.leafs.Done()
+	}
+	return d.view
+}
+
+// compile puts one entry into a draft.
+func (c *Catalog) compile(target *draft, entry Entry) {
+	var err error
+	switch {
+	case entry.Key == RoutesKey:
+		err = target.compileRoutes(entry)
+	case strings.HasPrefix(entry.Key, servicePrefix):
+		err = target.compileService(strings.TrimPrefix(entry.Key, servicePrefix), entry)
+	case strings.HasPrefix(entry.Key, snapshotPrefix):
+		err = target.compileSnapshot(strings.TrimPrefix(entry.Key, snapshotPrefix), entry)
+	case strings.HasPrefix(entry.Key, leafPrefix):
+		err = target.compileLeaf(strings.TrimPrefix(entry.Key, leafPrefix), entry)
+	case strings.HasPrefix(entry.Key, nodePrefix):
+		err = target.compileNode(strings.TrimPrefix(entry.Key, nodePrefix), entry)
+	}
+	if err != nil && c.rejected != nil {
+		c.rejected(entry.Key, err)
+	}
+}
+
+// compileRoutes takes a routing configuration that is newer than the one in force.
+func (d *draft) compileRoutes(entry Entry) error {
+	if entry.Deleted {
+		return nil
+	}
+	document, err := DecodeDocument(entry)
+	if err != nil {
+		return err
+	}
+	configuration, err := routing.Parse(document)
+	if err != nil {
+		return err
+	}
+	if d.view.Routes != nil && d.view.Routes.Revision >= entry.Revision {
+		return nil
+	}
+	d.view.Routes = routing.NewTable(configuration, entry.Revision)
+	return nil
+}
+
+func (d *draft) compileLeaf(id string, entry Entry) error {
+	if d.leafs == nil {
+		d.leafs = d.view.Leafs.Edit()
+	}
+	if entry.Deleted {
+		d.leafs.Remove(id)
+		return nil
+	}
+	document, err := DecodeDocument(entry)
+	if err != nil {
+		return err
+	}
+	record, err := leafset.Parse(document)
+	if err != nil {
+		return err
+	}
+	warm := time.Now().Add(time.Duration(record.WarmupMillis) * time.Millisecond)
+	d.leafs.Put(&leafset.Leaf{Record: record, Revision: entry.Revision, WarmUntil: warm})
+	return nil
+}
+
+func (d *draft) compileNode(id string, entry Entry) error {
+	if !d.ownsNodes {
+		d.view.Nodes = maps.Clone(d.view.Nodes)
+		d.ownsNodes = true
+	}
+	if entry.Deleted {
+		delete(d.view.Nodes, id)
+		return nil
+	}
+	document, err := DecodeDocument(entry)
+	if err != nil {
+		return err
+	}
+	var record NodeRecord
+	if err := json.Unmarshal(document, &record); err != nil {
+		return failure.Invalid("node", "not a node record: %v", err)
+	}
+	d.view.Nodes[id] = record
+	return nil
+}
+
+func (d *draft) compileService(name string, entry Entry) error {
+	service := d.editable(name)
+	service.Revision = entry.Revision
+	if entry.Deleted {
+		service.Spec, service.Leafs = nil, nil
+		return nil
+	}
+	spec, err := DecodeService(entry)
+	if err != nil {
+		return err
+	}
+	service.Spec = spec
+	service.Leafs = make(map[string]*adminv1.Leaf, len(spec.GetLeafs()))
+	for _, leaf := range spec.GetLeafs() {
+		service.Leafs[leaf.GetId()] = leaf
+	}
+	return nil
+}
+
+func (d *draft) compileSnapshot(name string, entry Entry) error {
+	service := d.editable(name)
+	service.SnapshotRevision = entry.Revision
+	if entry.Deleted {
+		service.Manifest = nil
+		return nil
+	}
+	message, err := DecodeSnapshot(entry)
+	if err != nil {
+		return err
+	}
+	compiled, err := manifest.New(message)
+	if err != nil {
+		return err
+	}
+	service.Manifest = compiled
+	return nil
+}
+
+// editable gives a copy of the service that belongs to the draft alone.
+func (d *draft) editable(name string) *Service {
+	if !d.ownService {
+		d.view.Services = maps.Clone(d.view.Services)
+		d.ownService = true
+	}
+	service := &Service{}
+	if known, found := d.view.Services[name]; found {
+		*service = *known
+	}
+	d.view.Services[name] = service
+	return service
+}
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -7,7 +7,6 @@
 
 import (
 	"encoding/json"
-	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -15,10 +14,14 @@
 	"github.com/portgauge/portgauge/internal/failure"
 )
 
-// Key prefixes of the two kinds of entry.
+// Key prefixes of the kinds of entry; there is one entry of routes.
 const (
 	servicePrefix  = "service/"
 	snapshotPrefix = "snapshot/"
+	leafPrefix     = "leaf/"
+	nodePrefix     = "node/"
+	// RoutesKey is the store key of the routing configuration.
+	RoutesKey = "routes"
 )
 
 // ServiceKey is the store key of a service's settings.
@@ -27,6 +30,12 @@
 // SnapshotKey is the store key of a service's current manifest.
 func SnapshotKey(service string) string { return snapshotPrefix + service }
 
+// LeafKey is the store key of a leaf's own record.
+func LeafKey(id string) string { return leafPrefix + id }
+
+// NodeKey is the store key of a node's own record.
+func NodeKey(id string) string { return nodePrefix + id }
+
 // Entry is the value of one key at the revision that wrote it; a tombstone has Deleted set.
 type Entry struct {
 	Key      string          `json:"key"`
@@ -39,8 +48,13 @@
 type Change struct {
 	Entry    Entry `json:"entry"`
 	Previous int64 `json:"previous"`
+	// More are the other entries that the same revision wrote.
+	More []Entry `json:"more,omitempty"`
 }
 
+// Entries gives all entries of the change.
+func (c Change) Entries() []Entry { return append([]Entry{c.Entry}, c.More...) }
+
 // historyLength is how many earlier change ids an envelope keeps. A writer that lost a
 // reply finds its change among them even if that many others wrote the key since.
 const historyLength = 16
@@ -59,6 +73,23 @@
 	// Payload is the message in compressed binary form: each watcher reads it from the store
 	// and each node is sent it at each change.
 	Payload []byte `json:"payload,omitempty"`
+	// Document is the payload of entries that are JSON: routes, leafs and nodes.
+	Document json.RawMessage `json:"document,omitempty"`
+}
+
+// NewDocument wraps a JSON document for a write that replaces the given entry, if any.
+func NewDocument(changeID string, document json.RawMessage, replaced *Entry) ([]byte, error) {
+	envelope := Envelope{ChangeID: changeID, Deleted: document == nil, Document: document}
+	if replaced != nil {
+		envelope.History = pastChanges(replaced)
+	}
+	return json.Marshal(envelope)
+}
+
+// DecodeDocument reads the JSON document of an entry.
+func DecodeDocument(entry Entry) (json.RawMessage, error) {
+	envelope, err := OpenEnvelope(entry.Value)
+	return envelope.Document, err
 }
 
 // NewEnvelope wraps a message for a write that replaces the given entry, if any.
@@ -135,7 +166,3 @@
 	}
 	return nil
 }
-
-func serviceOfKey(key string) (string, bool) { return strings.CutPrefix(key, servicePrefix) }
-
-func serviceOfSnapshotKey(key string) (string, bool) { return strings.CutPrefix(key, snapshotPrefix) }
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -75,6 +75,11 @@
 		if errors.Is(err, errNotWatcher) {
 			continue
 		}
+		if errors.Is(err, store.ErrHistoryGone) {
+			if err = s.readStore(ctx); err == nil {
+				continue
+			}
+		}
 		s.storeDownAt.CompareAndSwap(0, time.Now().UnixNano())
 		s.logger.Warn("store watch ended", zap.Error(err), zap.Int64("revision", s.catalog.Revision()))
 		if time.Since(opened) > s.config.WatchSilence {
@@ -153,6 +158,10 @@
 		}
 		s.enqueue(*event.Change)
 	}
+	if event.Change == nil && event.Current > s.catalog.Revision() {
+		// The store is further than what it told of: the changes between were not watched.
+		return s.readStore(ctx)
+	}
 	if event.Current == s.catalog.Revision() {
 		s.catalog.Confirm(time.Now())
 	}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -20,7 +20,9 @@
 // The codes a caller or operator can receive.
 const (
 	InvalidField       Code = "INVALID_FIELD"
+	TooLarge           Code = "TOO_LARGE"
 	UnknownService     Code = "UNKNOWN_SERVICE"
+	UnknownRoute       Code = "UNKNOWN_ROUTE"
 	NoSnapshot         Code = "NO_SNAPSHOT"
 	NotReady           Code = "NOT_READY"
 	Draining           Code = "DRAINING"
@@ -28,6 +30,7 @@
 	DeadlineTooShort   Code = "DEADLINE_TOO_SHORT"
 	DeadlineExceeded   Code = "DEADLINE_EXCEEDED"
 	IncompleteCoverage Code = "INCOMPLETE_COVERAGE"
+	LeafFailed         Code = "LEAF_FAILED"
 	NotRepeatable      Code = "NOT_REPEATABLE"
 	RevisionConflict   Code = "REVISION_CONFLICT"
 	StoreUnavailable   Code = "STORE_UNAVAILABLE"
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/scatter"
+)
+
+// The reasons of this package for a shard without a reply.
+const (
+	reasonGone       scatter.Reason = "LEAF_GONE"
+	reasonNotSent    scatter.Reason = "NOT_SENT"
+	reasonBroken     scatter.Reason = "BROKEN_ANSWER"
+	reasonLeafError  scatter.Reason = "LEAF_ERROR"
+	reasonUnsigned   scatter.Reason = "UNSIGNED_ANSWER"
+	reasonLeafRefuse scatter.Reason = "REFUSED_BY_LEAF"
+)
+
+// runAttempt asks one leaf and judges its answer.
+func (w *gathering) runAttempt(ctx context.Context, attempt scatter.Attempt) scatter.Result[leafhttp.Response] {
+	service := w.services[attempt.Shard]
+	leaf, known := w.gateway.catalog.View().Leafs.ByID(attempt.Leaf.ID)
+	if !known {
+		return scatter.Result[leafhttp.Response]{Reason: reasonGone, Execution: scatter.NotRun, Outcome: balancer.Declined}
+	}
+	target := leafhttp.Target{
+		Incarnation: leaf.ID, Address: leaf.Address, MaximumConnections: w.query.service(service).MaximumConnections,
+	}
+	response, err := w.gateway.leafs.Do(ctx, target, &w.query.Leaf, w.query.deadline)
+	if err != nil {
+		return judgeError(ctx, err)
+	}
+	if response.Load != nil {
+		w.gateway.balancer.Report(attempt.Leaf, balancer.Load{
+			InFlight: uint32(response.Load.Running + response.Load.Waiting), Slots: uint32(response.Load.Slots),
+		})
+	}
+	return w.judge(response)
+}
+
+// judge says what an answer is worth, and what it tells of the leaf and of the execution.
+func (w *gathering) judge(response *leafhttp.Response) scatter.Result[leafhttp.Response] {
+	if response.NotExecuted {
+		return judgeRefusal(response)
+	}
+	signed := response.Header.Get(w.gateway.dialect.ResponseStamp) != ""
+	isSuccess := response.Status >= http.StatusOK && response.Status < http.StatusMultipleChoices
+	switch {
+	case isSuccess && signed:
+		return scatter.Result[leafhttp.Response]{Reply: response, Execution: scatter.Ran, Outcome: balancer.Succeeded}
+	case isSuccess:
+		return scatter.Result[leafhttp.Response]{Reason: reasonUnsigned, Execution: scatter.Unknown, Outcome: balancer.Failed}
+	}
+	w.keepFailure(response)
+	result := scatter.Result[leafhttp.Response]{Reason: reasonLeafError, Execution: scatter.Ran, Outcome: balancer.Failed}
+	if response.Status < http.StatusInternalServerError {
+		// The request itself is at fault, by the leaf's word: others would say the same.
+		result.Final, result.Outcome = true, balancer.Declined
+	}
+	return result
+}
+
+// keepFailure remembers a leaf's own failure, to be passed on if no other leaf does better.
+func (w *gathering) keepFailure(response *leafhttp.Response) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.lastFailure = response
+}
+
+// judgeRefusal takes a leaf's word that it did not run the attempt.
+func judgeRefusal(response *leafhttp.Response) scatter.Result[leafhttp.Response] {
+	result := scatter.Result[leafhttp.Response]{Reason: scatter.Shed, Execution: scatter.NotRun, Outcome: balancer.Shed}
+	switch response.Status {
+	case http.StatusMisdirectedRequest:
+		result.Reason, result.Outcome = reasonGone, balancer.Drained
+	case http.StatusBadRequest:
+		result.Reason, result.Outcome, result.Final = reasonLeafRefuse, balancer.Declined, true
+	}
+	return result
+}
+
+func judgeError(ctx context.Context, err error) scatter.Result[leafhttp.Response] {
+	outcome := balancer.Failed
+	if ctx.Err() != nil {
+		outcome = balancer.Abandoned
+	}
+	var neverSent *leafhttp.NeverSentError
+	if errors.As(err, &neverSent) {
+		return scatter.Result[leafhttp.Response]{Reason: reasonNotSent, Execution: scatter.NotRun, Outcome: outcome}
+	}
+	return scatter.Result[leafhttp.Response]{Reason: reasonBroken, Execution: scatter.Unknown, Outcome: outcome}
+}
+
+// Began implements scatter.Observer.
+func (w *gathering) Began(attempt scatter.Attempt) {
+	w.gateway.journal.Attempted(w.services[attempt.Shard], attempt.Kind)
+}
+
+// Ended implements scatter.Observer.
+func (w *gathering) Ended(attempt scatter.Attempt, result scatter.Result[leafhttp.Response], took time.Duration) {
+	if result.Reply == nil && result.Outcome != balancer.Abandoned {
+		w.gateway.journal.AttemptFailed(AttemptRecord{
+			RequestID: w.query.Leaf.ID, Service: w.services[attempt.Shard], Leaf: attempt.Leaf.ID, Kind: attempt.Kind,
+			Reason: result.Reason, Execution: result.Execution, Took: took,
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/httpdialect"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/scatter"
+)
+
+// notReadyRetryAfter is what callers of a node without routes are told.
+const notReadyRetryAfter = 100 * time.Millisecond
+
+// LeafCaller runs one attempt at a leaf; leafhttp.Pool is the real one.
+type LeafCaller interface {
+	Do(ctx context.Context, target leafhttp.Target, request *leafhttp.Request, deadline time.Time) (*leafhttp.Response, error)
+}
+
+// Parts are what a gateway is built from.
+type Parts struct {
+	Config   Config
+	Dialect  httpdialect.Dialect
+	Catalog  *catalog.Catalog
+	Balancer *balancer.Balancer
+	Budgets  *retrybudget.Budgets
+	Leafs    LeafCaller
+	Journal  Journal
+}
+
+// Gateway serves requests by the routing table; safe for concurrent use.
+type Gateway struct {
+	config   Config
+	dialect  httpdialect.Dialect
+	catalog  *catalog.Catalog
+	balancer *balancer.Balancer
+	budgets  *retrybudget.Budgets
+	leafs    LeafCaller
+	journal  Journal
+
+	latencies *latencyBook
+	patience  *patienceBook
+	shares    *routing.Shares
+}
+
+// New makes a gateway.
+func New(parts Parts) *Gateway {
+	return &Gateway{
+		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, balancer: parts.Balancer,
+		budgets: parts.Budgets, leafs: parts.Leafs, journal: parts.Journal,
+		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
+	}
+}
+
+// Ready reports whether there are routes to serve by.
+func (g *Gateway) Ready() bool { return g.catalog.View().Routes != nil }
+
+// Limits gives the limits of callers in force.
+func (g *Gateway) Limits() routing.Limits {
+	if table := g.catalog.View().Routes; table != nil {
+		return table.Limits
+	}
+	return routing.Limits{}
+}
+
+// Serve answers one request. Its errors are *failure.Failure.
+func (g *Gateway) Serve(ctx context.Context, request *Request) (*Answer, error) {
+	pinned, err := g.newQuery(request)
+	if err != nil {
+		g.journal.Refused(request, err)
+		return nil, err
+	}
+	work := &gathering{gateway: g, query: pinned, services: g.servicesOf(pinned)}
+	for _, service := range work.services {
+		g.budgets.Request(service)
+	}
+	answer, err := work.serve(ctx)
+	g.journal.Served(pinned.record(work, answer, err))
+	return answer, err
+}
+
+// servicesOf gives the services whose leafs are asked.
+func (g *Gateway) servicesOf(pinned *query) []string {
+	entry := pinned.entry
+	switch {
+	case len(entry.Gathered) > 0:
+		return entry.Gathered
+	case len(entry.Weighted) > 0:
+		leafs := g.catalog.View().Leafs
+		chosen := g.shares.Next(entry, func(service string) bool { return len(leafs.Of(service)) > 0 })
+		return []string{entry.Weighted[chosen].Service}
+	}
+	return []string{entry.Service}
+}
+
+// gathering is the work on one request: one shard for each service.
+type gathering struct {
+	gateway  *Gateway
+	query    *query
+	services []string
+	summary  scatter.Summary
+	outcomes []scatter.Outcome[leafhttp.Response]
+
+	// mutex guards lastFailure, which attempts set as they end.
+	mutex       sync.Mutex
+	lastFailure *leafhttp.Response
+}
+
+func (w *gathering) isGathered() bool { return len(w.query.entry.Gathered) > 0 }
+
+func (w *gathering) serve(ctx context.Context) (*Answer, error) {
+	work := scatter.New(w.plan(), scatter.Parts[leafhttp.Response]{
+		Balancer: w.gateway.balancer, Run: w.runAttempt, Observer: w, Superseded: leafhttp.ErrSuperseded,
+	})
+	w.outcomes, w.summary = work.Run(ctx)
+	if ctx.Err() != nil {
+		return nil, failure.New(failure.Cancelled, w.execution(), "the caller went away")
+	}
+	if w.isGathered() {
+		return w.gatheredAnswer()
+	}
+	return w.singleAnswer()
+}
+
+func (w *gathering) plan() scatter.Plan {
+	entry := w.query.entry
+	plan := scatter.Plan{
+		Shards:          make([]scatter.Shard, len(w.services)),
+		Deadline:        w.query.deadline,
+		Sufficient:      max(1, entry.RequiredParts),
+		AtMostOnce:      entry.Repeatability == routing.AtMostOnce,
+		MaximumAttempts: entry.Attempts,
+		MaximumRefusals: w.gateway.config.MaximumRefusals,
+		ReplicaWait:     w.gateway.config.ReplicaWait,
+	}
+	if w.isGathered() {
+		plan.SoftDeadline = w.query.objective
+	}
+	leafs := w.gateway.catalog.View().Leafs
+	for index, service := range w.services {
+		plan.Shards[index] = scatter.Shard{
+			Candidates: candidatesOf(leafs.Of(service)),
+			Policy: &shardPolicy{
+				config: w.gateway.config, service: service, budgets: w.gateway.budgets,
+				latency: w.latency(service), objective: w.query.objective,
+			},
+		}
+	}
+	return plan
+}
+
+// latency gives the latencies of this kind of request. The shards of a gathered route are
+// alike, and are told apart from other routes by objective and priority.
+func (w *gathering) latency(service string) *kindLatency {
+	entry := w.query.entry
+	if w.isGathered() {
+		service = "gathered"
+	}
+	kind := service + " " + strconv.FormatInt(entry.ObjectiveMillis, 10) + " " + strconv.Itoa(entry.Priority)
+	return w.gateway.latencies.of(kind, entry.Objective/objectiveParts)
+}
+
+func candidatesOf(leafs []*leafset.Leaf) []balancer.Candidate {
+	candidates := make([]balancer.Candidate, 0, len(leafs))
+	for _, leaf := range leafs {
+		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Leaving: leaf.State != leafset.Ready})
+	}
+	return candidates
+}
+
+// execution gives what is known of whether the request ran.
+func (w *gathering) execution() failure.ExecutionState {
+	switch w.summary.Execution() {
+	case scatter.Ran:
+		return failure.Ran
+	case scatter.NotRun:
+		return failure.NotRun
+	case scatter.Unknown:
+	}
+	return failure.Unknown
+}
+
+// gatheredAnswer merges the parts that are in, if there are enough.
+func (w *gathering) gatheredAnswer() (*Answer, error) {
+	answer := &Answer{Status: http.StatusOK}
+	bodies := make([][]byte, 0, len(w.outcomes))
+	for _, outcome := range w.outcomes {
+		if outcome.Reply == nil {
+			answer.Missing++
+			continue
+		}
+		answer.Stamps = append(answer.Stamps, outcome.Reply.Header.Get(w.gateway.dialect.ResponseStamp))
+		bodies = append(bodies, outcome.Reply.Body)
+	}
+	if len(answer.Stamps) < max(1, w.query.entry.RequiredParts) {
+		return nil, w.failed()
+	}
+	answer.Body = topRecords(bodies, w.query.entry.TopRecords)
+	return answer, nil
+}
+
+// singleAnswer passes the leaf's answer on, or its last failure when there was no success.
+func (w *gathering) singleAnswer() (*Answer, error) {
+	reply := w.outcomes[0].Reply
+	if reply == nil {
+		w.mutex.Lock()
+		reply = w.lastFailure
+		w.mutex.Unlock()
+	}
+	if reply == nil {
+		return nil, w.failed()
+	}
+	return &Answer{Status: reply.Status, Header: leafhttp.PassedOn(reply.Header), Body: reply.Body}, nil
+}
+
+// failed makes the typed failure of a request without an answer.
+func (w *gathering) failed() error {
+	execution := w.execution()
+	reason := w.firstReason()
+	code := failure.IncompleteCoverage
+	switch {
+	case execution == failure.NotRun:
+		code = failure.Overloaded
+	case reason == scatter.Deadline:
+		code = failure.DeadlineExceeded
+	case !w.isGathered():
+		code = failure.LeafFailed
+	}
+	failed := failure.New(code, execution, "%d of %d shards are missing: %s", len(w.outcomes)-w.summary.Replies, len(w.outcomes), reason)
+	if execution == failure.NotRun {
+		failed = failed.WithRetryAfter(w.gateway.config.RetryAfter)
+	}
+	return failed
+}
+
+func (w *gathering) firstReason() scatter.Reason {
+	for _, outcome := range w.outcomes {
+		if outcome.Reply == nil {
+			return outcome.Reason
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/gateway/journal.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/scatter"
+)
+
+// Journal is told of every decision that touches a request.
+type Journal interface {
+	// Refused tells of a request that no leaf was asked for.
+	Refused(request *Request, err error)
+	// Attempted tells of an attempt that begins.
+	Attempted(service string, kind scatter.Kind)
+	// AttemptFailed tells of an attempt without a usable reply.
+	AttemptFailed(record AttemptRecord)
+	// Served tells of the end of a request.
+	Served(record RequestRecord)
+}
+
+// AttemptRecord is an attempt without a usable reply.
+type AttemptRecord struct {
+	RequestID string
+	Service   string
+	Leaf      string
+	Kind      scatter.Kind
+	Reason    scatter.Reason
+	Execution scatter.Execution
+	Took      time.Duration
+}
+
+// RequestRecord is a request with what decided its answer.
+type RequestRecord struct {
+	RequestID string
+	Route     string
+	// Version and Revision are those of the routing table that the request was pinned to.
+	Version  int64
+	Revision int64
+	// ConfigAge is how long ago that revision was confirmed to be the newest.
+	ConfigAge time.Duration
+	Took      time.Duration
+	// InTime says that the answer went out within the objective.
+	InTime  bool
+	Parts   int
+	Missing int
+	// MissingServices are the services without a part, with the reason of each.
+	MissingServices []MissingPart
+	Summary         scatter.Summary
+	Status          int
+	// Failure is nil for answers, leafs' own failures included.
+	Failure *failure.Failure
+}
+
+// MissingPart is a service that an answer lacks.
+type MissingPart struct {
+	Service  string         `json:"service"`
+	Reason   scatter.Reason `json:"reason"`
+	Attempts int            `json:"attempts"`
+}
+
+// record gathers what is told of a request at its end.
+func (q *query) record(work *gathering, answer *Answer, err error) RequestRecord {
+	record := RequestRecord{
+		RequestID: q.Leaf.ID, Route: q.entry.Name, Version: q.table.Version, Revision: q.table.Revision,
+		ConfigAge: time.Since(work.gateway.catalog.ConfirmedAt()), Took: time.Since(q.Arrived),
+		InTime: !time.Now().After(q.objective), Parts: len(work.outcomes), Summary: work.summary,
+	}
+	for index, outcome := range work.outcomes {
+		if outcome.Reply == nil {
+			record.Missing++
+			record.MissingServices = append(record.MissingServices, MissingPart{Service: work.services[index], Reason: outcome.Reason, Attempts: outcome.Attempts})
+		}
+	}
+	if err != nil {
+		record.Failure = failure.From(err)
+		return record
+	}
+	record.Status = answer.Status
+	return record
+}
--- /dev/null
+++ b/internal/gateway/policy.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/hedging"
+	"github.com/portgauge/portgauge/internal/retrybudget"
+)
+
+// minimumSamples is how many latencies of a kind of request must be known.
+const minimumSamples = 20
+
+// median and the guess of the median, as a part of the objective, while none is known.
+const (
+	medianPercent  = 50
+	objectiveParts = 6
+)
+
+// latencyBook keeps the latency of each kind of request; safe for concurrent use.
+type latencyBook struct {
+	window time.Duration
+
+	mutex sync.Mutex
+	kinds map[string]*kindLatency
+}
+
+// kindLatency is the latency of one kind of request at its leafs.
+type kindLatency struct {
+	latencies *hedging.Latencies
+
+	mutex  sync.Mutex
+	median time.Duration
+}
+
+func newLatencyBook(window time.Duration) *latencyBook {
+	return &latencyBook{window: window, kinds: map[string]*kindLatency{}}
+}
+
+// of gives the latencies of a kind, which start with a guess of the median.
+func (b *latencyBook) of(kind string, guess time.Duration) *kindLatency {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known, found := b.kinds[kind]
+	if !found {
+		known = &kindLatency{latencies: hedging.NewLatencies(b.window, minimumSamples), median: guess}
+		b.kinds[kind] = known
+	}
+	return known
+}
+
+func (k *kindLatency) observe(took time.Duration) {
+	if !k.latencies.Observe(took) {
+		return
+	}
+	if median, known := k.latencies.Quantile(medianPercent); known {
+		k.mutex.Lock()
+		defer k.mutex.Unlock()
+		k.median = median
+	}
+}
+
+func (k *kindLatency) typical() time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.median
+}
+
+// shardPolicy decides on the hedges and retries of one shard of one request.
+type shardPolicy struct {
+	config  Config
+	service string
+	budgets *retrybudget.Budgets
+	latency *kindLatency
+	// objective is until when the answer has its full worth.
+	objective time.Time
+}
+
+// Parts of the budget below which hedges wait longer, and how much longer.
+const (
+	lowBudget      = 0.5
+	lowBudgetWait  = 1.4
+	tightBudget    = 0.3
+	tightWait      = 2.2
+	minimumHedge   = 2 * time.Millisecond
+	lastChanceTail = 1.5
+)
+
+// FirstAttempt implements scatter.Policy. Requests are counted when they come, see Gateway.
+func (p *shardPolicy) FirstAttempt() {}
+
+// HedgeDelay implements scatter.Policy: a hedge is due when the leaf takes much longer than is
+// usual for this kind of request, and at the latest when another could still answer in time.
+func (p *shardPolicy) HedgeDelay(stage int) (time.Duration, bool) {
+	if stage > 0 {
+		return 0, false
+	}
+	typical := p.latency.typical()
+	factor := p.config.HedgeFactor
+	switch left := p.budgets.Left(p.service); {
+	case left < tightBudget:
+		factor *= tightWait
+	case left < lowBudget:
+		factor *= lowBudgetWait
+	}
+	delay := time.Duration(factor * float64(typical))
+	lastChance := time.Until(p.objective) - time.Duration(lastChanceTail*float64(typical))
+	if lastChance > 0 {
+		delay = min(delay, lastChance)
+	}
+	return max(delay, minimumHedge), true
+}
+
+// AllowHedge implements scatter.Policy.
+func (p *shardPolicy) AllowHedge() bool { return p.budgets.Take(p.service, p.config.HedgeReserve) }
+
+// AllowRetry implements scatter.Policy.
+func (p *shardPolicy) AllowRetry() bool { return p.budgets.Take(p.service, 0) }
+
+// Observe implements scatter.Policy.
+func (p *shardPolicy) Observe(took time.Duration) { p.latency.observe(took) }
+
+// Shed implements scatter.Policy.
+func (p *shardPolicy) Shed() {}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/routing"
+)
+
+// Request is one try of a caller.
+type Request struct {
+	// Leaf is what leafs are sent.
+	Leaf leafhttp.Request
+	// Path is the target without its query, as the caller sent it.
+	Path string
+	// Arrived is when the request was read.
+	Arrived time.Time
+	// Patience is how long the caller waits, by its own word; 0 when it says nothing.
+	Patience time.Duration
+}
+
+// Answer is a success, or a leaf's own failure that is passed on.
+type Answer struct {
+	Status int
+	// Header is what the leaf sent, less what concerns one connection; nil for gathered answers.
+	Header http.Header
+	Body   []byte
+	// Stamps are the signatures of a gathered answer's parts; nil for other answers.
+	Stamps []string
+	// Missing is how many parts a gathered answer lacks.
+	Missing int
+}
+
+// query is a request with its route and times, pinned for its life.
+type query struct {
+	*Request
+	entry *routing.Entry
+	table *routing.Table
+	// deadline is when the answer must be on its way.
+	deadline time.Time
+	// objective is until when the answer has its full worth.
+	objective time.Time
+}
+
+// newQuery finds the route of a request in the table in force.
+func (g *Gateway) newQuery(request *Request) (*query, error) {
+	table := g.catalog.View().Routes
+	if table == nil {
+		return nil, failure.New(failure.NotReady, failure.NotRun, "the node has no routes yet").WithRetryAfter(notReadyRetryAfter)
+	}
+	entry := table.Match(request.Leaf.Host, request.Path)
+	if entry == nil {
+		return nil, failure.New(failure.UnknownRoute, failure.NotRun, "no route for host %q and path %q in version %d", request.Leaf.Host, request.Path, table.Version)
+	}
+	pinned := &query{Request: request, entry: entry, table: table, deadline: request.Arrived.Add(entry.Timeout)}
+	spent := time.Duration(0)
+	if request.Patience > 0 {
+		spent = g.patience.spent(entry, request.Patience)
+		patient := request.Arrived.Add(request.Patience - min(g.config.AnswerReserve, request.Patience/4))
+		if patient.Before(pinned.deadline) {
+			pinned.deadline = patient
+		}
+	}
+	reserve := min(g.config.ObjectiveReserve, entry.Objective/4)
+	pinned.objective = request.Arrived.Add(entry.Objective - spent - reserve)
+	return pinned, nil
+}
+
+// service gives what operators say of a service.
+func (q *query) service(name string) routing.Service {
+	service, found := q.table.Service(name)
+	if !found {
+		service.Name = name
+	}
+	return service
+}
--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -8,12 +8,9 @@
 package hedging
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/portgauge/portgauge/internal/failure"
 )
 
@@ -41,13 +38,6 @@
 // minimumSamples is how many latencies must be known before any hedge is sent.
 const minimumSamples = 100
 
-// Bounds and precision of the latency histograms.
-const (
-	lowestMicros      = 1
-	highestMicros     = int64(time.Minute / time.Microsecond)
-	significantDigits = 2
-)
-
 // DefaultConfig keeps extra load near 2%.
 func DefaultConfig() Config {
 	return Config{
@@ -83,21 +73,12 @@
 	shedAt  atomic.Int64
 	delay   atomic.Int64 // nanoseconds; 0 while too little is known
 
-	mutex    sync.Mutex
-	current  *hdrhistogram.Histogram
-	previous *hdrhistogram.Histogram
-	rotated  time.Time
-	unread   int
+	latencies *Latencies
 }
 
 // NewPolicy makes a policy; hedgePerMille of 0 means the default.
 func NewPolicy(config Config, hedgePerMille uint32) *Policy {
-	policy := &Policy{
-		config:   config,
-		current:  hdrhistogram.New(lowestMicros, highestMicros, significantDigits),
-		previous: hdrhistogram.New(lowestMicros, highestMicros, significantDigits),
-		rotated:  time.Now(),
-	}
+	policy := &Policy{config: config, latencies: NewLatencies(config.Window, minimumSamples)}
 	policy.SetHedgeBudget(hedgePerMille)
 	policy.retries.init(config.RetryPerMille, config.Burst)
 	return policy
@@ -111,56 +92,25 @@
 	p.hedges.init(perMille, p.config.Burst)
 }
 
-// FirstAttempts earns budget for the given number of first attempts.
-func (p *Policy) FirstAttempts(count int) {
-	p.hedges.earn(count)
-	p.retries.earn(count)
+// FirstAttempt earns budget for one first attempt.
+func (p *Policy) FirstAttempt() {
+	p.hedges.earn(1)
+	p.retries.earn(1)
 }
 
-// refreshEvery is after how many samples the hedge delay is computed anew.
-const refreshEvery = 64
-
 // Observe records the latency of a finished attempt.
 func (p *Policy) Observe(took time.Duration) {
-	micros := min(max(took.Microseconds(), lowestMicros), highestMicros)
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.rotate()
-	// The value is clamped into the histogram's bounds, so recording can't fail.
-	_ = p.current.RecordValue(micros)
-	p.unread++
-	if p.unread >= refreshEvery {
-		p.unread = 0
-		p.refresh()
-	}
-}
-
-func (p *Policy) rotate() {
-	now := time.Now()
-	if now.Sub(p.rotated) < p.config.Window {
+	if !p.latencies.Observe(took) {
 		return
 	}
-	p.rotated = now
-	p.current, p.previous = p.previous, p.current
-	p.current.Reset()
-}
-
-// refresh takes the larger of both windows' quantiles, weighted towards the fuller one.
-func (p *Policy) refresh() {
-	source := p.current
-	if p.current.TotalCount() < p.previous.TotalCount() {
-		source = p.previous
-	}
-	if source.TotalCount() < minimumSamples {
-		return
+	if delay, known := p.latencies.Quantile(p.config.Quantile); known {
+		p.delay.Store(int64(max(delay, p.config.MinimumDelay)))
 	}
-	delay := time.Duration(source.ValueAtQuantile(p.config.Quantile)) * time.Microsecond
-	p.delay.Store(int64(max(delay, p.config.MinimumDelay)))
 }
 
-// Delay gives how long to wait before the hedge of a stage (0 is the first), counted from
+// HedgeDelay gives how long to wait before the hedge of a stage (0 is the first), counted from
 // the attempt before it, and whether there is such a stage.
-func (p *Policy) Delay(stage int) (time.Duration, bool) {
+func (p *Policy) HedgeDelay(stage int) (time.Duration, bool) {
 	delay := time.Duration(p.delay.Load())
 	if stage >= p.config.MaximumStages || delay == 0 {
 		return 0, false
--- a/internal/hedging/hedging_test.go
+++ b/internal/hedging/hedging_test.go
@@ -36,7 +36,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		policy := NewPolicy(DefaultConfig(), 0)
-		_, known := policy.Delay(0)
+		_, known := policy.HedgeDelay(0)
 		is.True(!known) // nothing is known yet
 		for number := range 1000 {
 			took := 2 * time.Millisecond
@@ -45,13 +45,13 @@
 			}
 			policy.Observe(took)
 		}
-		first, known := policy.Delay(0)
+		first, known := policy.HedgeDelay(0)
 		is.True(known)
 		is.True(first >= 2*time.Millisecond && first < 3*time.Millisecond)
-		second, known := policy.Delay(1)
+		second, known := policy.HedgeDelay(1)
 		is.True(known)
 		is.Equal(second, first)
-		_, known = policy.Delay(DefaultConfig().MaximumStages)
+		_, known = policy.HedgeDelay(DefaultConfig().MaximumStages)
 		is.True(!known)
 	})
 }
--- /dev/null
+++ b/internal/leafhttp/config.go
@@ -0,0 +1,61 @@
+// Package leafhttp asks back ends over HTTP/1.1, on connections that it owns.
+//
+// Each connection carries one request at a time. An answer is taken only whole, with the id of
+// the request it is for; a connection is used again only if nothing follows the answer. Nothing
+// is ever sent twice from here: whoever asks learns what is known of the execution, and decides.
+package leafhttp
+
+import (
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// Config bounds connections and answers.
+type Config struct {
+	// ConnectTimeout is how long a connection may take to come up.
+	ConnectTimeout time.Duration `yaml:"connect_timeout"`
+	// SilenceTimeout is how long sent bytes may stay unacknowledged by the leaf's machine.
+	SilenceTimeout time.Duration `yaml:"silence_timeout"`
+	// IdleTimeout is how long a connection rests where the leaf does not say.
+	IdleTimeout time.Duration `yaml:"idle_timeout"`
+	// IdleReserve is kept back from the rest that the leaf allows.
+	IdleReserve time.Duration `yaml:"idle_reserve"`
+	// LingerTimeout is how long the answer to a superseded attempt is still awaited, so that
+	// its connection can be used again.
+	LingerTimeout time.Duration `yaml:"linger_timeout"`
+	// MaximumAnswerBytes bounds the body of one answer.
+	MaximumAnswerBytes int64 `yaml:"maximum_answer_bytes"`
+	// ConnectionsPerLeaf bounds a node's connections to one leaf where operators set no limit.
+	ConnectionsPerLeaf int `yaml:"connections_per_leaf"`
+	// ConnectionShare is the part of a leaf's connection limit that all nodes together use.
+	ConnectionShare float64 `yaml:"connection_share"`
+}
+
+// DefaultConfig suits leafs in the same region.
+func DefaultConfig() Config {
+	return Config{
+		ConnectTimeout:     150 * time.Millisecond,
+		SilenceTimeout:     3 * time.Second,
+		IdleTimeout:        30 * time.Second,
+		IdleReserve:        500 * time.Millisecond,
+		LingerTimeout:      80 * time.Millisecond,
+		MaximumAnswerBytes: 16 << 20,
+		ConnectionsPerLeaf: 16,
+		ConnectionShare:    0.9,
+	}
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.ConnectTimeout <= 0, "connect_timeout", "must be positive")
+	checks.Refuse(c.SilenceTimeout <= 0, "silence_timeout", "must be positive")
+	checks.Refuse(c.IdleTimeout <= 0, "idle_timeout", "must be positive")
+	checks.Refuse(c.IdleReserve < 0, "idle_reserve", "must not be negative")
+	checks.Refuse(c.LingerTimeout < 0, "linger_timeout", "must not be negative")
+	checks.Refuse(c.MaximumAnswerBytes < 1024, "maximum_answer_bytes", "must be at least 1024")
+	checks.Refuse(c.ConnectionsPerLeaf < 1, "connections_per_leaf", "must be at least 1")
+	checks.Refuse(c.ConnectionShare <= 0 || c.ConnectionShare > 1, "connection_share", "must be above 0 and at most 1")
+	return checks.Err()
+}
--- /dev/null
+++ b/internal/leafset/leafset.go
@@ -0,0 +1,142 @@
+// Package leafset holds which leafs there are, as the platform's discovery tells it.
+//
+// A leaf is one incarnation of a back end: a new start has a new id, even at an old address.
+package leafset
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// State is a leaf's own word on whether it takes work.
+type State string
+
+// The states of a leaf.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+)
+
+// Record is what discovery tells of one leaf.
+type Record struct {
+	// ID names the incarnation.
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Address is an IP number and port.
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Slots is how many requests the leaf works on at once; 0 when unknown.
+	Slots int   `json:"slots,omitempty"`
+	State State `json:"state"`
+	// WarmupMillis is how much longer the leaf was slow when the record was written.
+	WarmupMillis int64 `json:"warmup_millis,omitempty"`
+}
+
+// Leaf is a record with when and how this node learned of it; immutable.
+type Leaf struct {
+	Record
+	// Revision is the store's revision that wrote the record.
+	Revision int64
+	// WarmUntil is until when the leaf is slow from its start, by its own word.
+	WarmUntil time.Time
+}
+
+// Parse reads and checks a record in JSON.
+func Parse(content []byte) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(content, &record); err != nil {
+		return Record{}, failure.Invalid("leaf", "not a leaf record: %v", err)
+	}
+	var checks failure.Checks
+	checks.Refuse(record.ID == "", "id", "must not be empty")
+	checks.Refuse(record.Service == "", "service", "must not be empty")
+	checks.Refuse(record.Address == "", "address", "must not be empty")
+	return record, checks.Err()
+}
+
+// Set is the leafs of all services at one revision; immutable.
+type Set struct {
+	byService map[string][]*Leaf // each sorted by id
+	byID      map[string]*Leaf
+}
+
+// Empty gives a set without leafs.
+func Empty() *Set { return &Set{byService: map[string][]*Leaf{}, byID: map[string]*Leaf{}} }
+
+// Of gives the leafs of a service. The slice is shared: callers must not change it.
+func (s *Set) Of(service string) []*Leaf { return s.byService[service] }
+
+// ByID gives a leaf; false when discovery knows none of that id.
+func (s *Set) ByID(id string) (*Leaf, bool) {
+	leaf, found := s.byID[id]
+	return leaf, found
+}
+
+// Len gives the number of leafs.
+func (s *Set) Len() int { return len(s.byID) }
+
+// IDs gives the ids of all leafs, in no order.
+func (s *Set) IDs() []string {
+	ids := make([]string, 0, len(s.byID))
+	for id := range s.byID {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Editor changes a copy of a set; the original stays as it is.
+type Editor struct {
+	set   *Set
+	owned map[string]bool // services whose slice is the copy's own
+}
+
+// Edit starts a copy.
+func (s *Set) Edit() *Editor {
+	copied := &Set{byService: make(map[string][]*Leaf, len(s.byService)), byID: make(map[string]*Leaf, len(s.byID))}
+	for service, leafs := range s.byService {
+		copied.byService[service] = leafs
+	}
+	for id, leaf := range s.byID {
+		copied.byID[id] = leaf
+	}
+	return &Editor{set: copied, owned: map[string]bool{}}
+}
+
+// Put adds a leaf or replaces the one of its id.
+func (e *Editor) Put(leaf *Leaf) {
+	e.Remove(leaf.ID)
+	e.set.byID[leaf.ID] = leaf
+	leafs := e.own(leaf.Service)
+	at, _ := slices.BinarySearchFunc(leafs, leaf.ID, func(known *Leaf, id string) int { return strings.Compare(known.ID, id) })
+	e.set.byService[leaf.Service] = slices.Insert(leafs, at, leaf)
+}
+
+// Remove drops the leaf of an id, if there is one.
+func (e *Editor) Remove(id string) {
+	known, found := e.set.byID[id]
+	if !found {
+		return
+	}
+	delete(e.set.byID, id)
+	leafs := slices.DeleteFunc(e.own(known.Service), func(leaf *Leaf) bool { return leaf.ID == id })
+	if len(leafs) == 0 {
+		delete(e.set.byService, known.Service)
+		return
+	}
+	e.set.byService[known.Service] = leafs
+}
+
+// Done gives the changed set; the editor must not be used after it.
+func (e *Editor) Done() *Set { return e.set }
+
+func (e *Editor) own(service string) []*Leaf {
+	if !e.owned[service] {
+		e.owned[service] = true
+		e.set.byService[service] = slices.Clone(e.set.byService[service])
+	}
+	return e.set.byService[service]
+}
--- /dev/null
+++ b/internal/node/dialect.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/httpdialect"
+	"github.com/portgauge/portgauge/internal/machines"
+	"github.com/portgauge/portgauge/internal/platformclient"
+	"github.com/portgauge/portgauge/internal/settings"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/telemetry"
+)
+
+// PlatformStore is the connection to a platform's store.
+type PlatformStore interface {
+	store.Store
+	Close() error
+}
+
+// Dialect is a protocol of a platform.
+type Dialect struct {
+	// Name is what settings call it.
+	Name string
+	// HTTP names the headers and paths that callers and leafs use.
+	HTTP httpdialect.Dialect
+	// Connect makes the connection to the store. The called function is told of each call by
+	// name and status, 0 when no answer came.
+	Connect func(config settings.Platform, called func(call string, status int)) PlatformStore
+}
+
+// dialects are the protocols that a node speaks besides the product's own.
+type dialects []Dialect
+
+// platformParts are the platform as the node's parts see it.
+type platformParts struct {
+	fx.Out
+
+	Store store.Store
+	// Machines is nil where nodes find each other through their records in the store.
+	Machines machines.Lister `name:"platform"`
+	// Lessor is nil where the platform has no leases.
+	Lessor store.Lessor
+	HTTP   httpdialect.Dialect
+}
+
+// newPlatform connects to the platform by the dialect that the settings name.
+func newPlatform(config settings.Settings, known dialects, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) (platformParts, error) {
+	if config.Platform.Dialect == settings.DefaultDialect {
+		return newOwnPlatform(config, metrics, lifecycle)
+	}
+	for _, dialect := range known {
+		if dialect.Name != config.Platform.Dialect {
+			continue
+		}
+		connected := dialect.Connect(config.Platform, func(call string, status int) {
+			metrics.StoreCalls.WithLabelValues(call, statusLabel(status)).Inc()
+		})
+		lifecycle.Append(fx.StopHook(connected.Close))
+		lessor, _ := connected.(store.Lessor)
+		return platformParts{Store: connected, Lessor: lessor, HTTP: dialect.HTTP}, nil
+	}
+	return platformParts{}, failure.Invalid("platform.dialect", "%q is not known to this program", config.Platform.Dialect)
+}
+
+// newOwnPlatform connects by the product's own protocol.
+func newOwnPlatform(config settings.Settings, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) (platformParts, error) {
+	sentToPlatform := metrics.ControlBytes.WithLabelValues("platform")
+	client, err := platformclient.New(config.Platform.Address, func(sent, _ int) { sentToPlatform.Add(float64(sent)) })
+	if err != nil {
+		return platformParts{}, err
+	}
+	lifecycle.Append(fx.StopHook(client.Close))
+	return platformParts{Store: client, Machines: client, HTTP: httpdialect.Default()}, nil
+}
--- /dev/null
+++ b/internal/node/journal.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"time"
+
+	"github.com/portgauge/portgauge/internal/decisionlog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/gateway"
+	"github.com/portgauge/portgauge/internal/scatter"
+	"github.com/portgauge/portgauge/internal/telemetry"
+)
+
+// requestJournal tells the decision log and the metrics of requests.
+type requestJournal struct {
+	log     *decisionlog.Log
+	metrics *telemetry.Metrics
+}
+
+var _ gateway.Journal = (*requestJournal)(nil)
+
+// Names of events in the decision log.
+const (
+	eventRefused       = "request_refused"
+	eventServed        = "request_served"
+	eventPartial       = "request_partial"
+	eventFailed        = "request_failed"
+	eventAttemptFailed = "attempt_failed"
+)
+
+// Outcomes of requests in the metrics.
+const (
+	outcomeWhole   = "whole"
+	outcomePartial = "partial"
+	outcomeFailed  = "failed"
+	noRoute        = ""
+)
+
+type refusedEvent struct {
+	Time      time.Time    `json:"time"`
+	Event     string       `json:"event"`
+	RequestID string       `json:"request_id"`
+	Host      string       `json:"host"`
+	Code      failure.Code `json:"code"`
+	Message   string       `json:"message"`
+}
+
+type requestEvent struct {
+	Time            time.Time             `json:"time"`
+	Event           string                `json:"event"`
+	RequestID       string                `json:"request_id"`
+	Route           string                `json:"route"`
+	Version         int64                 `json:"config_version"`
+	Revision        int64                 `json:"config_revision"`
+	ConfigAgeMillis int64                 `json:"config_age_millis"`
+	TookMillis      float64               `json:"took_millis"`
+	InTime          bool                  `json:"in_time"`
+	Status          int                   `json:"status,omitempty"`
+	Parts           int                   `json:"parts"`
+	Missing         []gateway.MissingPart `json:"missing,omitempty"`
+	Attempts        int                   `json:"attempts"`
+	Hedges          int                   `json:"hedges"`
+	Retries         int                   `json:"retries"`
+	Execution       string                `json:"execution"`
+	Code            failure.Code          `json:"code,omitempty"`
+	Message         string                `json:"message,omitempty"`
+}
+
+type attemptEvent struct {
+	Time       time.Time      `json:"time"`
+	Event      string         `json:"event"`
+	RequestID  string         `json:"request_id"`
+	Service    string         `json:"service"`
+	Leaf       string         `json:"leaf"`
+	Kind       scatter.Kind   `json:"kind"`
+	Reason     scatter.Reason `json:"reason"`
+	Execution  string         `json:"execution"`
+	TookMillis float64        `json:"took_millis"`
+}
+
+// Refused implements gateway.Journal.
+func (j *requestJournal) Refused(request *gateway.Request, err error) {
+	failed := failure.From(err)
+	j.metrics.FrontRequests.WithLabelValues(noRoute, string(failed.Code)).Inc()
+	j.log.Write(decisionlog.Failed, refusedEvent{
+		Time: time.Now(), Event: eventRefused, RequestID: request.Leaf.ID, Host: request.Leaf.Host, Code: failed.Code, Message: failed.Message,
+	})
+}
+
+// Attempted implements gateway.Journal.
+func (j *requestJournal) Attempted(_ string, kind scatter.Kind) {
+	j.metrics.FrontAttempts.WithLabelValues(string(kind)).Inc()
+}
+
+// AttemptFailed implements gateway.Journal.
+func (j *requestJournal) AttemptFailed(record gateway.AttemptRecord) {
+	j.metrics.FrontAttemptFailures.WithLabelValues(string(record.Reason)).Inc()
+	j.log.Write(decisionlog.Ordinary, attemptEvent{
+		Time: time.Now(), Event: eventAttemptFailed, RequestID: record.RequestID, Service: record.Service, Leaf: record.Leaf,
+		Kind: record.Kind, Reason: record.Reason, Execution: record.Execution.String(), TookMillis: millis(record.Took),
+	})
+}
+
+// Served implements gateway.Journal.
+func (j *requestJournal) Served(record gateway.RequestRecord) {
+	event := requestEvent{
+		Time: time.Now(), Event: eventServed, RequestID: record.RequestID, Route: record.Route, Version: record.Version,
+		Revision: record.Revision, ConfigAgeMillis: record.ConfigAge.Milliseconds(), TookMillis: millis(record.Took),
+		InTime: record.InTime, Status: record.Status, Parts: record.Parts, Missing: record.MissingServices,
+		Attempts: record.Summary.Attempts, Hedges: record.Summary.Hedges, Retries: record.Summary.Retries,
+		Execution: record.Summary.Execution().String(),
+	}
+	importance, outcome := decisionlog.Ordinary, outcomeWhole
+	switch {
+	case record.Failure != nil:
+		event.Event, event.Code, event.Message = eventFailed, record.Failure.Code, record.Failure.Message
+		importance, outcome = decisionlog.Failed, outcomeFailed
+	case record.Missing > 0:
+		event.Event, importance, outcome = eventPartial, decisionlog.Failed, outcomePartial
+	case !record.InTime:
+		importance = decisionlog.Failed
+	}
+	j.metrics.FrontRequests.WithLabelValues(record.Route, outcome).Inc()
+	j.metrics.FrontLatency.WithLabelValues(outcome).Observe(record.Took.Seconds())
+	j.metrics.FrontMissingParts.Add(float64(record.Missing))
+	j.log.Write(importance, event)
+}
+
+func millis(duration time.Duration) float64 {
+	return float64(duration.Microseconds()) / float64(time.Millisecond/time.Microsecond)
+}
--- /dev/null
+++ b/internal/node/provide.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/admin"
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/configsync"
+	"github.com/portgauge/portgauge/internal/configwriter"
+	"github.com/portgauge/portgauge/internal/decisionlog"
+	"github.com/portgauge/portgauge/internal/front"
+	"github.com/portgauge/portgauge/internal/gateway"
+	"github.com/portgauge/portgauge/internal/httpdialect"
+	"github.com/portgauge/portgauge/internal/leafclient"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/machines"
+	"github.com/portgauge/portgauge/internal/membership"
+	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/registry"
+	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/search"
+	"github.com/portgauge/portgauge/internal/settings"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/telemetry"
+)
+
+func newLevel(config settings.Settings) (zap.AtomicLevel, error) {
+	return zap.ParseAtomicLevel(config.LogLevel)
+}
+
+// statusLabel names a call's status in the metrics.
+func statusLabel(status int) string {
+	if status == 0 {
+		return "no_answer"
+	}
+	return strconv.Itoa(status)
+}
+
+// listerParts are what the list of machines is made from.
+type listerParts struct {
+	fx.In
+
+	Platform machines.Lister `name:"platform" optional:"true"`
+	Catalog  *catalog.Catalog
+}
+
+// newLister gives the platform's list of machines, or the nodes' own records.
+func newLister(parts listerParts) machines.Lister {
+	if parts.Platform != nil {
+		return parts.Platform
+	}
+	return machines.NewCatalogLister(parts.Catalog)
+}
+
+func newTransport(config settings.Settings, metrics *telemetry.Metrics) (*peer.SocketTransport, error) {
+	return peer.Listen(config.Listen.Peers, config.Listen.AdvertisePeers, func(transport string, sent, _ int) {
+		metrics.ControlBytes.WithLabelValues(transport).Add(float64(sent))
+	})
+}
+
+// newSelf gives the node's own record: the configured id, or one made from zone and address.
+func newSelf(config settings.Settings, transport *peer.SocketTransport) catalog.NodeRecord {
+	self := catalog.NodeRecord{ID: config.Node.ID, Zone: config.Node.Zone, Address: transport.Address()}
+	if self.ID == "" {
+		self.ID = fmt.Sprintf("%s/%s", self.Zone, self.Address)
+	}
+	return self
+}
+
+func newCatalog(metrics *telemetry.Metrics, logger *zap.Logger) *catalog.Catalog {
+	return catalog.New(func(key string, err error) {
+		metrics.ConfigRejected.Inc()
+		logger.Error("stored value can't be put into force", zap.String("key", key), zap.Error(err))
+	})
+}
+
+func newCensus(config settings.Settings, known *catalog.Catalog, self catalog.NodeRecord) *registry.Census {
+	return registry.NewCensus(known, self.ID, config.Registry.Memory)
+}
+
+func newBalancer(config settings.Settings) *balancer.Balancer {
+	return balancer.New(config.Balancer, config.Node.Zone)
+}
+
+func newLeafPool(config settings.Settings, lifecycle fx.Lifecycle) *leafclient.Pool {
+	pool := leafclient.New(config.LeafClient)
+	lifecycle.Append(fx.StopHook(pool.Close))
+	return pool
+}
+
+func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, census *registry.Census, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
+	pool := leafhttp.New(config.LeafHTTP, dialect, census.Nodes, metrics.LeafConnections.Inc)
+	lifecycle.Append(fx.StopHook(pool.Close))
+	return pool
+}
+
+func newBudgets(config settings.Settings, census *registry.Census) *retrybudget.Budgets {
+	return retrybudget.New(config.RetryBudget, census.Sharing)
+}
+
+func newDecisionLog(config settings.Settings, output io.Writer, metrics *telemetry.Metrics) *decisionlog.Log {
+	return decisionlog.New(config.DecisionLog, output, metrics.LogLinesLeftOut.Inc)
+}
+
+func newJournal(log *decisionlog.Log, metrics *telemetry.Metrics) gateway.Journal {
+	return &requestJournal{log: log, metrics: metrics}
+}
+
+func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
+	return gateway.New(gateway.Parts{
+		Config: config.Gateway, Dialect: dialect, Catalog: known, Balancer: choice, Budgets: budgets, Leafs: pool, Journal: journal,
+	})
+}
+
+func newFront(backend *gateway.Gateway, dialect httpdialect.Dialect, logger *zap.Logger) *front.Server {
+	return front.NewServer(backend, dialect, logger)
+}
+
+func newEngine(config settings.Settings, known *catalog.Catalog, choice *balancer.Balancer, pool *leafclient.Pool, metrics *telemetry.Metrics, logger *zap.Logger) *search.Engine {
+	return search.New(search.Parts{
+		Config: config.Search, Hedging: config.Hedging, Catalog: known, Balancer: choice, Leafs: pool, Metrics: metrics, Logger: logger,
+	})
+}
+
+func newSyncer(config settings.Settings, known *catalog.Catalog, kept store.Store, lister machines.Lister, transport *peer.SocketTransport, choice *balancer.Balancer, metrics *telemetry.Metrics, logger *zap.Logger) *configsync.Syncer {
+	syncer := configsync.New(configsync.Parts{
+		Config: config.ConfigSync, Catalog: known, Store: kept, Machines: lister, Transport: transport,
+		Leafs: choice, Logger: logger, Seeds: config.Seeds,
+		Relayed: func(kind string) { metrics.ConfigRelayed.WithLabelValues(kind).Inc() },
+	})
+	choice.OnDraining(syncer.LeafDraining)
+	return syncer
+}
+
+func newMembership(config settings.Settings, record catalog.NodeRecord, transport *peer.SocketTransport, syncer *configsync.Syncer) *membership.Membership {
+	self := peer.Member{
+		ID: record.ID, Address: record.Address, Zone: record.Zone,
+		// A new process on an old id must supersede what is known of its predecessor.
+		Incarnation: time.Now().UnixMilli(),
+	}
+	members := membership.New(config.Membership, self, transport, syncer, xxhash.Sum64String(self.ID))
+	syncer.SetMembership(members)
+	return members
+}
+
+func newAdmin(config settings.Settings, known *catalog.Catalog, kept store.Store) *admin.Admin {
+	return admin.New(known, kept, configwriter.New(config.ConfigWriter, kept))
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,174 @@
+// Package registry makes a node known to the fleet, and knows how many nodes there are.
+//
+// Each node writes a record of itself into the store, under a lease that it renews. The records
+// reach every node with the rest of the configuration. No right depends on a record: the count
+// of nodes only says how large a node's part of shared bounds is.
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/wait"
+)
+
+// Config tunes the registration of a node.
+type Config struct {
+	// TimeToLive is how long a record outlives its node.
+	TimeToLive time.Duration `yaml:"time_to_live"`
+	// RetryPause is the pause between tries to register.
+	RetryPause time.Duration `yaml:"retry_pause"`
+	// CallTimeout bounds one call of the store.
+	CallTimeout time.Duration `yaml:"call_timeout"`
+	// Memory is how long a node that is gone still counts.
+	Memory time.Duration `yaml:"memory"`
+}
+
+// DefaultConfig keeps a record for half a minute.
+func DefaultConfig() Config {
+	return Config{TimeToLive: 30 * time.Second, RetryPause: time.Second, CallTimeout: time.Second, Memory: 15 * time.Second}
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.TimeToLive < time.Second, "time_to_live", "must be at least 1s")
+	checks.Refuse(c.RetryPause <= 0, "retry_pause", "must be positive")
+	checks.Refuse(c.CallTimeout <= 0, "call_timeout", "must be positive")
+	checks.Refuse(c.Memory <= 0, "memory", "must be positive")
+	return checks.Err()
+}
+
+// Registry keeps the record of one node.
+type Registry struct {
+	config Config
+	lessor store.Lessor
+	self   catalog.NodeRecord
+	logger *zap.Logger
+}
+
+// New makes a registry for a node.
+func New(config Config, lessor store.Lessor, self catalog.NodeRecord, logger *zap.Logger) *Registry {
+	return &Registry{config: config, lessor: lessor, self: self, logger: logger}
+}
+
+// renewals is how many times a lease is renewed in its time to live.
+const renewals = 3
+
+// Run registers the node and renews its lease until the context ends; then it ends the lease.
+func (r *Registry) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		lease, granted, err := r.register(ctx)
+		if err != nil {
+			r.logger.Warn("node can't be registered", zap.Error(err))
+			if !wait.For(ctx, r.pause()) {
+				return
+			}
+			continue
+		}
+		r.logger.Info("node registered", zap.Int64("lease", lease), zap.Duration("time_to_live", granted))
+		r.renew(ctx, lease, granted)
+	}
+}
+
+// pause spreads the tries of nodes that failed together.
+func (r *Registry) pause() time.Duration {
+	return time.Duration(float64(r.config.RetryPause) * (0.5 + rand.Float64()))
+}
+
+func (r *Registry) register(ctx context.Context) (lease int64, granted time.Duration, err error) {
+	document, err := json.Marshal(r.self)
+	if err != nil {
+		return 0, 0, failure.Wrap(err, failure.Internal, failure.NotRun, "encode node record")
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.config.CallTimeout)
+	defer cancel()
+	lease, granted, err = r.lessor.Grant(ctx, r.config.TimeToLive)
+	if err != nil {
+		return 0, 0, err
+	}
+	return lease, granted, r.lessor.PutLeased(ctx, catalog.NodeKey(r.self.ID), document, lease)
+}
+
+// renew keeps the lease until it is over or the context ends.
+func (r *Registry) renew(ctx context.Context, lease int64, granted time.Duration) {
+	pause := granted / renewals
+	for wait.For(ctx, pause) {
+		err := r.keep(ctx, lease)
+		switch {
+		case errors.Is(err, store.ErrLeaseGone):
+			r.logger.Warn("lease of the node is over", zap.Int64("lease", lease))
+			return
+		case err != nil:
+			r.logger.Warn("lease of the node can't be renewed", zap.Int64("lease", lease), zap.Error(err))
+			pause = r.pause()
+		default:
+			pause = granted / renewals
+		}
+	}
+	r.end(lease)
+}
+
+func (r *Registry) keep(ctx context.Context, lease int64) error {
+	ctx, cancel := context.WithTimeout(ctx, r.config.CallTimeout)
+	defer cancel()
+	return r.lessor.Keep(ctx, lease)
+}
+
+// end gives the lease up; if that fails, it runs out by itself.
+func (r *Registry) end(lease int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.config.CallTimeout)
+	defer cancel()
+	if err := r.lessor.End(ctx, lease); err != nil {
+		r.logger.Info("lease of the node was left to run out", zap.Error(err))
+	}
+}
+
+// Census counts the nodes of the fleet; safe for concurrent use.
+type Census struct {
+	catalog *catalog.Catalog
+	memory  time.Duration
+	self    string
+
+	mutex    sync.Mutex
+	since    time.Time
+	current  int // most nodes seen since then
+	previous int // most nodes seen in the span before
+}
+
+// NewCensus makes a census for the node of an id.
+func NewCensus(known *catalog.Catalog, self string, memory time.Duration) *Census {
+	return &Census{catalog: known, memory: memory, self: self, since: time.Now()}
+}
+
+// Nodes gives the most nodes that were registered at one time lately.
+func (c *Census) Nodes() int {
+	count := len(c.catalog.View().Nodes)
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now.Sub(c.since) > c.memory {
+		c.previous, c.current, c.since = c.current, 0, now
+	}
+	c.current = max(c.current, count)
+	return max(c.current, c.previous)
+}
+
+// Sharing gives the number of nodes that share a bound, 0 unless this node is one of those
+// that the others know of.
+func (c *Census) Sharing() int {
+	nodes := c.Nodes()
+	if _, registered := c.catalog.View().Nodes[c.self]; !registered {
+		return 0
+	}
+	return nodes
+}
--- /dev/null
+++ b/internal/routing/configuration.go
@@ -0,0 +1,186 @@
+// Package routing holds the table that says which services a request is for.
+//
+// A configuration is one version of all routes. It is checked as a whole, compiled into an
+// immutable table, and put into force as a whole. A request looks its route up once and keeps
+// it for its life, so that no answer mixes versions.
+package routing
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// Repeatability says how often a request may run.
+type Repeatability string
+
+// The repeatabilities.
+const (
+	// Repeatable requests may run any number of times.
+	Repeatable Repeatability = "repeatable"
+	// AtMostOnce requests run once or not at all.
+	AtMostOnce Repeatability = "at_most_once"
+)
+
+// Configuration is one version of the routes, as operators write it.
+type Configuration struct {
+	// Version is the operators' own number; it rises with each change.
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+}
+
+// Route sends the requests of a host and path prefix to one target. Exactly one of Service,
+// Weighted and Gathered is set.
+type Route struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	// Prefix begins and ends with a slash; the longest one of a host that matches wins.
+	Prefix string `json:"prefix"`
+	// Service takes every request.
+	Service string `json:"service,omitempty"`
+	// Weighted services share the requests in proportion to their weights.
+	Weighted []WeightedService `json:"weighted,omitempty"`
+	// Gathered services are shards: a request goes to one leaf of each.
+	Gathered []string `json:"gathered,omitempty"`
+	// TopRecords is how many of the greatest records a gathered answer holds.
+	TopRecords int `json:"top_records,omitempty"`
+	// MinimumCoverage is the least share of the gathered services that an answer needs, 0 to 1.
+	MinimumCoverage float64       `json:"minimum_coverage,omitempty"`
+	Repeatability   Repeatability `json:"repeatability"`
+	// MaximumAttempts is how many leafs of one service may run one request.
+	MaximumAttempts int `json:"maximum_attempts"`
+	// TimeoutMillis is the longest a request is held.
+	TimeoutMillis int64 `json:"timeout_millis"`
+	// ObjectiveMillis is the time within which an answer has its full worth.
+	ObjectiveMillis int64 `json:"objective_millis"`
+	// Priority ranks requests when there is too much work; 0 is the most urgent.
+	Priority int `json:"priority"`
+}
+
+// WeightedService is one part of a weighted target.
+type WeightedService struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// Service is what operators say of the leafs of a service.
+type Service struct {
+	Name string `json:"name"`
+	// HealthPath answers 200 while a leaf is healthy.
+	HealthPath string `json:"health_path,omitempty"`
+	// MaximumConnections is how many connections a leaf accepts from all callers together;
+	// 0 means that there is no limit.
+	MaximumConnections int `json:"maximum_connections,omitempty"`
+}
+
+// Limits bound what callers may send, and how long they may take; 0 means the default.
+type Limits struct {
+	MaximumHeaderBytes  int   `json:"maximum_header_bytes,omitempty"`
+	MaximumBodyBytes    int64 `json:"maximum_body_bytes,omitempty"`
+	HeaderTimeoutMillis int64 `json:"header_timeout_millis,omitempty"`
+	IdleTimeoutMillis   int64 `json:"idle_timeout_millis,omitempty"`
+}
+
+// Limits that hold where the configuration sets none.
+const (
+	DefaultHeaderBytes   = 64 << 10
+	DefaultBodyBytes     = 1 << 20
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultIdleTimeout   = 2 * time.Minute
+)
+
+// HeaderBytes gives the most bytes of a request's header.
+func (l Limits) HeaderBytes() int {
+	if l.MaximumHeaderBytes <= 0 {
+		return DefaultHeaderBytes
+	}
+	return l.MaximumHeaderBytes
+}
+
+// BodyBytes gives the most bytes of a request's body.
+func (l Limits) BodyBytes() int64 {
+	if l.MaximumBodyBytes <= 0 {
+		return DefaultBodyBytes
+	}
+	return l.MaximumBodyBytes
+}
+
+// HeaderTimeout gives how long a caller may take to send a request's header.
+func (l Limits) HeaderTimeout() time.Duration {
+	return millisOr(l.HeaderTimeoutMillis, DefaultHeaderTimeout)
+}
+
+// IdleTimeout gives how long a connection may rest between requests.
+func (l Limits) IdleTimeout() time.Duration {
+	return millisOr(l.IdleTimeoutMillis, DefaultIdleTimeout)
+}
+
+func millisOr(millis int64, otherwise time.Duration) time.Duration {
+	if millis <= 0 {
+		return otherwise
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// Parse reads and checks a configuration in JSON.
+func Parse(content []byte) (Configuration, error) {
+	var configuration Configuration
+	if err := json.Unmarshal(content, &configuration); err != nil {
+		return Configuration{}, failure.Invalid("routes", "not a configuration: %v", err)
+	}
+	return configuration, configuration.Validate()
+}
+
+// Validate names every field at fault.
+func (c Configuration) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.Version < 0, "version", "must not be negative")
+	seen := map[string]bool{}
+	for index, route := range c.Routes {
+		field := indexed("routes", index)
+		checks.Add(field, route.validate())
+		key := strings.ToLower(route.Host) + " " + route.Prefix
+		checks.Refuse(seen[key], field+".prefix", "host %q has this prefix twice", route.Host)
+		seen[key] = true
+	}
+	for index, service := range c.Services {
+		checks.Refuse(service.Name == "", indexed("services", index)+".name", "must not be empty")
+		checks.Refuse(service.MaximumConnections < 0, indexed("services", index)+".maximum_connections", "must not be negative")
+	}
+	return checks.Err()
+}
+
+func (r Route) validate() error {
+	var checks failure.Checks
+	checks.Refuse(r.Host == "", "host", "must not be empty")
+	checks.Refuse(!strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"), "prefix", "%q must begin and end with a slash", r.Prefix)
+	checks.Refuse(r.targets() != 1, "service", "exactly one of service, weighted and gathered must be set")
+	checks.Refuse(r.Repeatability != Repeatable && r.Repeatability != AtMostOnce, "repeatability", "%q; must be %q or %q", r.Repeatability, Repeatable, AtMostOnce)
+	checks.Refuse(len(r.Gathered) > 0 && r.Repeatability != Repeatable, "repeatability", "a gathered route must be %q", Repeatable)
+	checks.Refuse(r.MaximumAttempts < 0, "maximum_attempts", "must not be negative")
+	checks.Refuse(r.TimeoutMillis < 0, "timeout_millis", "must not be negative")
+	checks.Refuse(r.ObjectiveMillis < 0, "objective_millis", "must not be negative")
+	checks.Refuse(r.MinimumCoverage < 0 || r.MinimumCoverage > 1, "minimum_coverage", "must be between 0 and 1")
+	checks.Refuse(r.TopRecords < 0, "top_records", "must not be negative")
+	total := 0.0
+	for index, part := range r.Weighted {
+		checks.Refuse(part.Weight < 0, indexed("weighted", index)+".weight", "must not be negative")
+		total += part.Weight
+	}
+	checks.Refuse(len(r.Weighted) > 0 && total <= 0, "weighted", "at least one weight must be positive")
+	return checks.Err()
+}
+
+func (r Route) targets() int {
+	count := 0
+	for _, isSet := range []bool{r.Service != "", len(r.Weighted) > 0, len(r.Gathered) > 0} {
+		if isSet {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,140 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Defaults of a route that sets no value of its own.
+const (
+	defaultAttempts  = 2
+	defaultTimeout   = 30 * time.Second
+	defaultObjective = time.Second
+)
+
+// Table is one configuration ready for look-ups; immutable.
+type Table struct {
+	Version int64
+	// Revision is the store's revision that wrote the configuration.
+	Revision int64
+	Limits   Limits
+	Routes   []Route
+
+	byHost   map[string][]*Entry // longest prefix first
+	services map[string]Service
+}
+
+// Entry is a route of a table with its derived values; immutable.
+type Entry struct {
+	Route
+	Timeout   time.Duration
+	Objective time.Duration
+	Attempts  int
+	// RequiredParts is how many gathered services an answer needs at least.
+	RequiredParts int
+	// WeightKey is equal for two versions of a route whose weights are the same, so that
+	// shares are kept across versions.
+	WeightKey string
+}
+
+// NewTable compiles a checked configuration.
+func NewTable(configuration Configuration, revision int64) *Table {
+	table := &Table{
+		Version: configuration.Version, Revision: revision, Limits: configuration.Limits, Routes: configuration.Routes,
+		byHost: map[string][]*Entry{}, services: make(map[string]Service, len(configuration.Services)),
+	}
+	for _, service := range configuration.Services {
+		table.services[service.Name] = service
+	}
+	for _, route := range configuration.Routes {
+		host := strings.ToLower(route.Host)
+		table.byHost[host] = append(table.byHost[host], newEntry(route))
+	}
+	for _, entries := range table.byHost {
+		slices.SortStableFunc(entries, func(a, b *Entry) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return table
+}
+
+func newEntry(route Route) *Entry {
+	entry := &Entry{
+		Route:     route,
+		Timeout:   millisOr(route.TimeoutMillis, defaultTimeout),
+		Objective: millisOr(route.ObjectiveMillis, defaultObjective),
+		Attempts:  route.MaximumAttempts,
+	}
+	if entry.Attempts == 0 {
+		entry.Attempts = defaultAttempts
+	}
+	entry.RequiredParts = requiredParts(len(route.Gathered), route.MinimumCoverage)
+	if len(route.Weighted) > 0 {
+		entry.WeightKey = fmt.Sprintf("%s%s %v", strings.ToLower(route.Host), route.Prefix, route.Weighted)
+	}
+	return entry
+}
+
+// coverageTolerance absorbs the rounding of a share written in decimals.
+const coverageTolerance = 1e-9
+
+// requiredParts is the least number of parts that is the wanted share of all; at least one.
+func requiredParts(parts int, coverage float64) int {
+	if parts == 0 {
+		return 0
+	}
+	return max(1, int(math.Ceil(coverage*float64(parts)-coverageTolerance)))
+}
+
+// Match finds the route of a request by its host, with or without a port, and its path
+// without the query; nil when there is none.
+func (t *Table) Match(host, path string) *Entry {
+	for _, entry := range t.byHost[normalHost(host)] {
+		if strings.HasPrefix(path, entry.Prefix) {
+			return entry
+		}
+	}
+	return nil
+}
+
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Service gives what operators say of a service; false when they say nothing.
+func (t *Table) Service(name string) (Service, bool) {
+	service, found := t.services[name]
+	return service, found
+}
+
+// ServiceNames gives every service that a route or the list of services names, sorted.
+func (t *Table) ServiceNames() []string {
+	names := map[string]bool{}
+	for name := range t.services {
+		names[name] = true
+	}
+	for _, route := range t.Routes {
+		if route.Service != "" {
+			names[route.Service] = true
+		}
+		for _, part := range route.Weighted {
+			names[part.Service] = true
+		}
+		for _, name := range route.Gathered {
+			names[name] = true
+		}
+	}
+	sorted := make([]string, 0, len(names))
+	for name := range names {
+		sorted = append(sorted, name)
+	}
+	slices.Sort(sorted)
+	return sorted
+}
+
+func indexed(field string, index int) string { return fmt.Sprintf("%s[%d]", field, index) }
--- /dev/null
+++ b/internal/scatter/plan.go
@@ -0,0 +1,172 @@
+// Package scatter asks one leaf of each shard, and others where one is slow or fails.
+//
+// It knows nothing of what is asked or how: the caller brings the shards with their replicas,
+// a policy for hedges and retries, and a function that runs one attempt. It gives back the
+// reply or the reason of each shard, and what is known of whether anything ran.
+package scatter
+
+import (
+	"context"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+)
+
+// Kind says why an attempt is made.
+type Kind string
+
+// The kinds of attempt.
+const (
+	First Kind = "first"
+	Hedge Kind = "hedge"
+	Retry Kind = "retry"
+)
+
+// Execution is what is known of whether an attempt ran at its leaf.
+type Execution int
+
+// The states of an execution.
+const (
+	Unknown Execution = iota
+	NotRun
+	Ran
+)
+
+// String gives the state's name for logs.
+func (e Execution) String() string {
+	switch e {
+	case NotRun:
+		return "not_run"
+	case Ran:
+		return "ran"
+	case Unknown:
+	}
+	return "unknown"
+}
+
+// Reason says why a shard has no reply.
+type Reason string
+
+// The reasons that every scatter may give; those of the balancer and the caller add to them.
+const (
+	Deadline   Reason = "DEADLINE"
+	LeafFailed Reason = "LEAF_FAILED"
+	Shed       Reason = "SHED"
+	// Unneeded means that the answer went out without the shard, since enough others were in.
+	Unneeded Reason = "UNNEEDED"
+)
+
+// Policy decides on hedges and retries of one shard. One policy may serve many shards.
+type Policy interface {
+	// FirstAttempt records that the shard is asked for a request.
+	FirstAttempt()
+	// HedgeDelay gives how long to wait from the newest attempt until the hedge of a stage, 0
+	// being the first, and whether there is such a stage.
+	HedgeDelay(stage int) (time.Duration, bool)
+	// AllowHedge takes a hedge from the budget.
+	AllowHedge() bool
+	// AllowRetry takes a retry from the budget.
+	AllowRetry() bool
+	// Observe records the latency of an attempt; a lower bound where it was not awaited.
+	Observe(took time.Duration)
+	// Shed records that a leaf refused for lack of capacity.
+	Shed()
+}
+
+// Shard is one part of the work.
+type Shard struct {
+	Candidates []balancer.Candidate
+	Policy     Policy
+}
+
+// Plan is the work of one request.
+type Plan struct {
+	Shards []Shard
+	// Deadline is when every open shard is given up.
+	Deadline time.Time
+	// SoftDeadline is from when Sufficient replies are enough; zero means never.
+	SoftDeadline time.Time
+	// Sufficient is the least number of replies that is of use: the scatter ends as soon as so
+	// many can't come any more. 0 means that any number is.
+	Sufficient int
+	// AtMostOnce forbids hedges, and retries without proof that the attempt did not run.
+	AtMostOnce bool
+	// NoHedges forbids hedges.
+	NoHedges bool
+	// MaximumAttempts bounds the attempts of a shard that may have run.
+	MaximumAttempts int
+	// MaximumRefusals is how many attempts of a shard may be refused unrun beyond that.
+	MaximumRefusals int
+	// ReplicaWait is the pause after which a shard without a usable replica, or without room
+	// in its budget, is tried again; 0 means that it is given up at once.
+	ReplicaWait time.Duration
+}
+
+// Attempt is one request to one leaf for one shard.
+type Attempt struct {
+	// Shard is the index into the plan's shards.
+	Shard int
+	// Number counts the shard's attempts from 1.
+	Number  int
+	Kind    Kind
+	Leaf    *balancer.Leaf
+	Started time.Time
+	// Deadline is the plan's.
+	Deadline time.Time
+}
+
+// Result is how an attempt ended.
+type Result[Reply any] struct {
+	// Reply is set only for a reply that may be used.
+	Reply     *Reply
+	Reason    Reason
+	Execution Execution
+	Outcome   balancer.Outcome
+	// Final says that another attempt could not help, although there is no reply.
+	Final bool
+	// Queued says that the leaf had more attempts than slots, by its own word.
+	Queued bool
+}
+
+// Run runs one attempt until it ends or the context does.
+type Run[Reply any] func(ctx context.Context, attempt Attempt) Result[Reply]
+
+// Observer is told of attempts as they begin and end.
+type Observer[Reply any] interface {
+	Began(attempt Attempt)
+	Ended(attempt Attempt, result Result[Reply], took time.Duration)
+}
+
+// Outcome is what became of one shard.
+type Outcome[Reply any] struct {
+	Reply *Reply
+	// Leaf gave the reply.
+	Leaf     *balancer.Leaf
+	Reason   Reason
+	Attempts int
+}
+
+// Summary is what is known of all attempts together.
+type Summary struct {
+	Ran      bool
+	MaybeRan bool
+	Shed     bool
+	// Queued counts replies of leafs that had more attempts than slots.
+	Queued    int
+	Replies   int
+	Attempts  int
+	Hedges    int
+	Retries   int
+	Cancelled int
+}
+
+// Execution gives what is known of the whole request.
+func (s Summary) Execution() Execution {
+	switch {
+	case s.Ran:
+		return Ran
+	case s.MaybeRan:
+		return Unknown
+	}
+	return NotRun
+}
--- /dev/null
+++ b/internal/scatter/scatter.go
@@ -0,0 +1,325 @@
+package scatter
+
+import (
+	"context"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+)
+
+// Scatter is the work of one request under way. One goroutine, the caller of Run, owns all of
+// its state; each attempt runs in a goroutine of its own that only sends its result.
+type Scatter[Reply any] struct {
+	plan     Plan
+	balancer *balancer.Balancer
+	runOne   Run[Reply]
+	observer Observer[Reply]
+	// superseded is the cause that ends attempts which nobody waits for any more.
+	superseded error
+
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	results chan finished[Reply]
+	shards  []shardState[Reply]
+	open    int // shards without an outcome
+	summary Summary
+}
+
+// finished is an attempt with its result.
+type finished[Reply any] struct {
+	attempt Attempt
+	result  Result[Reply]
+}
+
+// shardState is the progress of one shard.
+type shardState[Reply any] struct {
+	tried     map[string]bool
+	inFlight  map[string]time.Time // start of each attempt under way, by leaf
+	attempts  int
+	refusals  int
+	stage     int
+	hedgeAt   time.Time // zero when no hedge is to come
+	retryAt   time.Time // zero when the shard does not wait for a replica
+	counted   bool      // the policy knows of the first attempt
+	done      bool
+	leaf      *balancer.Leaf
+	reply     *Reply
+	reason    Reason
+	cancelAll []context.CancelCauseFunc
+}
+
+// Parts are what a scatter is built from besides its plan.
+type Parts[Reply any] struct {
+	Balancer *balancer.Balancer
+	Run      Run[Reply]
+	Observer Observer[Reply]
+	// Superseded is the cause of the contexts of attempts that lost to another.
+	Superseded error
+}
+
+// New prepares the work of one request.
+func New[Reply any](plan Plan, parts Parts[Reply]) *Scatter[Reply] {
+	return &Scatter[Reply]{
+		plan: plan, balancer: parts.Balancer, runOne: parts.Run, observer: parts.Observer, superseded: parts.Superseded,
+		results: make(chan finished[Reply], len(plan.Shards)*(plan.MaximumAttempts+plan.MaximumRefusals+1)),
+		shards:  make([]shardState[Reply], len(plan.Shards)),
+		open:    len(plan.Shards),
+	}
+}
+
+// Run gives one outcome for each shard. It returns when all are known, when enough are and the
+// soft deadline is over, when too many are lost, or when time is up.
+func (s *Scatter[Reply]) Run(ctx context.Context) ([]Outcome[Reply], Summary) {
+	deadlined, stopTimer := context.WithDeadline(ctx, s.plan.Deadline)
+	defer stopTimer()
+	s.ctx, s.cancel = context.WithCancelCause(deadlined)
+	defer func() { s.cancel(s.superseded) }()
+	for index := range s.shards {
+		s.launch(index, First, always)
+	}
+	timer := time.NewTimer(s.untilNext())
+	defer timer.Stop()
+	for s.open > 0 && !s.enough() && !s.hopeless() {
+		select {
+		case ended := <-s.results:
+			s.handle(ended)
+		case <-timer.C:
+			s.sendDue()
+		case <-s.ctx.Done():
+			s.giveUp(Deadline)
+		}
+		timer.Reset(s.untilNext())
+	}
+	s.giveUp(Unneeded)
+	s.countCancelled()
+	return s.outcomes(), s.summary
+}
+
+// enough reports whether the replies that are in may go out without the others.
+func (s *Scatter[Reply]) enough() bool {
+	if s.plan.SoftDeadline.IsZero() || s.summary.Replies < max(1, s.plan.Sufficient) {
+		return false
+	}
+	return !time.Now().Before(s.plan.SoftDeadline)
+}
+
+// hopeless reports whether so many shards are lost that the rest is of no use.
+func (s *Scatter[Reply]) hopeless() bool {
+	return s.summary.Replies+s.open < s.plan.Sufficient
+}
+
+// always is the budget of attempts that need none.
+func always() bool { return true }
+
+// launch starts an attempt for a shard if there is a replica to ask and the budget allows it.
+// Otherwise the shard waits, or is settled unless an earlier attempt is still out.
+func (s *Scatter[Reply]) launch(index int, kind Kind, allow func() bool) bool {
+	shard := &s.shards[index]
+	choice := s.choose(index)
+	if choice.Leaf == nil {
+		s.withoutReplica(shard, Reason(choice.Reason))
+		return false
+	}
+	// A hedge to a replica that is known to be in trouble is wasted.
+	if (kind == Hedge && choice.Troubled) || !allow() {
+		s.withoutReplica(shard, shard.reason)
+		return false
+	}
+	now := time.Now()
+	s.admit(index, choice.Leaf, now)
+	attempt := Attempt{
+		Shard: index, Number: shard.attempts, Kind: kind, Leaf: choice.Leaf, Started: now, Deadline: s.plan.Deadline,
+	}
+	s.count(kind)
+	s.balancer.Start(choice.Leaf)
+	s.scheduleHedge(index, now)
+	s.observer.Began(attempt)
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	shard.cancelAll = append(shard.cancelAll, cancel)
+	go func() {
+		result := s.runOne(ctx, attempt)
+		took := time.Since(attempt.Started)
+		s.balancer.Finish(attempt.Leaf, result.Outcome, took)
+		s.observer.Ended(attempt, result, took)
+		s.results <- finished[Reply]{attempt, result}
+	}()
+	return true
+}
+
+// choose picks a replica that was not tried; where the shard may wait, one that was tried is
+// taken again if no attempt is out there.
+func (s *Scatter[Reply]) choose(index int) balancer.Choice {
+	shard := &s.shards[index]
+	candidates := s.plan.Shards[index].Candidates
+	choice := s.balancer.Choose(candidates, shard.tried)
+	if choice.Leaf != nil || s.plan.ReplicaWait == 0 || len(shard.tried) == len(shard.inFlight) {
+		return choice
+	}
+	busy := make(map[string]bool, len(shard.inFlight))
+	for leafID := range shard.inFlight {
+		busy[leafID] = true
+	}
+	return s.balancer.Choose(candidates, busy)
+}
+
+// admit counts an attempt into its shard.
+func (s *Scatter[Reply]) admit(index int, leaf *balancer.Leaf, now time.Time) {
+	shard := &s.shards[index]
+	if shard.tried == nil {
+		shard.tried = make(map[string]bool, len(s.plan.Shards[index].Candidates))
+		shard.inFlight = make(map[string]time.Time, 2)
+	}
+	shard.tried[leaf.ID] = true
+	shard.inFlight[leaf.ID] = now
+	shard.attempts++
+	shard.retryAt = time.Time{}
+	if !shard.counted {
+		shard.counted = true
+		s.plan.Shards[index].Policy.FirstAttempt()
+	}
+}
+
+func (s *Scatter[Reply]) count(kind Kind) {
+	s.summary.Attempts++
+	switch kind {
+	case Hedge:
+		s.summary.Hedges++
+	case Retry:
+		s.summary.Retries++
+	case First:
+	}
+}
+
+// handle learns from one attempt's end and decides what follows for its shard.
+func (s *Scatter[Reply]) handle(ended finished[Reply]) {
+	index, result := ended.attempt.Shard, ended.result
+	shard := &s.shards[index]
+	delete(shard.inFlight, ended.attempt.Leaf.ID)
+	s.learn(ended)
+	if shard.done {
+		return
+	}
+	if result.Reply != nil {
+		shard.reply, shard.leaf = result.Reply, ended.attempt.Leaf
+		s.summary.Replies++
+		s.settle(shard)
+		s.abandon(shard)
+		return
+	}
+	shard.reason = result.Reason
+	if result.Execution == NotRun {
+		shard.refusals++
+	}
+	if !s.mayRetry(shard, result) {
+		s.settleUnlessOut(shard)
+		return
+	}
+	s.launch(index, Retry, s.plan.Shards[index].Policy.AllowRetry)
+}
+
+func (s *Scatter[Reply]) learn(ended finished[Reply]) {
+	policy := s.plan.Shards[ended.attempt.Shard].Policy
+	switch ended.result.Execution {
+	case Ran:
+		s.summary.Ran = true
+	case Unknown:
+		s.summary.MaybeRan = true
+	case NotRun:
+	}
+	if ended.result.Queued {
+		s.summary.Queued++
+	}
+	if ended.result.Outcome == balancer.Shed {
+		s.summary.Shed = true
+		policy.Shed()
+	}
+	if ended.result.Outcome == balancer.Succeeded {
+		policy.Observe(time.Since(ended.attempt.Started))
+	}
+}
+
+// mayRetry says whether a shard may be asked again after a failed attempt. A request that
+// may run at most once is asked again only after proof that the attempt did not run.
+func (s *Scatter[Reply]) mayRetry(shard *shardState[Reply], result Result[Reply]) bool {
+	if result.Final || s.ctx.Err() != nil || !s.hasAttempts(shard) {
+		return false
+	}
+	return !s.plan.AtMostOnce || result.Execution == NotRun
+}
+
+// hasAttempts reports whether the shard may be asked once more.
+func (s *Scatter[Reply]) hasAttempts(shard *shardState[Reply]) bool {
+	return shard.attempts-min(shard.refusals, s.plan.MaximumRefusals) < s.plan.MaximumAttempts
+}
+
+// withoutReplica lets a shard wait for a replica, or ends it.
+func (s *Scatter[Reply]) withoutReplica(shard *shardState[Reply], reason Reason) {
+	if shard.reason == "" {
+		shard.reason = reason
+	}
+	if s.plan.ReplicaWait > 0 {
+		if len(shard.inFlight) == 0 {
+			shard.retryAt = time.Now().Add(s.plan.ReplicaWait)
+		}
+		return
+	}
+	s.settleUnlessOut(shard)
+}
+
+// settleUnlessOut ends a shard with no reply, unless an attempt is still out.
+func (s *Scatter[Reply]) settleUnlessOut(shard *shardState[Reply]) {
+	if len(shard.inFlight) == 0 {
+		s.settle(shard)
+	}
+}
+
+func (s *Scatter[Reply]) settle(shard *shardState[Reply]) {
+	shard.done = true
+	s.open--
+}
+
+// abandon ends the attempts of a shard that has its reply.
+func (s *Scatter[Reply]) abandon(shard *shardState[Reply]) {
+	for _, cancel := range shard.cancelAll {
+		cancel(s.superseded)
+	}
+}
+
+// giveUp settles every open shard.
+func (s *Scatter[Reply]) giveUp(reason Reason) {
+	for index := range s.shards {
+		shard := &s.shards[index]
+		if shard.done {
+			continue
+		}
+		if len(shard.inFlight) > 0 {
+			s.summary.MaybeRan = true
+		}
+		if shard.reason == "" || len(shard.inFlight) > 0 {
+			shard.reason = reason
+		}
+		s.settle(shard)
+	}
+}
+
+// countCancelled counts the attempts whose reply nobody waits for any more. What they took so
+// far counts as their latency: left out, stragglers would vanish from the quantile by which
+// hedges are sent, and hedges of ordinary attempts would use up the budget.
+func (s *Scatter[Reply]) countCancelled() {
+	now := time.Now()
+	for index := range s.shards {
+		s.summary.Cancelled += len(s.shards[index].inFlight)
+		for _, started := range s.shards[index].inFlight {
+			s.plan.Shards[index].Policy.Observe(now.Sub(started))
+		}
+	}
+}
+
+func (s *Scatter[Reply]) outcomes() []Outcome[Reply] {
+	outcomes := make([]Outcome[Reply], len(s.shards))
+	for index := range s.shards {
+		shard := &s.shards[index]
+		outcomes[index] = Outcome[Reply]{Reply: shard.reply, Leaf: shard.leaf, Reason: shard.reason, Attempts: shard.attempts}
+	}
+	return outcomes
+}
--- a/internal/search/attempt.go
+++ b/internal/search/attempt.go
@@ -3,86 +3,44 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/leafclient"
+	"github.com/portgauge/portgauge/internal/scatter"
 )
 
-// attemptKind says why an attempt is made.
-type attemptKind string
-
-// The kinds of attempt.
-const (
-	firstAttempt attemptKind = "first"
-	hedgeAttempt attemptKind = "hedge"
-	retryAttempt attemptKind = "retry"
-)
-
-// execution is what is known of whether an attempt ran at its leaf.
-type execution int
-
-const (
-	executionUnknown execution = iota
-	executionNotRun
-	executionRan
-)
-
-// attempt is one request to one leaf for one part of the plan.
-type attempt struct {
-	shard   int // index into the scatter's shards
-	kind    attemptKind
-	leaf    *balancer.Leaf
-	address string
-	request *leafv1.SearchShardRequest
-	started time.Time
-}
-
-// attemptResult is how an attempt ended.
-type attemptResult struct {
-	attempt   *attempt
-	reply     *shardReply // set only for a verified reply
-	reason    missingReason
-	execution execution
-	outcome   balancer.Outcome
-	// queued says that the leaf had more attempts than slots, by its own word.
-	queued bool
-}
-
 // LeafCaller runs one attempt at a leaf; leafclient.Pool is the real one.
 type LeafCaller interface {
 	SearchShard(ctx context.Context, address string, request *leafv1.SearchShardRequest) (*leafv1.SearchShardResponse, error)
 }
 
-// runAttempt asks the leaf, verifies its reply and tells the balancer how it went.
-func (e *Engine) runAttempt(ctx context.Context, attempt *attempt) attemptResult {
-	response, err := e.leafs.SearchShard(ctx, attempt.address, attempt.request)
-	took := time.Since(attempt.started)
-	result := e.judge(ctx, attempt, response, err)
-	result.attempt = attempt
-	e.balancer.Finish(attempt.leaf, result.outcome, took)
-	return result
+// runAttempt asks the leaf and verifies its reply.
+func (s *keyScatter) runAttempt(ctx context.Context, attempt scatter.Attempt) scatter.Result[shardReply] {
+	request := s.leafRequest(attempt)
+	address := s.service.Leafs[attempt.Leaf.ID].GetAddress()
+	response, err := s.engine.leafs.SearchShard(ctx, address, request)
+	return s.engine.judge(ctx, request, attempt.Leaf, response, err)
 }
 
-func (e *Engine) judge(ctx context.Context, attempt *attempt, response *leafv1.SearchShardResponse, err error) attemptResult {
+func (e *Engine) judge(ctx context.Context, request *leafv1.SearchShardRequest, leaf *balancer.Leaf, response *leafv1.SearchShardResponse, err error) scatter.Result[shardReply] {
 	if err != nil {
-		return e.judgeError(ctx, attempt, err)
+		return e.judgeError(ctx, request, leaf, err)
 	}
-	reply, reason := verify(attempt.request, response)
+	reply, reason := verify(request, response)
 	if reason != replyAccepted {
-		e.metrics.DroppedReplies.WithLabelValues(attempt.request.GetService(), string(reason)).Inc()
-		return attemptResult{reason: missingLeafFailed, execution: executionUnknown, outcome: balancer.Failed}
+		e.metrics.DroppedReplies.WithLabelValues(request.GetService(), string(reason)).Inc()
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.Unknown, Outcome: balancer.Failed}
 	}
-	e.reportLoad(attempt.leaf, response.GetLoad())
+	e.reportLoad(leaf, response.GetLoad())
 	load := response.GetLoad()
-	return attemptResult{reply: &reply, execution: executionRan, outcome: balancer.Succeeded, queued: load.GetInFlight() > load.GetSlots()}
+	return scatter.Result[shardReply]{Reply: &reply, Execution: scatter.Ran, Outcome: balancer.Succeeded, Queued: load.GetInFlight() > load.GetSlots()}
 }
 
-func (e *Engine) judgeError(ctx context.Context, attempt *attempt, err error) attemptResult {
+func (e *Engine) judgeError(ctx context.Context, request *leafv1.SearchShardRequest, leaf *balancer.Leaf, err error) scatter.Result[shardReply] {
 	var refusal *leafclient.Refusal
 	if errors.As(err, &refusal) {
-		return e.judgeRefusal(attempt, refusal.Detail)
+		return e.judgeRefusal(request, leaf, refusal.Detail)
 	}
 	var neverSent *leafclient.NeverSentError
 	if errors.As(err, &neverSent) {
@@ -90,38 +48,38 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			outcome = balancer.Abandoned
 		}
-		return attemptResult{reason: missingLeafFailed, execution: executionNotRun, outcome: outcome}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.NotRun, Outcome: outcome}
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		return attemptResult{reason: missingLeafFailed, execution: executionUnknown, outcome: balancer.Abandoned}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.Unknown, Outcome: balancer.Abandoned}
 	case ctx.Err() != nil:
-		return attemptResult{reason: missingDeadline, execution: executionUnknown, outcome: balancer.Failed}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingDeadline), Execution: scatter.Unknown, Outcome: balancer.Failed}
 	}
-	return attemptResult{reason: missingLeafFailed, execution: executionUnknown, outcome: balancer.Failed}
+	return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.Unknown, Outcome: balancer.Failed}
 }
 
 // judgeRefusal takes a leaf's word that it did not run the attempt, unless the refusal is
 // for another attempt or says that the request ran before.
-func (e *Engine) judgeRefusal(attempt *attempt, refusal *leafv1.LeafRefusal) attemptResult {
-	if !sameIdentity(attempt.request.GetIdentity(), refusal.GetIdentity()) {
-		e.metrics.DroppedReplies.WithLabelValues(attempt.request.GetService(), string(dropWrongIdentity)).Inc()
-		return attemptResult{reason: missingLeafFailed, execution: executionUnknown, outcome: balancer.Failed}
+func (e *Engine) judgeRefusal(request *leafv1.SearchShardRequest, leaf *balancer.Leaf, refusal *leafv1.LeafRefusal) scatter.Result[shardReply] {
+	if !sameIdentity(request.GetIdentity(), refusal.GetIdentity()) {
+		e.metrics.DroppedReplies.WithLabelValues(request.GetService(), string(dropWrongIdentity)).Inc()
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.Unknown, Outcome: balancer.Failed}
 	}
-	e.reportLoad(attempt.leaf, refusal.GetLoad())
+	e.reportLoad(leaf, refusal.GetLoad())
 	switch refusal.GetReason() {
 	case leafv1.RefusalReason_REFUSAL_REASON_SHEDDING:
-		return attemptResult{reason: missingShed, execution: executionNotRun, outcome: balancer.Shed}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingShed), Execution: scatter.NotRun, Outcome: balancer.Shed}
 	case leafv1.RefusalReason_REFUSAL_REASON_DRAINING:
-		return attemptResult{reason: missingReason(balancer.NoReplica), execution: executionNotRun, outcome: balancer.Drained}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(balancer.NoReplica), Execution: scatter.NotRun, Outcome: balancer.Drained}
 	case leafv1.RefusalReason_REFUSAL_REASON_SNAPSHOT_GONE:
-		return attemptResult{reason: missingSnapshotGone, execution: executionNotRun, outcome: balancer.Declined}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingSnapshotGone), Execution: scatter.NotRun, Outcome: balancer.Declined}
 	case leafv1.RefusalReason_REFUSAL_REASON_TOO_LATE:
-		return attemptResult{reason: missingDeadline, execution: executionNotRun, outcome: balancer.Declined}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingDeadline), Execution: scatter.NotRun, Outcome: balancer.Declined}
 	case leafv1.RefusalReason_REFUSAL_REASON_DUPLICATE_EXECUTION:
-		return attemptResult{reason: missingNotRepeated, execution: executionRan, outcome: balancer.Declined}
+		return scatter.Result[shardReply]{Reason: scatter.Reason(missingNotRepeated), Execution: scatter.Ran, Outcome: balancer.Declined}
 	}
-	return attemptResult{reason: missingLeafFailed, execution: executionUnknown, outcome: balancer.Failed}
+	return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.Unknown, Outcome: balancer.Failed}
 }
 
 func (e *Engine) reportLoad(leaf *balancer.Leaf, load *leafv1.LeafLoad) {
--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -210,12 +210,12 @@
 		if err != nil {
 			return nil, congested, err
 		}
-		scatter := newScatter(ctx, e, query, service, e.policy(service.Spec), service.Manifest.Plan(query.asked))
-		outcomes := scatter.run()
-		addExtraLoad(&extra, &scatter.extra)
-		ran, maybeRan = ran || scatter.ran, maybeRan || scatter.maybeRan
-		congested = congested || scatter.congested()
-		if scatter.snapshotGone() && e.mayReplan(query, service, replans, ran || maybeRan) {
+		work := newKeyScatter(e, query, service, e.policy(service.Spec), service.Manifest.Plan(query.asked))
+		outcomes := work.run(ctx)
+		addExtraLoad(&extra, work.extraLoad())
+		ran, maybeRan = ran || work.summary.Ran, maybeRan || work.summary.MaybeRan
+		congested = congested || work.congested()
+		if work.snapshotGone() && e.mayReplan(query, service, replans, ran || maybeRan) {
 			continue
 		}
 		merged := merge(query.asked, outcomes, query.limit, e.config.MaximumAnswerBytes)
--- a/internal/search/merge.go
+++ b/internal/search/merge.go
@@ -4,6 +4,7 @@
 	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
 	"github.com/portgauge/portgauge/internal/keyspace"
 	"github.com/portgauge/portgauge/internal/manifest"
+	"github.com/portgauge/portgauge/internal/scatter"
 )
 
 // missingReason says why a range is not covered by an answer. It is part of the public
@@ -12,10 +13,10 @@
 
 // The reasons for a missing range, besides those of the balancer.
 const (
-	missingDeadline     missingReason = "DEADLINE"
+	missingDeadline                   = missingReason(scatter.Deadline)
 	missingSnapshotGone missingReason = "SNAPSHOT_GONE"
-	missingLeafFailed   missingReason = "LEAF_FAILED"
-	missingShed         missingReason = "SHED"
+	missingLeafFailed                 = missingReason(scatter.LeafFailed)
+	missingShed                       = missingReason(scatter.Shed)
 	missingTruncated    missingReason = "TRUNCATED_BY_LEAF"
 	missingAnswerSize   missingReason = "ANSWER_SIZE"
 	missingOutcomeUnknw missingReason = "OUTCOME_UNKNOWN"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,10 +15,15 @@
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/configwriter"
+	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/gateway"
 	"github.com/portgauge/portgauge/internal/hedging"
 	"github.com/portgauge/portgauge/internal/leafclient"
+	"github.com/portgauge/portgauge/internal/leafhttp"
 	"github.com/portgauge/portgauge/internal/membership"
+	"github.com/portgauge/portgauge/internal/registry"
+	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/search"
 )
 
@@ -33,6 +38,10 @@
 type Listen struct {
 	// Callers serves searches.
 	Callers string `yaml:"callers"`
+	// Front serves requests by the routing table; empty means that it is off.
+	Front string `yaml:"front"`
+	// Ready answers whether the front wants connections; empty means that it is off.
+	Ready string `yaml:"ready"`
 	// Operators serves administration, metrics, health and profiles.
 	Operators string `yaml:"operators"`
 	// Peers serves other nodes, over UDP and TCP.
@@ -44,8 +53,16 @@
 // Platform is where the store and machine list are.
 type Platform struct {
 	Address string `yaml:"address"`
+	// Dialect is the protocol of the platform, one of those that the program was built with.
+	Dialect string `yaml:"dialect"`
+	// WatchWait is how long a watch may wait before it answers that nothing changed, in
+	// dialects where a watch is a call that waits.
+	WatchWait time.Duration `yaml:"watch_wait"`
 }
 
+// DefaultDialect is the product's own protocol to a platform.
+const DefaultDialect = "grpc"
+
 // Stop bounds a planned stop.
 type Stop struct {
 	// DrainTimeout is how long searches in flight may take to end.
@@ -71,6 +88,11 @@
 	Membership   membership.Config   `yaml:"membership"`
 	ConfigSync   configsync.Config   `yaml:"config_sync"`
 	ConfigWriter configwriter.Config `yaml:"config_writer"`
+	Gateway      gateway.Config      `yaml:"gateway"`
+	LeafHTTP     leafhttp.Config     `yaml:"leaf_http"`
+	RetryBudget  retrybudget.Config  `yaml:"retry_budget"`
+	Registry     registry.Config     `yaml:"registry"`
+	DecisionLog  decisionlog.Config  `yaml:"decision_log"`
 }
 
 // Default gives the settings that hold where none are given.
@@ -81,7 +103,7 @@
 			Operators: "127.0.0.1:7401",
 			Peers:     "127.0.0.1:7402",
 		},
-		Platform:     Platform{Address: "127.0.0.1:7300"},
+		Platform:     Platform{Address: "127.0.0.1:7300", Dialect: DefaultDialect, WatchWait: 1500 * time.Millisecond},
 		LogLevel:     "info",
 		Stop:         Stop{DrainTimeout: 30 * time.Second, AnnounceDelay: 200 * time.Millisecond},
 		Search:       search.DefaultConfig(),
@@ -91,6 +113,11 @@
 		Membership:   membership.DefaultConfig(),
 		ConfigSync:   configsync.DefaultConfig(),
 		ConfigWriter: configwriter.DefaultConfig(),
+		Gateway:      gateway.DefaultConfig(),
+		LeafHTTP:     leafhttp.DefaultConfig(),
+		RetryBudget:  retrybudget.DefaultConfig(),
+		Registry:     registry.DefaultConfig(),
+		DecisionLog:  decisionlog.DefaultConfig(),
 	}
 }
 
@@ -101,10 +128,12 @@
 	requireAddress(&checks, "listen.callers", s.Listen.Callers)
 	requireAddress(&checks, "listen.operators", s.Listen.Operators)
 	requireAddress(&checks, "listen.peers", s.Listen.Peers)
-	if s.Listen.AdvertisePeers != "" {
-		requireAddress(&checks, "listen.advertise_peers", s.Listen.AdvertisePeers)
-	}
+	requireAddressIfSet(&checks, "listen.advertise_peers", s.Listen.AdvertisePeers)
+	requireAddressIfSet(&checks, "listen.front", s.Listen.Front)
+	requireAddressIfSet(&checks, "listen.ready", s.Listen.Ready)
 	requireAddress(&checks, "platform.address", s.Platform.Address)
+	checks.Refuse(s.Platform.Dialect == "", "platform.dialect", "must not be empty")
+	checks.Refuse(s.Platform.WatchWait <= 0, "platform.watch_wait", "must be positive")
 	for _, seed := range s.Seeds {
 		requireAddress(&checks, "seeds", seed)
 	}
@@ -119,6 +148,11 @@
 	checks.Add("membership", s.Membership.Validate())
 	checks.Add("config_sync", s.ConfigSync.Validate())
 	checks.Add("config_writer", s.ConfigWriter.Validate())
+	checks.Add("gateway", s.Gateway.Validate())
+	checks.Add("leaf_http", s.LeafHTTP.Validate())
+	checks.Add("retry_budget", s.RetryBudget.Validate())
+	checks.Add("registry", s.Registry.Validate())
+	checks.Add("decision_log", s.DecisionLog.Validate())
 	return checks.Err()
 }
 
@@ -127,3 +161,9 @@
 	_, err := netip.ParseAddrPort(address)
 	checks.Refuse(err != nil, field, "%q; must be an IP number and port, such as 127.0.0.1:7400", address)
 }
+
+func requireAddressIfSet(checks *failure.Checks, field, address string) {
+	if address != "" {
+		requireAddress(checks, field, address)
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,10 +6,20 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"time"
 
 	"github.com/portgauge/portgauge/internal/catalog"
 )
 
+// ErrHistoryGone ends a watch whose changes the store no longer keeps; the whole state must be
+// read anew.
+var ErrHistoryGone = errors.New("the store no longer keeps the changes after this revision")
+
+// ErrLeaseGone says that a lease is over, with all keys that it held.
+var ErrLeaseGone = errors.New("the lease is over")
+
 // Event is what a watch yields: a change, or only a confirmation that none is newer.
 type Event struct {
 	Change *catalog.Change
@@ -38,3 +48,15 @@
 	// ends, the connection is lost, or receive fails.
 	Watch(ctx context.Context, after int64, receive func(Event) error) error
 }
+
+// Lessor keeps keys that go when their writer does. Implementations are safe for concurrent use.
+type Lessor interface {
+	// Grant opens a lease and gives its id and the time to live that applies.
+	Grant(ctx context.Context, timeToLive time.Duration) (lease int64, granted time.Duration, err error)
+	// Keep renews a lease; its error wraps ErrLeaseGone when the lease is over.
+	Keep(ctx context.Context, lease int64) error
+	// End ends a lease and removes its keys.
+	End(ctx context.Context, lease int64) error
+	// PutLeased writes a document under a key that goes with the lease.
+	PutLeased(ctx context.Context, key string, document json.RawMessage, lease int64) error
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -34,6 +34,22 @@
 	ConfigRelayed *prometheus.CounterVec
 	// ControlBytes counts bytes sent between nodes for control, by transport.
 	ControlBytes *prometheus.CounterVec
+	// FrontRequests counts requests of the front by route and outcome.
+	FrontRequests *prometheus.CounterVec
+	// FrontLatency is the time from a front request's arrival to its answer, in seconds.
+	FrontLatency *prometheus.HistogramVec
+	// FrontAttempts counts leaf attempts of the front by kind.
+	FrontAttempts *prometheus.CounterVec
+	// FrontAttemptFailures counts leaf attempts of the front without a usable reply, by reason.
+	FrontAttemptFailures *prometheus.CounterVec
+	// FrontMissingParts counts the parts that gathered answers lacked.
+	FrontMissingParts prometheus.Counter
+	// LeafConnections counts connections opened to leafs.
+	LeafConnections prometheus.Counter
+	// StoreCalls counts calls of the store by name and status.
+	StoreCalls *prometheus.CounterVec
+	// LogLinesLeftOut counts decisions that were not logged.
+	LogLinesLeftOut prometheus.Counter
 	// Members is the number of nodes known in the zone, by state.
 	Members *prometheus.GaugeVec
 }
@@ -41,24 +57,34 @@
 // NewMetrics makes the metrics and registers them with those of the Go runtime.
 func NewMetrics() *Metrics {
 	metrics := &Metrics{
-		Registry:          prometheus.NewRegistry(),
-		QueryLatency:      histogram("query_latency_seconds", "Time from a query's arrival to its answer.", latencyBuckets(), "service", "class"),
-		QueryCoverage:     histogram("query_coverage", "Covered fraction of each answer.", []float64{0, 0.5, 0.9, 0.99, 0.9999, 1}, "service"),
-		Refusals:          counters("failures_total", "Failed queries by code and execution state.", "service", "code", "execution"),
-		Attempts:          counters("leaf_attempts_total", "Leaf attempts by kind.", "service", "kind"),
-		CancelledAttempts: counters("leaf_attempts_cancelled_total", "Leaf attempts that lost to another.", "service"),
-		DroppedReplies:    counters("leaf_replies_dropped_total", "Leaf replies that were not merged.", "service", "reason"),
-		ConfigRevision:    prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_revision", Help: "Configuration revision in force."}),
-		ConfigAge:         prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_age_seconds", Help: "Time since the configuration in force was confirmed to be the newest."}),
-		ConfigRejected:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "config_rejected_total", Help: "Stored values that could not be put into force."}),
-		ConfigRelayed:     counters("config_messages_total", "Configuration messages sent to other nodes.", "kind"),
-		ControlBytes:      counters("control_bytes_sent_total", "Bytes sent to other nodes for control.", "transport"),
-		Members:           prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Nodes known in the zone by state."}, []string{"state"}),
+		Registry:             prometheus.NewRegistry(),
+		QueryLatency:         histogram("query_latency_seconds", "Time from a query's arrival to its answer.", latencyBuckets(), "service", "class"),
+		QueryCoverage:        histogram("query_coverage", "Covered fraction of each answer.", []float64{0, 0.5, 0.9, 0.99, 0.9999, 1}, "service"),
+		Refusals:             counters("failures_total", "Failed queries by code and execution state.", "service", "code", "execution"),
+		Attempts:             counters("leaf_attempts_total", "Leaf attempts by kind.", "service", "kind"),
+		CancelledAttempts:    counters("leaf_attempts_cancelled_total", "Leaf attempts that lost to another.", "service"),
+		DroppedReplies:       counters("leaf_replies_dropped_total", "Leaf replies that were not merged.", "service", "reason"),
+		ConfigRevision:       prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_revision", Help: "Configuration revision in force."}),
+		ConfigAge:            prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_age_seconds", Help: "Time since the configuration in force was confirmed to be the newest."}),
+		ConfigRejected:       counter("config_rejected_total", "Stored values that could not be put into force."),
+		ConfigRelayed:        counters("config_messages_total", "Configuration messages sent to other nodes.", "kind"),
+		ControlBytes:         counters("control_bytes_sent_total", "Bytes sent to other nodes for control.", "transport"),
+		FrontRequests:        counters("front_requests_total", "Requests of the front by route and outcome.", "route", "outcome"),
+		FrontLatency:         histogram("front_latency_seconds", "Time from a front request's arrival to its answer.", latencyBuckets(), "outcome"),
+		FrontAttempts:        counters("front_attempts_total", "Leaf attempts of the front by kind.", "kind"),
+		FrontAttemptFailures: counters("front_attempt_failures_total", "Leaf attempts of the front without a usable reply.", "reason"),
+		FrontMissingParts:    counter("front_missing_parts_total", "Parts that gathered answers lacked."),
+		LeafConnections:      counter("leaf_connections_opened_total", "Connections opened to leafs."),
+		StoreCalls:           counters("store_calls_total", "Calls of the store.", "call", "status"),
+		LogLinesLeftOut:      counter("log_lines_left_out_total", "Decisions that were not logged."),
+		Members:              prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Nodes known in the zone by state."}, []string{"state"}),
 	}
 	metrics.Registry.MustRegister(
 		metrics.QueryLatency, metrics.QueryCoverage, metrics.Refusals, metrics.Attempts,
 		metrics.CancelledAttempts, metrics.DroppedReplies, metrics.ConfigRevision, metrics.ConfigAge,
 		metrics.ConfigRejected, metrics.ConfigRelayed, metrics.ControlBytes, metrics.Members,
+		metrics.FrontRequests, metrics.FrontLatency, metrics.FrontAttempts, metrics.FrontAttemptFailures,
+		metrics.FrontMissingParts, metrics.LeafConnections, metrics.StoreCalls, metrics.LogLinesLeftOut,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
@@ -68,6 +94,10 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
 }
 
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
 func counters(name, help string, labels ...string) *prometheus.CounterVec {
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
