Read the store at once at a start instead of waiting to know the zone

Cause: after a power cut of all machines, nodes listened at once but refused for 1.5 s as they had no routes: only ranked watchers read the store, and ranks wait for the zone to settle. Ruled out: slow start of the process (30 ms), the store (20 ms an answer). At scale the wait is a setting, so that a fleet that starts together takes configuration from peers.

--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -12,6 +12,9 @@
 	WatchersPerZone int `yaml:"watchers_per_zone"`
 	// FanOut is how many nodes a node hands a change to.
 	FanOut int `yaml:"fan_out"`
+	// FirstReadDelay is how long a node that starts waits for configuration from peers, at most,
+	// before it reads the store whether it will be a watcher or not. Large fleets want seconds.
+	FirstReadDelay time.Duration `yaml:"first_read_delay"`
 	// BatchDelay is how long a watcher collects changes before it pushes them.
 	BatchDelay time.Duration `yaml:"batch_delay"`
 	// BackupDelay is how long a watcher waits for the push of the watcher before it in rank
@@ -44,6 +47,7 @@
 	return Config{
 		WatchersPerZone:     2,
 		FanOut:              4,
+		FirstReadDelay:      8 * time.Second,
 		BatchDelay:          20 * time.Millisecond,
 		BackupDelay:         500 * time.Millisecond,
 		CallTimeout:         500 * time.Millisecond,
@@ -62,6 +66,7 @@
 func (c Config) Validate() error {
 	var checks failure.Checks
 	checks.Refuse(c.WatchersPerZone < 1, "watchers_per_zone", "must be at least 1")
+	checks.Refuse(c.FirstReadDelay < 0, "first_read_delay", "must not be negative")
 	checks.Refuse(c.FanOut < 1, "fan_out", "must be at least 1")
 	durations := []struct {
 		field string
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -142,6 +142,7 @@
 // fleet is many nodes over one platform on a memory network, in virtual time.
 type fleet struct {
 	t        *testing.T
+	config   Config
 	platform *memoryPlatform
 	network  *peer.MemoryNetwork
 	nodes    map[string]*testNode
@@ -149,7 +150,7 @@
 
 func newFleet(t *testing.T, zones, perZone int) *fleet {
 	f := &fleet{
-		t: t, platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}},
+		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}},
 		network: peer.NewMemoryNetwork(1, time.Millisecond), nodes: map[string]*testNode{},
 	}
 	for zone := range zones {
@@ -169,7 +170,7 @@
 	view := platformView{f.platform, id}
 	node := &testNode{id: id, catalog: catalog.New(nil), leafs: &leafNotes{leaving: map[string]time.Time{}}}
 	node.syncer = New(Parts{
-		Config: DefaultConfig(), Catalog: node.catalog, Store: view, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
+		Config: f.config, Catalog: node.catalog, Store: view, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
 	})
 	self := peer.Member{ID: id, Address: id, Zone: zone, Incarnation: time.Now().UnixMilli()}
 	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, 1)
@@ -385,3 +386,17 @@
 		is.Equal(fmt.Sprint(joined), fmt.Sprint(addresses))
 	}
 }
+
+// A node that starts alone reads the store at once instead of waiting until it knows its zone.
+func TestFirstReadDoesNotWaitForTheZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 0)
+		defer f.stopAll()
+		revision := f.platform.write(t, "a", 1)
+		f.config.FirstReadDelay = 10 * time.Millisecond
+		f.start("z0-n0", "z0")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.nodes["z0-n0"].catalog.Revision(), revision)
+	})
+}
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/wait"
 )
 
 // errGap ends a watch whose events do not follow on the revision in force.
@@ -58,7 +60,10 @@
 
 // watchLoop watches the store while this node ranks among the watchers.
 func (s *Syncer) watchLoop(ctx context.Context) {
-	wait := s.config.RetryPause
+	if !s.readFirst(ctx) {
+		return
+	}
+	retryAfter := s.config.RetryPause
 	for {
 		if s.rank() == notAWatcher {
 			s.storeDownAt.Store(0)
@@ -83,13 +88,44 @@
 		s.storeDownAt.CompareAndSwap(0, time.Now().UnixNano())
 		s.logger.Warn("store watch ended", zap.Error(err), zap.Int64("revision", s.catalog.Revision()))
 		if time.Since(opened) > s.config.WatchSilence {
-			wait = s.config.RetryPause
+			retryAfter = s.config.RetryPause
 		}
-		if !pause(ctx, wait) {
+		if !pause(ctx, retryAfter) {
 			return
 		}
-		wait = s.backoff(wait)
+		retryAfter = s.backoff(retryAfter)
+	}
+}
+
+// firstReadChecks is how many times a node looks whether a peer gave it configuration while it
+// waits with its own first read.
+const firstReadChecks = 8
+
+// readFirst reads the store until the node has configuration, from there or from a peer. A node
+// that starts does so whether it will be a watcher or not: joining its zone takes longer, and
+// until then it can't serve. It waits for a while first, a different one on each node, so that in
+// a large fleet that starts together most have configuration from peers by then. It reports false
+// when the context ended.
+func (s *Syncer) readFirst(ctx context.Context) bool {
+	readAt := time.Now().Add(time.Duration((0.5 + rand.Float64()/2) * float64(s.config.FirstReadDelay)))
+	for !s.initialised.Load() && s.rank() == notAWatcher && time.Now().Before(readAt) {
+		if !wait.For(ctx, s.config.FirstReadDelay/firstReadChecks) {
+			return false
+		}
+	}
+	retryAfter := s.config.RetryPause
+	for !s.initialised.Load() {
+		err := s.readStore(ctx)
+		if err == nil {
+			break
+		}
+		s.logger.Warn("store can't be read at the start", zap.Error(err))
+		if !pause(ctx, retryAfter) {
+			return false
+		}
+		retryAfter = s.backoff(retryAfter)
 	}
+	return ctx.Err() == nil
 }
 
 // watchOnce reads the whole state if there is none yet, then follows the store's changes.
