Choose leafs by expected delay; let a watch rest after it told of changes

Cause 1: score used moving-average latency, which holds queueing twice and mixes kinds of request. Superseded attempts now linger 25 ms instead of 80: under load a leaf should drop them.

--- a/cmd/portgauge/dialects.go
+++ b/cmd/portgauge/dialects.go
@@ -12,7 +12,7 @@
 		Name: platform.Name,
 		HTTP: platform.Dialect(),
 		Connect: func(config settings.Platform, called func(call string, status int)) node.PlatformStore {
-			return platform.NewClient(config.Address, config.WatchWait, called)
+			return platform.NewClient(config, called)
 		},
 	}}
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -8,6 +8,7 @@
 package balancer
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -17,6 +18,10 @@
 // preferred until its replicas are this many times worse.
 const zoneAdvantage = 2
 
+// crossZoneDelay multiplies the expected delay of replicas in another zone: their answers cross
+// a slower and dearer link.
+const crossZoneDelay = 1.25
+
 // Balancer knows the leafs this node has used. It is safe for concurrent use.
 type Balancer struct {
 	config Config
@@ -54,6 +59,8 @@
 	Reason NoChoice
 	// Troubled says that the leaf is ejected or stalled, and was chosen for want of another.
 	Troubled bool
+	// Expected is how many times the usual the attempt is expected to take; 0 when unknown.
+	Expected float64
 }
 
 // NoChoice says why no replica can be asked.
@@ -100,6 +107,9 @@
 		return Choice{Leaf: usable[rand.IntN(len(usable))].leaf, Troubled: troubled}
 	}
 	usable = dropCold(usable)
+	if isCompared(usable) {
+		return b.leastDelay(usable, troubled)
+	}
 	fastest := fastestLatency(usable)
 	usable = b.dropSlow(usable, fastest)
 	return Choice{Leaf: b.betterOfTwo(usable, fastest), Troubled: troubled}
@@ -133,6 +143,38 @@
 	return kept
 }
 
+// isCompared reports whether the slowness of some replica is known.
+func isCompared(usable []scored) bool {
+	for _, candidate := range usable {
+		if candidate.state.compared {
+			return true
+		}
+	}
+	return false
+}
+
+// delayJitter spreads the choices of nodes that know the same, so that they don't all turn to
+// the same replica at once.
+const delayJitter = 0.1
+
+// leastDelay gives the replica that is expected to answer first.
+func (b *Balancer) leastDelay(usable []scored, troubled bool) Choice {
+	var best Choice
+	least := math.Inf(1)
+	for _, candidate := range usable {
+		expected := candidate.state.slowness * candidate.state.queueing
+		score := expected * (1 + delayJitter*rand.Float64())
+		if candidate.leaf.Zone != b.zone {
+			score *= crossZoneDelay
+		}
+		if score < least {
+			least = score
+			best = Choice{Leaf: candidate.leaf, Troubled: troubled, Expected: expected}
+		}
+	}
+	return best
+}
+
 // exploreShare is the share of choices that may still go to a replica far slower than its
 // peers, so that its recovery is seen.
 const exploreShare = 0.01
@@ -221,9 +263,10 @@
 // Start counts an attempt at the leaf in.
 func (b *Balancer) Start(leaf *Leaf) { leaf.start(b.now()) }
 
-// Finish counts an attempt at the leaf out.
-func (b *Balancer) Finish(leaf *Leaf, outcome Outcome, took time.Duration) {
-	leaf.finish(b.config, outcome, took, b.now())
+// Finish counts an attempt at the leaf out. Typical is what such work usually takes at any leaf;
+// 0 when that is not known.
+func (b *Balancer) Finish(leaf *Leaf, outcome Outcome, took, typical time.Duration) {
+	leaf.finish(b.config, outcome, took, typical, b.now())
 	if outcome == Drained {
 		b.tellDraining(leaf)
 	}
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -21,7 +21,7 @@
 	b.Start(choice.Leaf)
 	wait := took(choice.Leaf.ID)
 	time.Sleep(wait)
-	b.Finish(choice.Leaf, outcome, wait)
+	b.Finish(choice.Leaf, outcome, wait, 0)
 	return choice.Leaf.ID
 }
 
@@ -56,7 +56,7 @@
 		bad := b.leaf("a", "z", time.Now())
 		for range DefaultConfig().EjectAfter {
 			b.Start(bad)
-			b.Finish(bad, Failed, time.Millisecond)
+			b.Finish(bad, Failed, time.Millisecond, 0)
 		}
 		for range 200 {
 			is.True(b.Choose(three(), nil).Leaf.ID != "a")
@@ -67,7 +67,7 @@
 		for range 200 {
 			is.True(b.Choose(three(), nil).Leaf.ID != "a") // one trial at a time
 		}
-		b.Finish(bad, Succeeded, time.Millisecond)
+		b.Finish(bad, Succeeded, time.Millisecond, 0)
 		seen := false
 		for range 500 {
 			seen = seen || b.Choose(three(), nil).Leaf.ID == "a"
@@ -85,7 +85,7 @@
 		b.OnDraining(func(id string) { told = id })
 		draining := b.leaf("b", "z", time.Now())
 		b.Start(draining)
-		b.Finish(draining, Drained, time.Millisecond)
+		b.Finish(draining, Drained, time.Millisecond, 0)
 		is.Equal(told, "b")
 		candidates := three()
 		candidates[2].Leaving = true
@@ -101,11 +101,11 @@
 	shedding := b.leaf("a", "z", time.Now())
 	for range 30 {
 		b.Start(shedding)
-		b.Finish(shedding, Shed, time.Millisecond)
+		b.Finish(shedding, Shed, time.Millisecond, 0)
 	}
 	b.Start(shedding)
 	is.Equal(b.Choose(three()[:1], nil).Reason, ReplicasFull)
-	b.Finish(shedding, Succeeded, time.Millisecond)
+	b.Finish(shedding, Succeeded, time.Millisecond, 0)
 	is.Equal(b.Choose(three()[:1], nil).Leaf.ID, "a")
 }
 
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -51,8 +51,11 @@
 	trial         bool // one attempt is out to see whether an ejected leaf is back
 	drainingUntil time.Time
 	warmSince     time.Time
-	reportedLoad  float64 // share of slots in use, by the leaf's own word
+	reported      Load // the leaf's own word
 	reportedAt    time.Time
+	// inFlightThen is how many attempts of this node were in flight when the leaf reported.
+	inFlightThen int
+	slowness     slowness
 	// silentSince is the start of the oldest attempt since which the leaf answered nothing;
 	// zero when it owes no answer.
 	silentSince time.Time
@@ -85,12 +88,13 @@
 }
 
 // finish counts an attempt out and learns from its outcome.
-func (l *Leaf) finish(config Config, outcome Outcome, took time.Duration, now time.Time) {
+func (l *Leaf) finish(config Config, outcome Outcome, took, typical time.Duration, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.inFlight--
 	l.trial = false
 	l.heard(outcome, now)
+	l.compare(config, outcome, took, typical, now)
 	switch outcome {
 	case Succeeded:
 		l.succeed(config, took, now)
@@ -184,8 +188,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if load.Slots > 0 {
-		l.reportedLoad = float64(load.InFlight) / float64(load.Slots)
-		l.reportedAt = now
+		l.reported, l.reportedAt, l.inFlightThen = load, now, l.inFlight
 	}
 	if load.Draining {
 		l.drainingUntil = now.Add(config.ForgetDrain)
@@ -200,6 +203,9 @@
 	full     bool
 	latency  float64 // moving average in seconds; 0 when unknown
 	load     float64 // attempts in flight and the reported load, plus the attempt to come
+	queueing float64 // times the usual that one more attempt takes because others wait
+	slowness float64 // times the usual that the leaf takes for the same kind of work
+	compared bool    // slowness is known
 	warmth   float64 // share of its full part that a new or returned leaf should get
 }
 
@@ -225,9 +231,11 @@
 	}
 	busy := float64(l.inFlight)
 	if now.Sub(l.reportedAt) < config.LoadAge {
-		busy += l.reportedLoad
+		busy += float64(l.reported.InFlight) / float64(l.reported.Slots)
 	}
 	result.load = busy + 1
+	result.queueing = l.queueing(config, now)
+	result.slowness, result.compared = l.slowness.now(now)
 	result.warmth = l.warmth(config, now)
 	return result
 }
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -24,6 +24,8 @@
 	LinesPerSecond float64 `yaml:"lines_per_second"`
 	// FailureLinesPerSecond bounds the lines of failed and partial requests.
 	FailureLinesPerSecond float64 `yaml:"failure_lines_per_second"`
+	// EveryAttempt logs leaf attempts that went as usual, too.
+	EveryAttempt bool `yaml:"every_attempt"`
 	// Queue is how many lines may wait for the output.
 	Queue int `yaml:"queue"`
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,10 +103,9 @@
 
 // Ended implements scatter.Observer.
 func (w *gathering) Ended(attempt scatter.Attempt, result scatter.Result[leafhttp.Response], took time.Duration) {
-	if result.Reply == nil && result.Outcome != balancer.Abandoned {
-		w.gateway.journal.AttemptFailed(AttemptRecord{
-			RequestID: w.query.Leaf.ID, Service: w.services[attempt.Shard], Leaf: attempt.Leaf.ID, Kind: attempt.Kind,
-			Reason: result.Reason, Execution: result.Execution, Took: took,
-		})
-	}
+	w.gateway.journal.AttemptEnded(AttemptRecord{
+		RequestID: w.query.Leaf.ID, Service: w.services[attempt.Shard], Leaf: attempt.Leaf.ID, Kind: attempt.Kind,
+		Reason: result.Reason, Execution: result.Execution, Took: took,
+		Succeeded: result.Reply != nil, Abandoned: result.Outcome == balancer.Abandoned,
+	})
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -42,7 +42,7 @@
 		HedgeReserve:     0.25,
 		ReplicaWait:      10 * time.Millisecond,
 		AnswerReserve:    10 * time.Millisecond,
-		ObjectiveReserve: 2500 * time.Microsecond,
+		ObjectiveReserve: 4500 * time.Microsecond,
 		MaximumRefusals:  3,
 		RetryAfter:       50 * time.Millisecond,
 	}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -13,13 +13,13 @@
 	Refused(request *Request, err error)
 	// Attempted tells of an attempt that begins.
 	Attempted(service string, kind scatter.Kind)
-	// AttemptFailed tells of an attempt without a usable reply.
-	AttemptFailed(record AttemptRecord)
+	// AttemptEnded tells of the end of an attempt.
+	AttemptEnded(record AttemptRecord)
 	// Served tells of the end of a request.
 	Served(record RequestRecord)
 }
 
-// AttemptRecord is an attempt without a usable reply.
+// AttemptRecord is one attempt at one leaf.
 type AttemptRecord struct {
 	RequestID string
 	Service   string
@@ -28,6 +28,9 @@
 	Reason    scatter.Reason
 	Execution scatter.Execution
 	Took      time.Duration
+	Succeeded bool
+	// Abandoned says that the reply was not awaited.
+	Abandoned bool
 }
 
 // RequestRecord is a request with what decided its answer.
--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -111,6 +111,16 @@
 	return max(delay, minimumHedge), true
 }
 
+// Typical implements scatter.Policy.
+func (p *shardPolicy) Typical() time.Duration { return p.latency.typical() }
+
+// WorthHedging implements scatter.Policy: a hedge that is not expected to answer within the
+// objective is not, until that is over.
+func (p *shardPolicy) WorthHedging(expected float64) bool {
+	left := time.Until(p.objective)
+	return left <= 0 || time.Duration(expected*float64(p.latency.typical())) < left
+}
+
 // AllowHedge implements scatter.Policy.
 func (p *shardPolicy) AllowHedge() bool { return p.budgets.Take(p.service, p.config.HedgeReserve) }
 
--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -118,6 +118,12 @@
 	return delay, true
 }
 
+// Typical gives 0: replicas of key ranges are compared with each other instead.
+func (p *Policy) Typical() time.Duration { return 0 }
+
+// WorthHedging reports that a hedge is worth its cost to any replica.
+func (p *Policy) WorthHedging(float64) bool { return true }
+
 // AllowHedge takes a token for a hedge; false while the service sheds load.
 func (p *Policy) AllowHedge() bool {
 	if time.Since(time.Unix(0, p.shedAt.Load())) < p.config.ShedPause {
--- a/internal/leafhttp/config.go
+++ b/internal/leafhttp/config.go
@@ -39,7 +39,7 @@
 		SilenceTimeout:     3 * time.Second,
 		IdleTimeout:        30 * time.Second,
 		IdleReserve:        500 * time.Millisecond,
-		LingerTimeout:      80 * time.Millisecond,
+		LingerTimeout:      25 * time.Millisecond,
 		MaximumAnswerBytes: 16 << 20,
 		ConnectionsPerLeaf: 16,
 		ConnectionShare:    0.9,
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -14,6 +14,8 @@
 type requestJournal struct {
 	log     *decisionlog.Log
 	metrics *telemetry.Metrics
+	// everyAttempt logs attempts that went as usual, too.
+	everyAttempt bool
 }
 
 var _ gateway.Journal = (*requestJournal)(nil)
@@ -25,6 +27,7 @@
 	eventPartial       = "request_partial"
 	eventFailed        = "request_failed"
 	eventAttemptFailed = "attempt_failed"
+	eventAttemptEnded  = "attempt_ended"
 )
 
 // Outcomes of requests in the metrics.
@@ -72,9 +75,10 @@
 	Service    string         `json:"service"`
 	Leaf       string         `json:"leaf"`
 	Kind       scatter.Kind   `json:"kind"`
-	Reason     scatter.Reason `json:"reason"`
+	Reason     scatter.Reason `json:"reason,omitempty"`
 	Execution  string         `json:"execution"`
 	TookMillis float64        `json:"took_millis"`
+	Abandoned  bool           `json:"abandoned,omitempty"`
 }
 
 // Refused implements gateway.Journal.
@@ -91,12 +95,21 @@
 	j.metrics.FrontAttempts.WithLabelValues(string(kind)).Inc()
 }
 
-// AttemptFailed implements gateway.Journal.
-func (j *requestJournal) AttemptFailed(record gateway.AttemptRecord) {
-	j.metrics.FrontAttemptFailures.WithLabelValues(string(record.Reason)).Inc()
+// AttemptEnded implements gateway.Journal. Attempts that went as usual are logged only where the
+// settings ask for it.
+func (j *requestJournal) AttemptEnded(record gateway.AttemptRecord) {
+	event := eventAttemptEnded
+	if !record.Succeeded && !record.Abandoned {
+		event = eventAttemptFailed
+		j.metrics.FrontAttemptFailures.WithLabelValues(string(record.Reason)).Inc()
+	}
+	if event == eventAttemptEnded && !j.everyAttempt {
+		return
+	}
 	j.log.Write(decisionlog.Ordinary, attemptEvent{
-		Time: time.Now(), Event: eventAttemptFailed, RequestID: record.RequestID, Service: record.Service, Leaf: record.Leaf,
+		Time: time.Now(), Event: event, RequestID: record.RequestID, Service: record.Service, Leaf: record.Leaf,
 		Kind: record.Kind, Reason: record.Reason, Execution: record.Execution.String(), TookMillis: millis(record.Took),
+		Abandoned: record.Abandoned,
 	})
 }
 
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -110,8 +110,8 @@
 	return decisionlog.New(config.DecisionLog, output, metrics.LogLinesLeftOut.Inc)
 }
 
-func newJournal(log *decisionlog.Log, metrics *telemetry.Metrics) gateway.Journal {
-	return &requestJournal{log: log, metrics: metrics}
+func newJournal(config settings.Settings, log *decisionlog.Log, metrics *telemetry.Metrics) gateway.Journal {
+	return &requestJournal{log: log, metrics: metrics, everyAttempt: config.DecisionLog.EveryAttempt}
 }
 
 func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -63,6 +63,11 @@
 	// HedgeDelay gives how long to wait from the newest attempt until the hedge of a stage, 0
 	// being the first, and whether there is such a stage.
 	HedgeDelay(stage int) (time.Duration, bool)
+	// Typical is what an attempt usually takes at any leaf; 0 when that is not known.
+	Typical() time.Duration
+	// WorthHedging reports whether a hedge is of use to a replica that is expected to take so
+	// many times the usual; 0 means that nothing is known of it.
+	WorthHedging(expected float64) bool
 	// AllowHedge takes a hedge from the budget.
 	AllowHedge() bool
 	// AllowRetry takes a retry from the budget.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -120,8 +120,11 @@
 		s.withoutReplica(shard, Reason(choice.Reason))
 		return false
 	}
-	// A hedge to a replica that is known to be in trouble is wasted.
-	if (kind == Hedge && choice.Troubled) || !allow() {
+	// A hedge to a replica that is in trouble, or that would come too late, is wasted.
+	if kind == Hedge && (choice.Troubled || !s.plan.Shards[index].Policy.WorthHedging(choice.Expected)) {
+		return false
+	}
+	if !allow() {
 		s.withoutReplica(shard, shard.reason)
 		return false
 	}
@@ -134,12 +137,13 @@
 	s.balancer.Start(choice.Leaf)
 	s.scheduleHedge(index, now)
 	s.observer.Began(attempt)
+	typical := s.plan.Shards[index].Policy.Typical()
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	shard.cancelAll = append(shard.cancelAll, cancel)
 	go func() {
 		result := s.runOne(ctx, attempt)
 		took := time.Since(attempt.Started)
-		s.balancer.Finish(attempt.Leaf, result.Outcome, took)
+		s.balancer.Finish(attempt.Leaf, result.Outcome, took, typical)
 		s.observer.Ended(attempt, result, took)
 		s.results <- finished[Reply]{attempt, result}
 	}()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,6 +58,9 @@
 	// WatchWait is how long a watch may wait before it answers that nothing changed, in
 	// dialects where a watch is a call that waits.
 	WatchWait time.Duration `yaml:"watch_wait"`
+	// WatchPause is how long such a watch rests after it told of changes, so that those of a
+	// burst are told together.
+	WatchPause time.Duration `yaml:"watch_pause"`
 }
 
 // DefaultDialect is the product's own protocol to a platform.
@@ -103,7 +106,7 @@
 			Operators: "127.0.0.1:7401",
 			Peers:     "127.0.0.1:7402",
 		},
-		Platform:     Platform{Address: "127.0.0.1:7300", Dialect: DefaultDialect, WatchWait: 1500 * time.Millisecond},
+		Platform:     Platform{Address: "127.0.0.1:7300", Dialect: DefaultDialect, WatchWait: 2 * time.Second, WatchPause: 300 * time.Millisecond},
 		LogLevel:     "info",
 		Stop:         Stop{DrainTimeout: 30 * time.Second, AnnounceDelay: 200 * time.Millisecond},
 		Search:       search.DefaultConfig(),
@@ -134,6 +137,7 @@
 	requireAddress(&checks, "platform.address", s.Platform.Address)
 	checks.Refuse(s.Platform.Dialect == "", "platform.dialect", "must not be empty")
 	checks.Refuse(s.Platform.WatchWait <= 0, "platform.watch_wait", "must be positive")
+	checks.Refuse(s.Platform.WatchPause < 0, "platform.watch_pause", "must not be negative")
 	for _, seed := range s.Seeds {
 		requireAddress(&checks, "seeds", seed)
 	}
