Remember leafs across a store outage and a start in it

Ruled out: leafs down (they ran), connection limits (no reset at that time). A service without ready leafs is now asked at those it had a moment ago; the fleet writes the list down in the store for nodes that start.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,12 +37,14 @@
 	Routes *routing.Table
 	// Leafs is what discovery tells of leafs.
 	Leafs *leafset.Set
+	// Remembered is the list of leafs that the fleet wrote down last.
+	Remembered *leafset.Set
 	// Nodes are the registered nodes of the fleet by id.
 	Nodes map[string]NodeRecord
 }
 
 func emptyView(revision int64) *View {
-	return &View{Revision: revision, Services: map[string]*Service{}, Leafs: leafset.Empty(), Nodes: map[string]NodeRecord{}}
+	return &View{Revision: revision, Services: map[string]*Service{}, Leafs: leafset.Empty(), Remembered: leafset.Empty(), Nodes: map[string]NodeRecord{}}
 }
 
 // Snapshot is the whole state, for a node that is too far behind for single changes.
--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -54,6 +54,8 @@
 	switch {
 	case entry.Key == RoutesKey:
 		err = target.compileRoutes(entry)
+	case entry.Key == RememberedKey:
+		err = target.compileRemembered(entry)
 	case strings.HasPrefix(entry.Key, servicePrefix):
 		err = target.compileService(strings.TrimPrefix(entry.Key, servicePrefix), entry)
 	case strings.HasPrefix(entry.Key, snapshotPrefix):
@@ -88,6 +90,23 @@
 	return nil
 }
 
+func (d *draft) compileRemembered(entry Entry) error {
+	if entry.Deleted {
+		d.view.Remembered = leafset.Empty()
+		return nil
+	}
+	document, err := DecodeDocument(entry)
+	if err != nil {
+		return err
+	}
+	remembered, err := leafset.ParseList(document, entry.Revision)
+	if err != nil {
+		return err
+	}
+	d.view.Remembered = remembered
+	return nil
+}
+
 func (d *draft) compileLeaf(id string, entry Entry) error {
 	if d.leafs == nil {
 		d.leafs = d.view.Leafs.Edit()
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -22,6 +22,8 @@
 	nodePrefix     = "node/"
 	// RoutesKey is the store key of the routing configuration.
 	RoutesKey = "routes"
+	// RememberedKey is the store key of the list of leafs that the fleet wrote down.
+	RememberedKey = "remembered-leafs"
 )
 
 // ServiceKey is the store key of a service's settings.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,10 +24,7 @@
 // runAttempt asks one leaf and judges its answer.
 func (w *gathering) runAttempt(ctx context.Context, attempt scatter.Attempt) scatter.Result[leafhttp.Response] {
 	service := w.services[attempt.Shard]
-	leaf, known := w.gateway.catalog.View().Leafs.ByID(attempt.Leaf.ID)
-	if !known {
-		return scatter.Result[leafhttp.Response]{Reason: reasonGone, Execution: scatter.NotRun, Outcome: balancer.Declined}
-	}
+	leaf := w.leafs[attempt.Leaf.ID]
 	target := leafhttp.Target{
 		Incarnation: leaf.ID, Address: leaf.Address, MaximumConnections: w.query.service(service).MaximumConnections,
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/routing"
@@ -31,6 +32,7 @@
 	Config   Config
 	Dialect  httpdialect.Dialect
 	Catalog  *catalog.Catalog
+	Memory   *leafmemory.Memory
 	Balancer *balancer.Balancer
 	Budgets  *retrybudget.Budgets
 	Leafs    LeafCaller
@@ -42,6 +44,7 @@
 	config   Config
 	dialect  httpdialect.Dialect
 	catalog  *catalog.Catalog
+	memory   *leafmemory.Memory
 	balancer *balancer.Balancer
 	budgets  *retrybudget.Budgets
 	leafs    LeafCaller
@@ -55,7 +58,7 @@
 // New makes a gateway.
 func New(parts Parts) *Gateway {
 	return &Gateway{
-		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, balancer: parts.Balancer,
+		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, balancer: parts.Balancer,
 		budgets: parts.Budgets, leafs: parts.Leafs, journal: parts.Journal,
 		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
 	}
@@ -95,8 +98,10 @@
 	case len(entry.Gathered) > 0:
 		return entry.Gathered
 	case len(entry.Weighted) > 0:
-		leafs := g.catalog.View().Leafs
-		chosen := g.shares.Next(entry, func(service string) bool { return len(leafs.Of(service)) > 0 })
+		chosen := g.shares.Next(entry, func(service string) bool {
+			leafs, _ := g.memory.Candidates(service)
+			return len(leafs) > 0
+		})
 		return []string{entry.Weighted[chosen].Service}
 	}
 	return []string{entry.Service}
@@ -107,6 +112,8 @@
 	gateway  *Gateway
 	query    *query
 	services []string
+	// leafs are all that may be asked, by id.
+	leafs    map[string]*leafset.Leaf
 	summary  scatter.Summary
 	outcomes []scatter.Outcome[leafhttp.Response]
 
@@ -145,10 +152,10 @@
 	if w.isGathered() {
 		plan.SoftDeadline = w.query.objective
 	}
-	leafs := w.gateway.catalog.View().Leafs
+	w.leafs = make(map[string]*leafset.Leaf, 2*len(w.services))
 	for index, service := range w.services {
 		plan.Shards[index] = scatter.Shard{
-			Candidates: candidatesOf(leafs.Of(service)),
+			Candidates: w.candidates(service),
 			Policy: &shardPolicy{
 				config: w.gateway.config, service: service, budgets: w.gateway.budgets,
 				latency: w.latency(service), objective: w.query.objective,
@@ -169,10 +176,13 @@
 	return w.gateway.latencies.of(kind, entry.Objective/objectiveParts)
 }
 
-func candidatesOf(leafs []*leafset.Leaf) []balancer.Candidate {
+// candidates gives the leafs of a service that may be asked.
+func (w *gathering) candidates(service string) []balancer.Candidate {
+	leafs, _ := w.gateway.memory.Candidates(service)
 	candidates := make([]balancer.Candidate, 0, len(leafs))
 	for _, leaf := range leafs {
-		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Leaving: leaf.State != leafset.Ready})
+		w.leafs[leaf.ID] = leaf
+		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone})
 	}
 	return candidates
 }
--- /dev/null
+++ b/internal/leafmemory/writer.go
@@ -0,0 +1,117 @@
+package leafmemory
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/wait"
+)
+
+// checkInterval is how often a writer compares the leafs with the list.
+const checkInterval = time.Second
+
+// writeTimeout bounds one write of the list.
+const writeTimeout = time.Second
+
+// Writer writes the list of leafs down for nodes that start. All nodes run one; the first by
+// the hash of their ids writes, and the others take over the longer nothing comes, one after the
+// other. The write is fenced by the revision that it replaces, so that two do no harm.
+type Writer struct {
+	config  Config
+	catalog *catalog.Catalog
+	store   store.Store
+	self    string
+	logger  *zap.Logger
+
+	wanted []leafset.Record
+	since  time.Time // when the leafs became what is wanted
+}
+
+// NewWriter makes a writer for the node of an id.
+func NewWriter(config Config, known *catalog.Catalog, kept store.Store, self string, logger *zap.Logger) *Writer {
+	return &Writer{config: config, catalog: known, store: kept, self: self, logger: logger}
+}
+
+// Run writes the list whenever it changed, until the context ends.
+func (w *Writer) Run(ctx context.Context) {
+	for wait.For(ctx, checkInterval) {
+		if !w.isDue(time.Now()) {
+			continue
+		}
+		if err := w.write(ctx); err != nil {
+			w.logger.Info("list of leafs can't be written", zap.Error(err))
+		}
+	}
+}
+
+// isDue reports whether the list differs from the leafs for so long that this node writes it.
+func (w *Writer) isDue(now time.Time) bool {
+	view := w.catalog.View()
+	current := records(view.Leafs)
+	if !slices.Equal(current, w.wanted) {
+		w.wanted, w.since = current, now
+		return false
+	}
+	if len(current) == 0 || len(current) > w.config.MaximumLeafs || slices.Equal(current, records(view.Remembered)) {
+		return false
+	}
+	return now.Sub(w.since) >= w.config.WriteDelay*time.Duration(1+w.rank(view))
+}
+
+// rank is how many registered nodes come before this one.
+func (w *Writer) rank(view *catalog.View) int {
+	own := xxhash.Sum64String(w.self)
+	ahead := 0
+	for id := range view.Nodes {
+		if xxhash.Sum64String(id) > own {
+			ahead++
+		}
+	}
+	return ahead
+}
+
+// records gives the ready leafs in order of id, without what changes as they warm up.
+func records(set *leafset.Set) []leafset.Record {
+	var ready []leafset.Record
+	for _, id := range set.IDs() {
+		leaf, _ := set.ByID(id)
+		if leaf.State != leafset.Ready {
+			continue
+		}
+		record := leaf.Record
+		record.WarmupMillis = 0
+		ready = append(ready, record)
+	}
+	slices.SortFunc(ready, func(a, b leafset.Record) int { return strings.Compare(a.ID, b.ID) })
+	return ready
+}
+
+func (w *Writer) write(ctx context.Context) error {
+	document, err := json.Marshal(leafset.List{Leafs: w.wanted})
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, failure.NotRun, "encode list of leafs")
+	}
+	expected := int64(0)
+	if entry, found := w.catalog.Entry(catalog.RememberedKey); found {
+		expected = entry.Revision
+	}
+	value, err := catalog.NewDocument("", document, nil)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	_, err = w.store.CompareAndSwap(ctx, catalog.RememberedKey, expected, value, false)
+	w.since = time.Now() // the next try, if any, waits as long again
+	return err
+}
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -45,6 +45,24 @@
 	WarmUntil time.Time
 }
 
+// List is many records, as they are written down together.
+type List struct {
+	Leafs []Record `json:"leafs"`
+}
+
+// ParseList reads a list in JSON into a set of the given revision.
+func ParseList(content []byte, revision int64) (*Set, error) {
+	var list List
+	if err := json.Unmarshal(content, &list); err != nil {
+		return nil, failure.Invalid("leafs", "not a list of leafs: %v", err)
+	}
+	editor := Empty().Edit()
+	for _, record := range list.Leafs {
+		editor.Put(&Leaf{Record: record, Revision: revision})
+	}
+	return editor.Done(), nil
+}
+
 // Parse reads and checks a record in JSON.
 func Parse(content []byte) (Record, error) {
 	var record Record
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -7,6 +7,7 @@
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/retrybudget"
@@ -24,12 +25,13 @@
 	balancer *balancer.Balancer
 	budgets  *retrybudget.Budgets
 	pool     *leafhttp.Pool
+	memory   *leafmemory.Memory
 	members  *membership.Membership
 	metrics  *telemetry.Metrics
 }
 
-func newLeafKeeper(known *catalog.Catalog, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, members *membership.Membership, metrics *telemetry.Metrics) *leafKeeper {
-	return &leafKeeper{catalog: known, balancer: choice, budgets: budgets, pool: pool, members: members, metrics: metrics}
+func newLeafKeeper(known *catalog.Catalog, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, memory *leafmemory.Memory, members *membership.Membership, metrics *telemetry.Metrics) *leafKeeper {
+	return &leafKeeper{catalog: known, balancer: choice, budgets: budgets, pool: pool, memory: memory, members: members, metrics: metrics}
 }
 
 func (k *leafKeeper) run(ctx context.Context) {
@@ -46,7 +48,7 @@
 			known[leafID] = true
 		}
 	}
-	for _, leafID := range view.Leafs.IDs() {
+	for _, leafID := range k.memory.IDs() {
 		known[leafID] = true
 	}
 	k.balancer.Forget(known)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,8 @@
 			newSelf,
 			newCatalog,
 			newCensus,
+			newMemory,
+			newLeafWriter,
 			newBalancer,
 			newLeafPool,
 			newHTTPPool,
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -21,6 +21,7 @@
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/leafclient"
 	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/machines"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
@@ -86,6 +87,14 @@
 	return registry.NewCensus(known, self.ID, config.Registry.Memory)
 }
 
+func newMemory(config settings.Settings, known *catalog.Catalog) *leafmemory.Memory {
+	return leafmemory.New(config.LeafMemory, known)
+}
+
+func newLeafWriter(config settings.Settings, known *catalog.Catalog, kept store.Store, self catalog.NodeRecord, logger *zap.Logger) *leafmemory.Writer {
+	return leafmemory.NewWriter(config.LeafMemory, known, kept, self.ID, logger)
+}
+
 func newBalancer(config settings.Settings) *balancer.Balancer {
 	return balancer.New(config.Balancer, config.Node.Zone)
 }
@@ -114,9 +123,9 @@
 	return &requestJournal{log: log, metrics: metrics, everyAttempt: config.DecisionLog.EveryAttempt}
 }
 
-func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
+func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, memory *leafmemory.Memory, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
 	return gateway.New(gateway.Parts{
-		Config: config.Gateway, Dialect: dialect, Catalog: known, Balancer: choice, Budgets: budgets, Leafs: pool, Journal: journal,
+		Config: config.Gateway, Dialect: dialect, Catalog: known, Memory: memory, Balancer: choice, Budgets: budgets, Leafs: pool, Journal: journal,
 	})
 }
 
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -15,6 +15,7 @@
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/front"
+	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/registry"
@@ -54,6 +55,7 @@
 	Members   *membership.Membership
 	Engine    *search.Engine
 	Keeper    *leafKeeper
+	Writer    *leafmemory.Writer
 	Self      catalog.NodeRecord
 	Lessor    store.Lessor `optional:"true"`
 	Logger    *zap.Logger
@@ -69,6 +71,7 @@
 			go parts.Syncer.Run(ctx)
 			go parts.Members.Run(ctx)
 			go parts.Keeper.run(ctx)
+			go parts.Writer.Run(ctx)
 			if parts.Lessor != nil {
 				record := registry.New(parts.Config.Registry, parts.Lessor, parts.Self, parts.Logger)
 				running.Go(func() { record.Run(ctx) })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,7 @@
 	"github.com/portgauge/portgauge/internal/hedging"
 	"github.com/portgauge/portgauge/internal/leafclient"
 	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
@@ -93,6 +94,7 @@
 	ConfigWriter configwriter.Config `yaml:"config_writer"`
 	Gateway      gateway.Config      `yaml:"gateway"`
 	LeafHTTP     leafhttp.Config     `yaml:"leaf_http"`
+	LeafMemory   leafmemory.Config   `yaml:"leaf_memory"`
 	RetryBudget  retrybudget.Config  `yaml:"retry_budget"`
 	Registry     registry.Config     `yaml:"registry"`
 	DecisionLog  decisionlog.Config  `yaml:"decision_log"`
@@ -118,6 +120,7 @@
 		ConfigWriter: configwriter.DefaultConfig(),
 		Gateway:      gateway.DefaultConfig(),
 		LeafHTTP:     leafhttp.DefaultConfig(),
+		LeafMemory:   leafmemory.DefaultConfig(),
 		RetryBudget:  retrybudget.DefaultConfig(),
 		Registry:     registry.DefaultConfig(),
 		DecisionLog:  decisionlog.DefaultConfig(),
@@ -154,6 +157,7 @@
 	checks.Add("config_writer", s.ConfigWriter.Validate())
 	checks.Add("gateway", s.Gateway.Validate())
 	checks.Add("leaf_http", s.LeafHTTP.Validate())
+	checks.Add("leaf_memory", s.LeafMemory.Validate())
 	checks.Add("retry_budget", s.RetryBudget.Validate())
 	checks.Add("registry", s.Registry.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
