--- /dev/null
+++ b/internal/decisionlog/decisionlog_test.go
@@ -0,0 +1,85 @@
+package decisionlog
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+type testEvent struct {
+	Number int `json:"number"`
+}
+
+// blockedOutput never takes a line until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mutex   sync.Mutex
+	content bytes.Buffer
+}
+
+func (b *blockedOutput) Write(line []byte) (int, error) {
+	<-b.release
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.content.Write(line)
+}
+
+// An output that blocks never holds up whoever decides, and what is left out is said.
+func TestABlockedOutputBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		output := &blockedOutput{release: make(chan struct{})}
+		dropped := 0
+		log := New(Config{LinesPerSecond: 1e6, FailureLinesPerSecond: 1e6, Queue: 10}, output, func() { dropped++ })
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			log.Run(ctx)
+			close(ended)
+		}()
+		for number := range 100 {
+			log.Write(Ordinary, testEvent{number})
+		}
+		is.True(dropped >= 89)
+		close(output.release)
+		time.Sleep(time.Second)
+		cancel()
+		<-ended
+		is.True(strings.Contains(output.content.String(), `"event":"lines_left_out"`))
+	})
+}
+
+// Ordinary lines can't use up the rate of the failed ones.
+func TestFailuresOutlastOrdinaryLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var output bytes.Buffer
+		dropped := 0
+		log := New(Config{LinesPerSecond: 2, FailureLinesPerSecond: 5, Queue: 1000}, &output, func() { dropped++ })
+		for number := range 100 {
+			log.Write(Ordinary, testEvent{number})
+		}
+		is.Equal(dropped, 94)
+		log.Write(Failed, testEvent{1000})
+		is.Equal(dropped, 94)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		log.Run(ctx)
+		is.True(strings.Contains(output.String(), `{"number":1000}`))
+		is.True(strings.Contains(output.String(), `"lines":94`))
+	})
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultConfig().Validate())
+	is.Equal(len(failure.Faults(Config{LinesPerSecond: -1, FailureLinesPerSecond: -1}.Validate())), 3)
+}
--- /dev/null
+++ b/internal/leafmemory/leafmemory_test.go
@@ -0,0 +1,117 @@
+package leafmemory
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafset"
+)
+
+// put changes a key of a catalog as a watch would.
+func put(t *testing.T, known *catalog.Catalog, key string, value any) {
+	t.Helper()
+	entry := catalog.Entry{Key: key, Revision: known.Revision() + 1, Deleted: value == nil}
+	if value != nil {
+		content, err := json.Marshal(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if entry.Value, err = catalog.NewDocument("", content, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	known.Apply(catalog.Change{Entry: entry, Previous: known.Revision()})
+}
+
+func record(id string, state leafset.State) leafset.Record {
+	return leafset.Record{ID: id, Service: "s", Address: "127.0.0.1:1", State: state}
+}
+
+func TestLostLeafsAreALastResortForAWhile(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	put(t, known, catalog.LeafKey("a"), record("a", leafset.Ready))
+	put(t, known, catalog.LeafKey("b"), record("b", leafset.Ready))
+	now := time.Now()
+	memory := New(DefaultConfig(), known)
+	memory.now = func() time.Time { return now }
+	leafs, lastResort := memory.Candidates("s")
+	is.Equal(len(leafs), 2)
+	is.True(!lastResort)
+
+	put(t, known, catalog.LeafKey("a"), record("a", leafset.Draining))
+	leafs, lastResort = memory.Candidates("s")
+	is.Equal(len(leafs), 1) // a draining leaf gets nothing while there is another
+	is.True(!lastResort)
+
+	put(t, known, catalog.LeafKey("b"), nil)
+	leafs, lastResort = memory.Candidates("s")
+	is.Equal(len(leafs), 2)
+	is.True(lastResort)
+	is.Equal(len(memory.IDs()), 2+len([]string{"a"}))
+
+	now = now.Add(DefaultConfig().Hold + time.Millisecond)
+	leafs, _ = memory.Candidates("s")
+	is.Equal(len(leafs), 0)
+}
+
+func TestWrittenListIsBelievedOnlyAfterAStart(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	put(t, known, catalog.RememberedKey, leafset.List{Leafs: []leafset.Record{record("a", leafset.Ready)}})
+	now := time.Now()
+	memory := New(DefaultConfig(), known)
+	memory.now = func() time.Time { return now }
+	leafs, lastResort := memory.Candidates("s")
+	is.Equal(len(leafs), 1)
+	is.True(lastResort)
+	now = now.Add(DefaultConfig().TrustAfterStart + time.Millisecond)
+	leafs, _ = memory.Candidates("s")
+	is.Equal(len(leafs), 0)
+}
+
+func TestListIsWrittenOnceTheLeafsRestAndByOneNodeFirst(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	for _, id := range []string{"n1", "n2", "n3"} {
+		put(t, known, catalog.NodeKey(id), catalog.NodeRecord{ID: id})
+	}
+	put(t, known, catalog.LeafKey("a"), record("a", leafset.Ready))
+	now := time.Now()
+	var writers []*Writer
+	for _, id := range []string{"n1", "n2", "n3"} {
+		writer := NewWriter(DefaultConfig(), known, nil, id, zap.NewNop())
+		is.True(!writer.isDue(now)) // the leafs are news
+		writers = append(writers, writer)
+	}
+	due := func(after time.Duration) int {
+		count := 0
+		for _, writer := range writers {
+			if writer.isDue(now.Add(after)) {
+				count++
+			}
+		}
+		return count
+	}
+	delay := DefaultConfig().WriteDelay
+	is.Equal(due(delay/2), 0)
+	is.Equal(due(delay), 1)
+	is.Equal(due(2*delay), 2)
+	is.Equal(due(3*delay), 3)
+	put(t, known, catalog.RememberedKey, leafset.List{Leafs: []leafset.Record{record("a", leafset.Ready)}})
+	is.Equal(due(3*delay), 0)
+	put(t, known, catalog.LeafKey("a"), record("a", leafset.Draining))
+	is.Equal(due(3*delay), 0) // no ready leaf at all is an outage of discovery, not news
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultConfig().Validate())
+	is.Equal(len(failure.Faults(Config{Hold: -1, TrustAfterStart: -1, MaximumLeafs: -1}.Validate())), 4)
+}
--- /dev/null
+++ b/internal/leafset/leafset_test.go
@@ -0,0 +1,55 @@
+package leafset
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Edits never change a set that is in use, and every set holds what the edits left.
+func TestSetsAreImmutable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := Empty()
+		wanted := map[string]string{}
+		for range rapid.IntRange(1, 30).Draw(t, "edits") {
+			id := rapid.SampledFrom([]string{"1", "2", "3", "4"}).Draw(t, "id")
+			service := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service")
+			before := set
+			sizeBefore, ofABefore := before.Len(), len(before.Of("a"))
+			editor := set.Edit()
+			if rapid.Bool().Draw(t, "remove") {
+				editor.Remove(id)
+				delete(wanted, id)
+			} else {
+				editor.Put(&Leaf{Record: Record{ID: id, Service: service}})
+				wanted[id] = service
+			}
+			set = editor.Done()
+			if before.Len() != sizeBefore || len(before.Of("a")) != ofABefore {
+				t.Fatal("an edit changed the set before it")
+			}
+			if set.Len() != len(wanted) || len(set.Of("a"))+len(set.Of("b")) != len(wanted) {
+				t.Fatalf("set has %d leafs, wanted %d", set.Len(), len(wanted))
+			}
+			for id, service := range wanted {
+				if leaf, found := set.ByID(id); !found || leaf.Service != service {
+					t.Fatalf("leaf %s is %v, wanted in %s", id, leaf, service)
+				}
+			}
+		}
+	})
+}
+
+func TestRecordsWithoutWhatIsNeededAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, content := range []string{"{", `{"id":"1","service":"a"}`, `{"id":"1","address":"127.0.0.1:1"}`, `{"service":"a","address":"127.0.0.1:1"}`} {
+		_, err := Parse([]byte(content))
+		is.True(err != nil)
+	}
+	record, err := Parse([]byte(`{"id":"1","service":"a","address":"127.0.0.1:1","state":"ready"}`))
+	is.NoErr(err)
+	is.Equal(record.State, Ready)
+	_, err = ParseList([]byte("["), 1)
+	is.True(err != nil)
+}
