--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,339 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/httpdialect"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/scatter"
+)
+
+var dialect = httpdialect.Default()
+
+// silentJournal takes everything and remembers the records.
+type silentJournal struct {
+	mutex   sync.Mutex
+	records []RequestRecord
+}
+
+func (j *silentJournal) Refused(*Request, error)        {}
+func (j *silentJournal) Attempted(string, scatter.Kind) {}
+func (j *silentJournal) AttemptEnded(AttemptRecord)     {}
+func (j *silentJournal) Served(record RequestRecord) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.records = append(j.records, record)
+}
+
+// scriptedLeafs answers attempts by a function of the leaf, in virtual time.
+type scriptedLeafs struct {
+	answer func(leaf string) (time.Duration, *leafhttp.Response, error)
+	mutex  sync.Mutex
+	asked  []string
+}
+
+func (s *scriptedLeafs) Do(ctx context.Context, target leafhttp.Target, _ *leafhttp.Request, _ time.Time) (*leafhttp.Response, error) {
+	s.mutex.Lock()
+	s.asked = append(s.asked, target.Incarnation)
+	s.mutex.Unlock()
+	delay, response, err := s.answer(target.Incarnation)
+	select {
+	case <-time.After(delay):
+		return response, err
+	case <-ctx.Done():
+		return nil, &leafhttp.BrokenAnswerError{Cause: context.Cause(ctx)}
+	}
+}
+
+func answered(status int, body string) *leafhttp.Response {
+	return &leafhttp.Response{Status: status, Header: http.Header{dialect.ResponseStamp: {"stamp-" + body}}, Body: []byte(body)}
+}
+
+func refused(status int) *leafhttp.Response {
+	return &leafhttp.Response{Status: status, Header: http.Header{}, NotExecuted: true}
+}
+
+func put(t *testing.T, known *catalog.Catalog, key string, value any) {
+	t.Helper()
+	content, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wrapped, err := catalog.NewDocument("", content, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known.Apply(catalog.Change{Entry: catalog.Entry{Key: key, Value: wrapped, Revision: known.Revision() + 1}, Previous: known.Revision()})
+}
+
+const shardCount = 10
+
+// newGateway makes a gateway with a gathered, a repeatable and an at-most-once route, over
+// services s0 to s9 of two leafs each.
+func newGateway(t *testing.T, leafs LeafCaller) (*Gateway, *silentJournal) {
+	t.Helper()
+	known := catalog.New(func(key string, err error) { t.Errorf("%s: %v", key, err) })
+	var gathered []string
+	for index := range shardCount {
+		service := fmt.Sprintf("s%d", index)
+		gathered = append(gathered, service)
+		for _, replica := range []string{"a", "b"} {
+			id := service + replica
+			put(t, known, catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", State: leafset.Ready})
+		}
+	}
+	route := routing.Route{Host: "h", MaximumAttempts: 2, TimeoutMillis: 1000, ObjectiveMillis: 200}
+	pages, single, once := route, route, route
+	pages.Prefix, pages.Gathered, pages.TopRecords, pages.MinimumCoverage, pages.Repeatability = "/pages/", gathered, 3, 0.8, routing.Repeatable
+	single.Prefix, single.Service, single.Repeatability = "/single/", "s0", routing.Repeatable
+	once.Prefix, once.Service, once.Repeatability = "/once/", "s0", routing.AtMostOnce
+	put(t, known, catalog.RoutesKey, routing.Configuration{Version: 1, Routes: []routing.Route{pages, single, once}})
+	journal := &silentJournal{}
+	budget := retrybudget.Config{Ratio: 1, Window: 10 * time.Second, Share: 1}
+	return New(Parts{
+		Config: DefaultConfig(), Dialect: dialect, Catalog: known, Memory: leafmemory.New(leafmemory.DefaultConfig(), known),
+		Balancer: balancer.New(balancer.DefaultConfig(), "z"), Budgets: retrybudget.New(budget, func() int { return 1 }),
+		Leafs: leafs, Journal: journal,
+	}), journal
+}
+
+func ask(path string) *Request {
+	return &Request{
+		Leaf: leafhttp.Request{ID: "r", Method: http.MethodGet, Target: path, Host: "h"}, Path: path,
+		Arrived: time.Now(), Patience: 800 * time.Millisecond,
+	}
+}
+
+func records(texts ...string) string {
+	var body bytes.Buffer
+	for _, text := range texts {
+		fmt.Fprintf(&body, "%-16s", text)
+	}
+	return body.String()
+}
+
+// A whole gathered answer has the greatest records of all parts and every signature once.
+func TestGatheredAnswerIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newGateway(t, &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return time.Millisecond, answered(200, records(leaf, "0"+leaf)), nil
+		}})
+		answer, err := g.Serve(t.Context(), ask("/pages/1"))
+		is.NoErr(err)
+		is.Equal(len(answer.Stamps), shardCount)
+		is.Equal(answer.Missing, 0)
+		is.Equal(len(answer.Body), 3*recordBytes)
+		is.Equal(string(answer.Body[:2]), "s9")
+	})
+}
+
+// A dark shard costs the answer its part at the objective, not the answer.
+func TestDarkShardIsLeftOutAtTheObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, journal := newGateway(t, &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			if leaf[:2] == "s3" {
+				return time.Hour, nil, nil
+			}
+			return time.Millisecond, answered(200, records(leaf)), nil
+		}})
+		started := time.Now()
+		answer, err := g.Serve(t.Context(), ask("/pages/1"))
+		is.NoErr(err)
+		is.Equal(answer.Missing, 1)
+		is.Equal(len(answer.Stamps), shardCount-1)
+		is.Equal(time.Since(started), 200*time.Millisecond-DefaultConfig().ObjectiveReserve)
+		is.Equal(journal.records[0].MissingServices[0].Service, "s3")
+	})
+}
+
+// Below the least coverage there is no success; the failure says that leafs have run it.
+func TestTooFewPartsAreAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newGateway(t, &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			if leaf[1] < '3' {
+				return time.Millisecond, answered(500, "failed"), nil
+			}
+			return 2 * time.Millisecond, answered(200, records(leaf)), nil
+		}})
+		_, err := g.Serve(t.Context(), ask("/pages/1"))
+		is.True(failure.Is(err, failure.IncompleteCoverage))
+		is.Equal(failure.From(err).Execution, failure.Ran)
+	})
+}
+
+// An answer without signature, or with a failure's, is no part.
+func TestUnsignedSuccessIsNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newGateway(t, &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			if leaf[:2] == "s0" {
+				return time.Millisecond, &leafhttp.Response{Status: 200, Header: http.Header{}}, nil
+			}
+			return time.Millisecond, answered(200, records(leaf)), nil
+		}})
+		answer, err := g.Serve(t.Context(), ask("/pages/1"))
+		is.NoErr(err)
+		is.Equal(answer.Missing, 1)
+		_, err = g.Serve(t.Context(), ask("/single/1"))
+		is.True(err != nil)
+		is.True(failure.From(err).Execution != failure.NotRun)
+	})
+}
+
+// What a caller of one leaf is told, and how often leafs were asked.
+func TestSingleLeafOutcomes(t *testing.T) {
+	broken := &leafhttp.BrokenAnswerError{Cause: errors.New("reset")}
+	neverSent := &leafhttp.NeverSentError{Cause: errors.New("refused")}
+	type reply struct {
+		response *leafhttp.Response
+		err      error
+	}
+	cases := map[string]struct {
+		path    string
+		replies []reply // in order of attempts; the last repeats
+		status  int     // of the answer; 0 means a failure
+		code    failure.Code
+		state   failure.ExecutionState
+		asked   int
+	}{
+		"success":                       {"/single/1", []reply{{answered(200, "x"), nil}}, 200, "", 0, 1},
+		"own failure, then success":     {"/single/1", []reply{{answered(500, "x"), nil}, {answered(200, "y"), nil}}, 200, "", 0, 2},
+		"own failures are passed on":    {"/single/1", []reply{{answered(500, "x"), nil}}, 500, "", 0, 2},
+		"own 404 is final":              {"/single/1", []reply{{answered(404, "x"), nil}}, 404, "", 0, 1},
+		"broken, then success":          {"/single/1", []reply{{nil, broken}, {answered(200, "y"), nil}}, 200, "", 0, 2},
+		"broken twice":                  {"/single/1", []reply{{nil, broken}}, 0, failure.LeafFailed, failure.Unknown, 2},
+		"once: success":                 {"/once/1", []reply{{answered(200, "x"), nil}}, 200, "", 0, 1},
+		"once: broken is not repeated":  {"/once/1", []reply{{nil, broken}}, 0, failure.LeafFailed, failure.Unknown, 1},
+		"once: own failure is final":    {"/once/1", []reply{{answered(500, "x"), nil}}, 500, "", 0, 1},
+		"once: refused, then success":   {"/once/1", []reply{{refused(503), nil}, {answered(200, "y"), nil}}, 200, "", 0, 2},
+		"once: not sent, then success":  {"/once/1", []reply{{nil, neverSent}, {answered(200, "y"), nil}}, 200, "", 0, 2},
+		"once: refused by all is known": {"/once/1", []reply{{refused(503), nil}}, 0, failure.Overloaded, failure.NotRun, 0},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				next := 0
+				leafs := &scriptedLeafs{answer: func(string) (time.Duration, *leafhttp.Response, error) {
+					reply := one.replies[min(next, len(one.replies)-1)]
+					next++
+					return time.Millisecond, reply.response, reply.err
+				}}
+				g, _ := newGateway(t, leafs)
+				for range 3 { // earns the budget for a retry
+					g.budgets.Request("s0")
+				}
+				answer, err := g.Serve(t.Context(), ask(one.path))
+				if one.status != 0 {
+					is.NoErr(err)
+					is.Equal(answer.Status, one.status)
+				} else {
+					is.Equal(failure.From(err).Code, one.code)
+					is.Equal(failure.From(err).Execution, one.state)
+					is.Equal(failure.From(err).RetryAfter > 0, one.state == failure.NotRun)
+				}
+				if one.asked > 0 {
+					is.Equal(len(leafs.asked), one.asked)
+				}
+			})
+		})
+	}
+}
+
+func TestUnknownRouteAndNoRoutes(t *testing.T) {
+	is := is.New(t)
+	g, _ := newGateway(t, &scriptedLeafs{})
+	_, err := g.Serve(t.Context(), ask("/other/1"))
+	is.True(failure.Is(err, failure.UnknownRoute))
+	g.catalog = catalog.New(nil)
+	_, err = g.Serve(t.Context(), ask("/pages/1"))
+	is.True(failure.Is(err, failure.NotReady))
+	is.True(failure.From(err).RetryAfter > 0)
+}
+
+// The request is given up at its timeout, whatever the caller would wait.
+func TestTimeoutOfTheRouteHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newGateway(t, &scriptedLeafs{answer: func(string) (time.Duration, *leafhttp.Response, error) { return time.Hour, nil, nil }})
+		started := time.Now()
+		request := ask("/single/1")
+		request.Patience = time.Minute
+		_, err := g.Serve(t.Context(), request)
+		is.True(failure.Is(err, failure.DeadlineExceeded))
+		is.Equal(time.Since(started), time.Second)
+	})
+}
+
+// Time that a caller spent before is taken off the objective, once its usual patience is known.
+func TestSpentPatienceShortensTheObjective(t *testing.T) {
+	is := is.New(t)
+	g, _ := newGateway(t, &scriptedLeafs{})
+	for range patienceSightings {
+		_, err := g.newQuery(ask("/pages/1"))
+		is.NoErr(err)
+	}
+	late := ask("/pages/1")
+	late.Patience -= 50 * time.Millisecond
+	late.RoundTrip = 6 * time.Millisecond
+	pinned, err := g.newQuery(late)
+	is.NoErr(err)
+	is.Equal(pinned.objective.Sub(late.Arrived), 200*time.Millisecond-50*time.Millisecond-6*time.Millisecond-DefaultConfig().ObjectiveReserve)
+	other := ask("/pages/1")
+	other.Patience /= 2 // a caller with another patience, or one that lost the objective already
+	pinned, err = g.newQuery(other)
+	is.NoErr(err)
+	is.Equal(pinned.objective.Sub(other.Arrived), 200*time.Millisecond-DefaultConfig().ObjectiveReserve)
+}
+
+// The greatest records are those that sorting everything gives.
+func TestTopRecordsAreThoseOfSorting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(0, 12).Draw(t, "limit")
+		var parts, all [][]byte
+		for range rapid.IntRange(0, 5).Draw(t, "parts") {
+			var part []byte
+			for range rapid.IntRange(0, 8).Draw(t, "records") {
+				record := bytes.Repeat([]byte{byte(rapid.IntRange(0, 5).Draw(t, "value"))}, recordBytes)
+				part = append(part, record...)
+				all = append(all, record)
+			}
+			parts = append(parts, append(part, bytes.Repeat([]byte{9}, rapid.IntRange(0, recordBytes-1).Draw(t, "rest"))...))
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		wanted := bytes.Join(all[:min(limit, len(all))], nil)
+		if got := topRecords(parts, limit); !bytes.Equal(got, wanted) {
+			t.Fatalf("got %v, wanted %v", got, wanted)
+		}
+	})
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultConfig().Validate())
+	bad := Config{HedgeReserve: 1, AnswerReserve: -1, ObjectiveReserve: -1, MaximumRefusals: -1}
+	is.Equal(len(failure.Faults(bad.Validate())), 8)
+}
--- /dev/null
+++ b/internal/scatter/scatter_test.go
@@ -0,0 +1,252 @@
+package scatter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+)
+
+var errSuperseded = errors.New("superseded")
+
+// testPolicy hedges after a fixed delay within a budget.
+type testPolicy struct {
+	hedgeAfter time.Duration
+	mutex      sync.Mutex
+	budget     int
+	useless    bool
+}
+
+func (p *testPolicy) FirstAttempt() {}
+func (p *testPolicy) HedgeDelay(stage int) (time.Duration, bool) {
+	return p.hedgeAfter, p.hedgeAfter > 0 && stage == 0
+}
+func (p *testPolicy) Typical() time.Duration    { return 10 * time.Millisecond }
+func (p *testPolicy) WorthHedging(float64) bool { return !p.useless }
+func (p *testPolicy) AllowHedge() bool          { return p.take() }
+func (p *testPolicy) AllowRetry() bool          { return p.take() }
+func (p *testPolicy) Observe(time.Duration)     {}
+func (p *testPolicy) Shed()                     {}
+func (p *testPolicy) take() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.budget--
+	return p.budget >= 0
+}
+
+// script says how a leaf treats an attempt.
+type script func(leaf string, attempt Attempt) (time.Duration, Result[string])
+
+// watcher runs attempts by a script and remembers them.
+type watcher struct {
+	script script
+	mutex  sync.Mutex
+	began  []Attempt
+	ended  int
+}
+
+func (w *watcher) Began(attempt Attempt) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.began = append(w.began, attempt)
+}
+
+func (w *watcher) Ended(Attempt, Result[string], time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.ended++
+}
+
+func (w *watcher) run(ctx context.Context, attempt Attempt) Result[string] {
+	delay, result := w.script(attempt.Leaf.ID, attempt)
+	select {
+	case <-time.After(delay):
+		return result
+	case <-ctx.Done():
+		return Result[string]{Reason: Unneeded, Outcome: balancer.Abandoned}
+	}
+}
+
+func replied(text string) Result[string] {
+	return Result[string]{Reply: &text, Execution: Ran, Outcome: balancer.Succeeded}
+}
+
+func failedRun(execution Execution) Result[string] {
+	return Result[string]{Reason: LeafFailed, Execution: execution, Outcome: balancer.Failed}
+}
+
+func shards(count int, policy Policy) []Shard {
+	list := make([]Shard, count)
+	for index := range list {
+		name := string(rune('A' + index))
+		list[index] = Shard{Candidates: []balancer.Candidate{{LeafID: name + "1"}, {LeafID: name + "2"}}, Policy: policy}
+	}
+	return list
+}
+
+func play(ctx context.Context, plan Plan, script script) ([]Outcome[string], Summary, *watcher) {
+	watched := &watcher{script: script}
+	work := New(plan, Parts[string]{
+		Balancer: balancer.New(balancer.DefaultConfig(), ""), Run: watched.run, Observer: watched, Superseded: errSuperseded,
+	})
+	outcomes, summary := work.Run(ctx)
+	return outcomes, summary, watched
+}
+
+func TestASlowLeafIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		plan := Plan{Shards: shards(1, &testPolicy{hedgeAfter: 20 * time.Millisecond, budget: 1}), Deadline: started.Add(time.Second), MaximumAttempts: 2}
+		outcomes, summary, _ := play(t.Context(), plan, func(_ string, attempt Attempt) (time.Duration, Result[string]) {
+			if attempt.Kind == First {
+				return 500 * time.Millisecond, replied("slow")
+			}
+			return 10 * time.Millisecond, replied("hedge")
+		})
+		is.Equal(*outcomes[0].Reply, "hedge")
+		is.Equal(time.Since(started), 30*time.Millisecond)
+		is.Equal(summary.Hedges, 1)
+	})
+}
+
+// Neither without budget nor to a leaf that would be too late is a hedge sent.
+func TestUselessHedgesAreNotSent(t *testing.T) {
+	for name, policy := range map[string]*testPolicy{
+		"no budget": {hedgeAfter: 20 * time.Millisecond}, "too late": {hedgeAfter: 20 * time.Millisecond, budget: 9, useless: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				plan := Plan{Shards: shards(1, policy), Deadline: time.Now().Add(time.Second), MaximumAttempts: 2}
+				outcomes, summary, _ := play(t.Context(), plan, func(string, Attempt) (time.Duration, Result[string]) {
+					return 100 * time.Millisecond, replied("first")
+				})
+				is.Equal(*outcomes[0].Reply, "first")
+				is.Equal(summary.Hedges, 0)
+				is.True(!policy.useless || policy.budget == 9) // nothing was taken for it
+			})
+		})
+	}
+}
+
+// At the soft deadline an answer with enough parts goes out; one with too few waits on.
+func TestSoftDeadlineTakesWhatIsEnough(t *testing.T) {
+	for name, one := range map[string]struct {
+		sufficient int
+		took       time.Duration
+		replies    int
+	}{"enough": {3, 100 * time.Millisecond, 3}, "too few": {4, 300 * time.Millisecond, 4}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				started := time.Now()
+				plan := Plan{
+					Shards: shards(4, &testPolicy{}), Deadline: started.Add(time.Second),
+					SoftDeadline: started.Add(100 * time.Millisecond), Sufficient: one.sufficient, MaximumAttempts: 1,
+				}
+				outcomes, summary, _ := play(t.Context(), plan, func(_ string, attempt Attempt) (time.Duration, Result[string]) {
+					if attempt.Shard == 0 {
+						return 300 * time.Millisecond, replied("late")
+					}
+					return 10 * time.Millisecond, replied("soon")
+				})
+				is.Equal(time.Since(started), one.took)
+				is.Equal(summary.Replies, one.replies)
+				if one.replies == 3 {
+					is.Equal(outcomes[0].Reason, Unneeded)
+				}
+			})
+		})
+	}
+}
+
+// When too many shards are lost for an answer, it ends at once instead of waiting for the rest.
+func TestAHopelessRequestEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		plan := Plan{Shards: shards(4, &testPolicy{}), Deadline: started.Add(time.Second), Sufficient: 4, MaximumAttempts: 1}
+		_, summary, _ := play(t.Context(), plan, func(_ string, attempt Attempt) (time.Duration, Result[string]) {
+			if attempt.Shard == 0 {
+				return 5 * time.Millisecond, failedRun(Ran)
+			}
+			return 500 * time.Millisecond, replied("late")
+		})
+		is.Equal(time.Since(started), 5*time.Millisecond)
+		is.Equal(summary.Execution(), Ran)
+	})
+}
+
+// A shard without any usable leaf waits for one where the plan allows it.
+func TestAShardWaitsForRoomInItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		policy := &testPolicy{budget: 1}
+		plan := Plan{
+			Shards: shards(1, policy), Deadline: time.Now().Add(200 * time.Millisecond), Sufficient: 1,
+			MaximumAttempts: 2, MaximumRefusals: 5, ReplicaWait: 10 * time.Millisecond,
+		}
+		_, summary, watched := play(t.Context(), plan, func(string, Attempt) (time.Duration, Result[string]) {
+			return time.Millisecond, Result[string]{Reason: Shed, Execution: NotRun, Outcome: balancer.Shed}
+		})
+		is.Equal(len(watched.began), 2) // the first, and the one retry that the budget allows
+		is.Equal(summary.Execution(), NotRun)
+	})
+}
+
+func TestACallerThatLeavesEndsEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(30*time.Millisecond, cancel)
+		plan := Plan{Shards: shards(3, &testPolicy{}), Deadline: started.Add(time.Second), MaximumAttempts: 1}
+		_, _, watched := play(ctx, plan, func(string, Attempt) (time.Duration, Result[string]) { return time.Minute, replied("") })
+		is.Equal(time.Since(started), 30*time.Millisecond)
+		synctest.Wait()
+		is.Equal(watched.ended, 3)
+	})
+}
+
+// Whatever leafs do, a shard runs no oftener than allowed; and a request that may run once has
+// at most one attempt that may have run.
+func TestAttemptsStayWithinWhatMayRun(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		atMostOnce := rapid.Bool().Draw(r, "at most once")
+		maximum := rapid.IntRange(1, 3).Draw(r, "attempts")
+		endings := rapid.SliceOfN(rapid.IntRange(0, 3), 12, 12).Draw(r, "endings")
+		synctest.Test(t, func(t *testing.T) {
+			mayHaveRun, index := 0, 0
+			var mutex sync.Mutex
+			plan := Plan{
+				Shards: shards(1, &testPolicy{hedgeAfter: 5 * time.Millisecond, budget: 100}), Deadline: time.Now().Add(time.Second), Sufficient: 1,
+				AtMostOnce: atMostOnce, MaximumAttempts: maximum, MaximumRefusals: 3, ReplicaWait: 10 * time.Millisecond,
+			}
+			play(t.Context(), plan, func(string, Attempt) (time.Duration, Result[string]) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				ending := endings[index%len(endings)]
+				index++
+				if ending != 0 {
+					mayHaveRun++
+				}
+				return 8 * time.Millisecond, []Result[string]{failedRun(NotRun), failedRun(Unknown), failedRun(Ran), replied("")}[ending]
+			})
+			limit := maximum
+			if atMostOnce {
+				limit = 1
+			}
+			if mayHaveRun > limit {
+				t.Fatalf("%d attempts may have run, limit %d", mayHaveRun, limit)
+			}
+		})
+	})
+}
