--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -131,3 +131,76 @@
 	b.Forget(map[string]bool{"b": true})
 	is.Equal(len(b.leafs), 1)
 }
+
+// A leaf that owes an answer for long gets nothing new while another can take it, and is tried
+// again, one attempt at a time, after a pause.
+func TestAStalledLeafIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(DefaultConfig(), "z")
+		stalled := b.leaf("a", "z", time.Now())
+		b.Start(stalled)
+		b.Finish(stalled, Succeeded, 10*time.Millisecond, 0)
+		b.Start(stalled)
+		time.Sleep(29 * time.Millisecond)
+		is.True(!b.Choose(three()[:1], nil).Troubled)
+		time.Sleep(31 * time.Millisecond)
+		for range 100 {
+			is.True(b.Choose(three(), nil).Leaf.ID != "a")
+		}
+		is.True(b.Choose(three()[:1], nil).Troubled) // for want of another
+		b.Finish(stalled, Abandoned, 60*time.Millisecond, 0)
+		is.True(b.Choose(three()[:1], nil).Troubled) // giving up is no answer
+		time.Sleep(2 * minimumStallPause)
+		is.True(!b.Choose(three()[:1], nil).Troubled) // it may be tried
+		b.Start(stalled)
+		is.True(b.Choose(three()[:1], nil).Troubled) // by one attempt at a time
+		b.Finish(stalled, Succeeded, time.Millisecond, 0)
+		is.True(!b.Choose(three()[:1], nil).Troubled)
+	})
+}
+
+// The leaf that is expected to answer first is chosen: a slow one only where the wait for the
+// others is longer.
+func TestLeastExpectedDelayIsChosen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(DefaultConfig(), "z")
+		pair := three()[:2]
+		const typical = 10 * time.Millisecond
+		for id, took := range map[string]time.Duration{"a": typical, "b": 5 * typical} {
+			leaf := b.leaf(id, "z", time.Now())
+			b.Report(leaf, Load{Slots: 2})
+			for range slownessSamples {
+				b.Start(leaf)
+				b.Finish(leaf, Succeeded, took, typical)
+			}
+		}
+		choice := b.Choose(pair, nil)
+		is.Equal(choice.Leaf.ID, "a")
+		is.Equal(choice.Expected, 1.0)
+		b.Report(b.leaf("a", "z", time.Now()), Load{InFlight: 14, Slots: 2})
+		choice = b.Choose(pair, nil)
+		is.Equal(choice.Leaf.ID, "b")
+		is.Equal(choice.Expected, 5.0)
+		time.Sleep(9 * slownessHalfLife) // what is known of b fades, so that it is looked at again
+		seen := false
+		for range 100 {
+			seen = seen || b.Choose(pair, nil).Leaf.ID == "b"
+		}
+		is.True(seen)
+	})
+}
+
+// One pause of a leaf does not make it a slow one.
+func TestOnePauseIsNoSlowness(t *testing.T) {
+	is := is.New(t)
+	var known slowness
+	now := time.Now()
+	for _, sample := range []float64{1, 1, 25, 1, 1} {
+		known.add(sample, now)
+	}
+	current, compared := known.now(now)
+	is.True(compared)
+	is.Equal(current, 1.0)
+}
--- a/internal/balancer/slowness.go
+++ b/internal/balancer/slowness.go
@@ -13,7 +13,7 @@
 	mostSlowness    = 30
 	// slownessHalfLife is how fast a difference fades while there are no new samples, so that
 	// a leaf that was slow is looked at again.
-	slownessHalfLife = 4 * time.Second
+	slownessHalfLife = 2 * time.Second
 )
 
 // slowness is how much longer than usual a leaf takes for the same kind of work. It is the
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -46,7 +46,7 @@
 // NewServer makes a server that does not listen yet.
 func NewServer(backend Backend, dialect httpdialect.Dialect, logger *zap.Logger) *Server {
 	server := &Server{backend: backend, dialect: dialect, logger: logger, guard: newConnectionGuard(backend.Limits)}
-	router := gin.New()
+	router := newRouter()
 	router.RedirectTrailingSlash = false
 	router.NoRoute(func(c *gin.Context) { server.serve(c.Writer, c.Request) })
 	server.http = &http.Server{
@@ -60,9 +60,15 @@
 	return server
 }
 
+// newRouter makes a router that writes nothing to the output, which belongs to the logs.
+func newRouter() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	return gin.New()
+}
+
 // ReadinessHandler answers 200 while the node wants new connections, else 503.
 func (s *Server) ReadinessHandler() http.Handler {
-	router := gin.New()
+	router := newRouter()
 	router.GET(s.dialect.ReadinessPath, func(c *gin.Context) {
 		if s.Ready() {
 			c.Status(http.StatusOK)
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,144 @@
+package registry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// memoryLessor keeps leases in memory and fails on request.
+type memoryLessor struct {
+	mutex   sync.Mutex
+	failing bool
+	lost    bool
+	granted int
+	kept    int
+	ended   int
+	put     map[string]int64
+}
+
+var errDown = errors.New("down")
+
+func (m *memoryLessor) Grant(_ context.Context, timeToLive time.Duration) (int64, time.Duration, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.failing {
+		return 0, 0, errDown
+	}
+	m.granted++
+	m.lost = false
+	return int64(m.granted), timeToLive, nil
+}
+
+func (m *memoryLessor) Keep(context.Context, int64) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	switch {
+	case m.failing:
+		return errDown
+	case m.lost:
+		return store.ErrLeaseGone
+	}
+	m.kept++
+	return nil
+}
+
+func (m *memoryLessor) End(context.Context, int64) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.ended++
+	return nil
+}
+
+func (m *memoryLessor) PutLeased(_ context.Context, key string, _ json.RawMessage, lease int64) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.put[key] = lease
+	return nil
+}
+
+func (m *memoryLessor) set(failing, lost bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.failing, m.lost = failing, lost
+}
+
+// A node registers, renews, registers anew when its lease is over, and gives it up at its end;
+// an outage of the store costs nothing but tries.
+func TestRecordIsKeptThroughOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		lessor := &memoryLessor{put: map[string]int64{}, failing: true}
+		record := New(DefaultConfig(), lessor, catalog.NodeRecord{ID: "n"}, zap.NewNop())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			record.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(5 * time.Second)
+		is.Equal(lessor.granted, 0)
+		lessor.set(false, false)
+		time.Sleep(2 * time.Second)
+		is.Equal(lessor.granted, 1)
+		is.Equal(lessor.put[catalog.NodeKey("n")], int64(1))
+		time.Sleep(time.Minute)
+		is.True(lessor.kept >= 5 && lessor.kept <= 6)
+		lessor.set(true, true)
+		time.Sleep(time.Minute)
+		lessor.set(false, true)
+		time.Sleep(5 * time.Second)
+		is.Equal(lessor.granted, 2)
+		cancel()
+		<-ended
+		is.Equal(lessor.ended, 1)
+	})
+}
+
+func register(known *catalog.Catalog, id string, deleted bool) {
+	value, err := catalog.NewDocument("", []byte(`{"id":"`+id+`"}`), nil)
+	if err != nil {
+		panic(err)
+	}
+	revision := known.Revision()
+	known.Apply(catalog.Change{Entry: catalog.Entry{Key: catalog.NodeKey(id), Value: value, Revision: revision + 1, Deleted: deleted}, Previous: revision})
+}
+
+// Nodes that went still count for a while, and a node that the others don't know shares nothing.
+func TestCensusRemembersNodesForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		known := catalog.New(nil)
+		census := NewCensus(known, "n1", time.Second)
+		is.Equal(census.Nodes(), 0)
+		register(known, "n2", false)
+		register(known, "n3", false)
+		is.Equal(census.Nodes(), 2)
+		is.Equal(census.Sharing(), 0)
+		register(known, "n1", false)
+		is.Equal(census.Sharing(), 3)
+		register(known, "n3", true)
+		is.Equal(census.Nodes(), 3)
+		time.Sleep(1100 * time.Millisecond)
+		is.Equal(census.Nodes(), 3)
+		time.Sleep(1100 * time.Millisecond)
+		is.Equal(census.Nodes(), 2)
+	})
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultConfig().Validate())
+	is.Equal(len(failure.Faults(Config{}.Validate())), 4)
+}
