--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -16,6 +16,10 @@
 	// HedgeFactor times the median latency is when a second leaf is asked while the retry
 	// budget is full; with less of it left the wait grows.
 	HedgeFactor float64 `yaml:"hedge_factor"`
+	// HedgeShare is the part of the time left for the objective that the first leaf has in any
+	// case: an answer is worth the same at any time before, so that a hedge that comes early
+	// only costs load.
+	HedgeShare float64 `yaml:"hedge_share"`
 	// LatencyWindow is how long a latency counts.
 	LatencyWindow time.Duration `yaml:"latency_window"`
 	// HedgeReserve is the part of the retry budget that hedges leave for retries.
@@ -38,6 +42,7 @@
 func DefaultConfig() Config {
 	return Config{
 		HedgeFactor:      1.6,
+		HedgeShare:       0.4,
 		LatencyWindow:    5 * time.Second,
 		HedgeReserve:     0.25,
 		ReplicaWait:      10 * time.Millisecond,
@@ -52,6 +57,7 @@
 func (c Config) Validate() error {
 	var checks failure.Checks
 	checks.Refuse(c.HedgeFactor < 1, "hedge_factor", "must be at least 1")
+	checks.Refuse(c.HedgeShare < 0 || c.HedgeShare >= 1, "hedge_share", "must be at least 0 and below 1")
 	checks.Refuse(c.LatencyWindow <= 0, "latency_window", "must be positive")
 	checks.Refuse(c.HedgeReserve < 0 || c.HedgeReserve >= 1, "hedge_reserve", "must be at least 0 and below 1")
 	checks.Refuse(c.ReplicaWait <= 0, "replica_wait", "must be positive")
--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -103,8 +103,9 @@
 	case left < lowBudget:
 		factor *= lowBudgetWait
 	}
-	delay := time.Duration(factor * float64(typical))
-	lastChance := time.Until(p.objective) - time.Duration(lastChanceTail*float64(typical))
+	left := time.Until(p.objective)
+	delay := max(time.Duration(factor*float64(typical)), time.Duration(p.config.HedgeShare*float64(left)))
+	lastChance := left - time.Duration(lastChanceTail*float64(typical))
 	if lastChance > 0 {
 		delay = min(delay, lastChance)
 	}
