Deal a leaf's connections among the nodes, with room for those of dead processes

Ruled out: slow leafs, store, cold start. Each node takes its part of the limit, half of it in its first 10 s; where that is under one connection, nodes are dealt to leafs evenly.

Left: with more nodes than a leaf's limit allows, a power cut of all still leads to resets until the leafs drop the dead connections.

--- /dev/null
+++ b/internal/connshare/connshare.go
@@ -0,0 +1,103 @@
+// Package connshare deals the connections that a leaf accepts among the nodes of a fleet.
+//
+// A leaf accepts so many connections from all nodes together and resets any beyond. Each node
+// takes an equal part. Where that is less than one connection a leaf, each node keeps to some of
+// a service's leafs, dealt so that every leaf has as many nodes as the others.
+//
+// A leaf does not notice when machines lose power: the connections of their processes count
+// until the leaf closes them for their long rest. A node that started a short while ago
+// therefore leaves room for those of its predecessor.
+package connshare
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafset"
+)
+
+// Config tunes the parts.
+type Config struct {
+	// Share is the part of a leaf's limit that all nodes together use.
+	Share float64 `yaml:"share"`
+	// ShareAfterStart is the same for nodes that started a short while ago.
+	ShareAfterStart float64 `yaml:"share_after_start"`
+	// StartSpan is how long after its start a node takes the smaller part.
+	StartSpan time.Duration `yaml:"start_span"`
+	// Unlimited is a node's limit at one leaf where operators set none.
+	Unlimited int `yaml:"unlimited"`
+}
+
+// DefaultConfig leaves half for the connections of dead processes.
+func DefaultConfig() Config {
+	return Config{Share: 0.9, ShareAfterStart: 0.45, StartSpan: 10 * time.Second, Unlimited: 16}
+}
+
+// Validate names every field at fault.
+func (c Config) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(c.Share <= 0 || c.Share > 1, "share", "must be above 0 and at most 1")
+	checks.Refuse(c.ShareAfterStart <= 0 || c.ShareAfterStart > c.Share, "share_after_start", "must be above 0 and at most share")
+	checks.Refuse(c.StartSpan < 0, "start_span", "must not be negative")
+	checks.Refuse(c.Unlimited < 1, "unlimited", "must be at least 1")
+	return checks.Err()
+}
+
+// Fleet gives the ids of the nodes that share the leafs, sorted; empty while none is known.
+type Fleet interface {
+	IDs() []string
+}
+
+// Dealer gives one node its part; safe for concurrent use.
+type Dealer struct {
+	config  Config
+	fleet   Fleet
+	self    string
+	now     func() time.Time
+	started time.Time
+}
+
+// New makes the dealer of the node of an id, which starts now.
+func New(config Config, fleet Fleet, self string) *Dealer {
+	return &Dealer{config: config, fleet: fleet, self: self, now: time.Now, started: time.Now()}
+}
+
+// Deal gives the leafs of a service that this node may use, and how many connections it may
+// have to each. The limit is the leaf's own, 0 meaning none.
+func (d *Dealer) Deal(service string, leafs []*leafset.Leaf, limit int) (used []*leafset.Leaf, connections int) {
+	if limit <= 0 || len(leafs) == 0 {
+		return leafs, d.config.Unlimited
+	}
+	ids := d.fleet.IDs()
+	each := d.config.ShareAfterStart * float64(limit) / float64(max(1, len(ids)))
+	if d.now().Sub(d.started) >= d.config.StartSpan {
+		each = d.config.Share * float64(limit) / float64(max(1, len(ids)))
+		if len(ids) < limit {
+			// A single connection for each node fits, if hardly.
+			each = max(1, each)
+		}
+	}
+	if each >= 1 {
+		return leafs, min(int(each), d.config.Unlimited)
+	}
+	count := max(1, int(each*float64(len(leafs))))
+	return d.some(service, leafs, ids, count), 1
+}
+
+// some gives so many of the leafs. Nodes are dealt in order of their ids, so that the leafs have
+// equally many; services start at different leafs, so that no node has all first ones.
+func (d *Dealer) some(service string, leafs []*leafset.Leaf, ids []string, count int) []*leafset.Leaf {
+	index, found := slices.BinarySearch(ids, d.self)
+	if !found {
+		index = int(xxhash.Sum64String(d.self) % uint64(len(ids)+1))
+	}
+	first := (uint64(index)*uint64(count) + xxhash.Sum64String(service)) % uint64(len(leafs))
+	used := make([]*leafset.Leaf, 0, count)
+	for offset := range min(count, len(leafs)) {
+		used = append(used, leafs[(int(first)+offset)%len(leafs)])
+	}
+	return used
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,12 +23,7 @@
 
 // runAttempt asks one leaf and judges its answer.
 func (w *gathering) runAttempt(ctx context.Context, attempt scatter.Attempt) scatter.Result[leafhttp.Response] {
-	service := w.services[attempt.Shard]
-	leaf := w.leafs[attempt.Leaf.ID]
-	target := leafhttp.Target{
-		Incarnation: leaf.ID, Address: leaf.Address, MaximumConnections: w.query.service(service).MaximumConnections,
-	}
-	response, err := w.gateway.leafs.Do(ctx, target, &w.query.Leaf, w.query.deadline)
+	response, err := w.gateway.leafs.Do(ctx, w.targets[attempt.Leaf.ID], &w.query.Leaf, w.query.deadline)
 	if err != nil {
 		return judgeError(ctx, err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,11 +9,11 @@
 
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/connshare"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/leafhttp"
 	"github.com/portgauge/portgauge/internal/leafmemory"
-	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/routing"
 	"github.com/portgauge/portgauge/internal/scatter"
@@ -33,6 +33,7 @@
 	Dialect  httpdialect.Dialect
 	Catalog  *catalog.Catalog
 	Memory   *leafmemory.Memory
+	Dealer   *connshare.Dealer
 	Balancer *balancer.Balancer
 	Budgets  *retrybudget.Budgets
 	Leafs    LeafCaller
@@ -45,6 +46,7 @@
 	dialect  httpdialect.Dialect
 	catalog  *catalog.Catalog
 	memory   *leafmemory.Memory
+	dealer   *connshare.Dealer
 	balancer *balancer.Balancer
 	budgets  *retrybudget.Budgets
 	leafs    LeafCaller
@@ -58,7 +60,7 @@
 // New makes a gateway.
 func New(parts Parts) *Gateway {
 	return &Gateway{
-		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, balancer: parts.Balancer,
+		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, dealer: parts.Dealer, balancer: parts.Balancer,
 		budgets: parts.Budgets, leafs: parts.Leafs, journal: parts.Journal,
 		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
 	}
@@ -112,8 +114,8 @@
 	gateway  *Gateway
 	query    *query
 	services []string
-	// leafs are all that may be asked, by id.
-	leafs    map[string]*leafset.Leaf
+	// targets are the leafs that may be asked, by id.
+	targets  map[string]leafhttp.Target
 	summary  scatter.Summary
 	outcomes []scatter.Outcome[leafhttp.Response]
 
@@ -152,7 +154,7 @@
 	if w.isGathered() {
 		plan.SoftDeadline = w.query.objective
 	}
-	w.leafs = make(map[string]*leafset.Leaf, 2*len(w.services))
+	w.targets = make(map[string]leafhttp.Target, 2*len(w.services))
 	for index, service := range w.services {
 		plan.Shards[index] = scatter.Shard{
 			Candidates: w.candidates(service),
@@ -179,9 +181,10 @@
 // candidates gives the leafs of a service that may be asked.
 func (w *gathering) candidates(service string) []balancer.Candidate {
 	leafs, _ := w.gateway.memory.Candidates(service)
+	leafs, connections := w.gateway.dealer.Deal(service, leafs, w.query.service(service).MaximumConnections)
 	candidates := make([]balancer.Candidate, 0, len(leafs))
 	for _, leaf := range leafs {
-		w.leafs[leaf.ID] = leaf
+		w.targets[leaf.ID] = leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: connections}
 		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone})
 	}
 	return candidates
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/connshare"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/leafhttp"
@@ -86,6 +87,11 @@
 	known.Apply(catalog.Change{Entry: catalog.Entry{Key: key, Value: wrapped, Revision: known.Revision() + 1}, Previous: known.Revision()})
 }
 
+// alone is a fleet of one node.
+type alone struct{}
+
+func (alone) IDs() []string { return []string{"n"} }
+
 const shardCount = 10
 
 // newGateway makes a gateway with a gathered, a repeatable and an at-most-once route, over
@@ -112,6 +118,7 @@
 	budget := retrybudget.Config{Ratio: 1, Window: 10 * time.Second, Share: 1}
 	return New(Parts{
 		Config: DefaultConfig(), Dialect: dialect, Catalog: known, Memory: leafmemory.New(leafmemory.DefaultConfig(), known),
+		Dealer:   connshare.New(connshare.DefaultConfig(), alone{}, "n"),
 		Balancer: balancer.New(balancer.DefaultConfig(), "z"), Budgets: retrybudget.New(budget, func() int { return 1 }),
 		Leafs: leafs, Journal: journal,
 	}), journal
--- a/internal/leafhttp/config.go
+++ b/internal/leafhttp/config.go
@@ -26,10 +26,6 @@
 	LingerTimeout time.Duration `yaml:"linger_timeout"`
 	// MaximumAnswerBytes bounds the body of one answer.
 	MaximumAnswerBytes int64 `yaml:"maximum_answer_bytes"`
-	// ConnectionsPerLeaf bounds a node's connections to one leaf where operators set no limit.
-	ConnectionsPerLeaf int `yaml:"connections_per_leaf"`
-	// ConnectionShare is the part of a leaf's connection limit that all nodes together use.
-	ConnectionShare float64 `yaml:"connection_share"`
 }
 
 // DefaultConfig suits leafs in the same region.
@@ -41,8 +37,6 @@
 		IdleReserve:        500 * time.Millisecond,
 		LingerTimeout:      25 * time.Millisecond,
 		MaximumAnswerBytes: 16 << 20,
-		ConnectionsPerLeaf: 16,
-		ConnectionShare:    0.9,
 	}
 }
 
@@ -55,7 +49,5 @@
 	checks.Refuse(c.IdleReserve < 0, "idle_reserve", "must not be negative")
 	checks.Refuse(c.LingerTimeout < 0, "linger_timeout", "must not be negative")
 	checks.Refuse(c.MaximumAnswerBytes < 1024, "maximum_answer_bytes", "must be at least 1024")
-	checks.Refuse(c.ConnectionsPerLeaf < 1, "connections_per_leaf", "must be at least 1")
-	checks.Refuse(c.ConnectionShare <= 0 || c.ConnectionShare > 1, "connection_share", "must be above 0 and at most 1")
 	return checks.Err()
 }
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -14,16 +14,14 @@
 	// Incarnation is the leaf's id; the leaf refuses requests meant for another.
 	Incarnation string
 	Address     string
-	// MaximumConnections is the leaf's limit for all nodes together; 0 means none.
-	MaximumConnections int
+	// Connections is how many this node may have to the leaf; at least one.
+	Connections int
 }
 
 // Pool holds the connections of a node to leafs; safe for concurrent use.
 type Pool struct {
 	config  Config
 	dialect httpdialect.Dialect
-	// nodes gives how many nodes share the leafs' connection limits.
-	nodes func() int
 	// opened is told of each connection opened.
 	opened func()
 
@@ -40,13 +38,12 @@
 	forgotten bool
 }
 
-// New makes a pool. The nodes function gives how many nodes share each leaf's connection
-// limit; opened is told of each connection opened, and may be nil.
-func New(config Config, dialect httpdialect.Dialect, nodes func() int, opened func()) *Pool {
+// New makes a pool; opened is told of each connection opened, and may be nil.
+func New(config Config, dialect httpdialect.Dialect, opened func()) *Pool {
 	if opened == nil {
 		opened = func() {}
 	}
-	return &Pool{config: config, dialect: dialect, nodes: nodes, opened: opened, leafs: map[string]*leafConnections{}}
+	return &Pool{config: config, dialect: dialect, opened: opened, leafs: map[string]*leafConnections{}}
 }
 
 // Do runs one attempt. Its error is a *NeverSentError or a *BrokenAnswerError. When the
@@ -128,7 +125,7 @@
 		held.close()
 		leaf.open--
 	}
-	if leaf.open < p.limit(target) {
+	if leaf.open < max(1, target.Connections) {
 		leaf.open++
 		return nil, nil, nil
 	}
@@ -137,15 +134,6 @@
 	return nil, wait, nil
 }
 
-// limit is this node's share of the leaf's connection limit.
-func (p *Pool) limit(target Target) int {
-	if target.MaximumConnections <= 0 {
-		return p.config.ConnectionsPerLeaf
-	}
-	share := p.config.ConnectionShare * float64(target.MaximumConnections) / float64(max(1, p.nodes()))
-	return min(max(1, int(share)), p.config.ConnectionsPerLeaf)
-}
-
 func (p *Pool) open(ctx context.Context, target Target) (*connection, error) {
 	held, err := dial(ctx, p.config, target.Address)
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 			newLeafWriter,
 			newBalancer,
 			newLeafPool,
+			newDealer,
 			newHTTPPool,
 			newBudgets,
 			newDecisionLog,
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -15,6 +15,7 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/configwriter"
+	"github.com/portgauge/portgauge/internal/connshare"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/front"
 	"github.com/portgauge/portgauge/internal/gateway"
@@ -105,8 +106,12 @@
 	return pool
 }
 
-func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, census *registry.Census, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
-	pool := leafhttp.New(config.LeafHTTP, dialect, census.Nodes, metrics.LeafConnections.Inc)
+func newDealer(config settings.Settings, census *registry.Census, self catalog.NodeRecord) *connshare.Dealer {
+	return connshare.New(config.ConnectionShare, census, self.ID)
+}
+
+func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
+	pool := leafhttp.New(config.LeafHTTP, dialect, metrics.LeafConnections.Inc)
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
@@ -123,9 +128,9 @@
 	return &requestJournal{log: log, metrics: metrics, everyAttempt: config.DecisionLog.EveryAttempt}
 }
 
-func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, memory *leafmemory.Memory, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
+func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, memory *leafmemory.Memory, dealer *connshare.Dealer, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
 	return gateway.New(gateway.Parts{
-		Config: config.Gateway, Dialect: dialect, Catalog: known, Memory: memory, Balancer: choice, Budgets: budgets, Leafs: pool, Journal: journal,
+		Config: config.Gateway, Dialect: dialect, Catalog: known, Memory: memory, Dealer: dealer, Balancer: choice, Budgets: budgets, Leafs: pool, Journal: journal,
 	})
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -132,43 +131,3 @@
 		r.logger.Info("lease of the node was left to run out", zap.Error(err))
 	}
 }
-
-// Census counts the nodes of the fleet; safe for concurrent use.
-type Census struct {
-	catalog *catalog.Catalog
-	memory  time.Duration
-	self    string
-
-	mutex    sync.Mutex
-	since    time.Time
-	current  int // most nodes seen since then
-	previous int // most nodes seen in the span before
-}
-
-// NewCensus makes a census for the node of an id.
-func NewCensus(known *catalog.Catalog, self string, memory time.Duration) *Census {
-	return &Census{catalog: known, memory: memory, self: self, since: time.Now()}
-}
-
-// Nodes gives the most nodes that were registered at one time lately.
-func (c *Census) Nodes() int {
-	count := len(c.catalog.View().Nodes)
-	now := time.Now()
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if now.Sub(c.since) > c.memory {
-		c.previous, c.current, c.since = c.current, 0, now
-	}
-	c.current = max(c.current, count)
-	return max(c.current, c.previous)
-}
-
-// Sharing gives the number of nodes that share a bound, 0 unless this node is one of those
-// that the others know of.
-func (c *Census) Sharing() int {
-	nodes := c.Nodes()
-	if _, registered := c.catalog.View().Nodes[c.self]; !registered {
-		return 0
-	}
-	return nodes
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/configwriter"
+	"github.com/portgauge/portgauge/internal/connshare"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/gateway"
@@ -85,19 +86,20 @@
 	LogLevel string   `yaml:"log_level"`
 	Stop     Stop     `yaml:"stop"`
 
-	Search       search.Config       `yaml:"search"`
-	Balancer     balancer.Config     `yaml:"balancer"`
-	Hedging      hedging.Config      `yaml:"hedging"`
-	LeafClient   leafclient.Config   `yaml:"leaf_client"`
-	Membership   membership.Config   `yaml:"membership"`
-	ConfigSync   configsync.Config   `yaml:"config_sync"`
-	ConfigWriter configwriter.Config `yaml:"config_writer"`
-	Gateway      gateway.Config      `yaml:"gateway"`
-	LeafHTTP     leafhttp.Config     `yaml:"leaf_http"`
-	LeafMemory   leafmemory.Config   `yaml:"leaf_memory"`
-	RetryBudget  retrybudget.Config  `yaml:"retry_budget"`
-	Registry     registry.Config     `yaml:"registry"`
-	DecisionLog  decisionlog.Config  `yaml:"decision_log"`
+	Search          search.Config       `yaml:"search"`
+	Balancer        balancer.Config     `yaml:"balancer"`
+	Hedging         hedging.Config      `yaml:"hedging"`
+	LeafClient      leafclient.Config   `yaml:"leaf_client"`
+	Membership      membership.Config   `yaml:"membership"`
+	ConfigSync      configsync.Config   `yaml:"config_sync"`
+	ConfigWriter    configwriter.Config `yaml:"config_writer"`
+	Gateway         gateway.Config      `yaml:"gateway"`
+	LeafHTTP        leafhttp.Config     `yaml:"leaf_http"`
+	LeafMemory      leafmemory.Config   `yaml:"leaf_memory"`
+	ConnectionShare connshare.Config    `yaml:"connection_share"`
+	RetryBudget     retrybudget.Config  `yaml:"retry_budget"`
+	Registry        registry.Config     `yaml:"registry"`
+	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
 }
 
 // Default gives the settings that hold where none are given.
@@ -108,22 +110,23 @@
 			Operators: "127.0.0.1:7401",
 			Peers:     "127.0.0.1:7402",
 		},
-		Platform:     Platform{Address: "127.0.0.1:7300", Dialect: DefaultDialect, WatchWait: 2 * time.Second, WatchPause: 300 * time.Millisecond},
-		LogLevel:     "info",
-		Stop:         Stop{DrainTimeout: 30 * time.Second, AnnounceDelay: 200 * time.Millisecond},
-		Search:       search.DefaultConfig(),
-		Balancer:     balancer.DefaultConfig(),
-		Hedging:      hedging.DefaultConfig(),
-		LeafClient:   leafclient.DefaultConfig(),
-		Membership:   membership.DefaultConfig(),
-		ConfigSync:   configsync.DefaultConfig(),
-		ConfigWriter: configwriter.DefaultConfig(),
-		Gateway:      gateway.DefaultConfig(),
-		LeafHTTP:     leafhttp.DefaultConfig(),
-		LeafMemory:   leafmemory.DefaultConfig(),
-		RetryBudget:  retrybudget.DefaultConfig(),
-		Registry:     registry.DefaultConfig(),
-		DecisionLog:  decisionlog.DefaultConfig(),
+		Platform:        Platform{Address: "127.0.0.1:7300", Dialect: DefaultDialect, WatchWait: 2 * time.Second, WatchPause: 300 * time.Millisecond},
+		LogLevel:        "info",
+		Stop:            Stop{DrainTimeout: 30 * time.Second, AnnounceDelay: 200 * time.Millisecond},
+		Search:          search.DefaultConfig(),
+		Balancer:        balancer.DefaultConfig(),
+		Hedging:         hedging.DefaultConfig(),
+		LeafClient:      leafclient.DefaultConfig(),
+		Membership:      membership.DefaultConfig(),
+		ConfigSync:      configsync.DefaultConfig(),
+		ConfigWriter:    configwriter.DefaultConfig(),
+		Gateway:         gateway.DefaultConfig(),
+		LeafHTTP:        leafhttp.DefaultConfig(),
+		LeafMemory:      leafmemory.DefaultConfig(),
+		ConnectionShare: connshare.DefaultConfig(),
+		RetryBudget:     retrybudget.DefaultConfig(),
+		Registry:        registry.DefaultConfig(),
+		DecisionLog:     decisionlog.DefaultConfig(),
 	}
 }
 
@@ -158,6 +161,7 @@
 	checks.Add("gateway", s.Gateway.Validate())
 	checks.Add("leaf_http", s.LeafHTTP.Validate())
 	checks.Add("leaf_memory", s.LeafMemory.Validate())
+	checks.Add("connection_share", s.ConnectionShare.Validate())
 	checks.Add("retry_budget", s.RetryBudget.Validate())
 	checks.Add("registry", s.Registry.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
