--- a/cmd/portgauge/node.go
+++ b/cmd/portgauge/node.go
@@ -17,18 +17,23 @@
 	Set      []string `help:"Override a setting, such as --set search.merge_reserve=2ms. May be repeated; 'portgauge settings show' lists the names." placeholder:"NAME=VALUE" sep:"none"`
 }
 
-// Run runs until SIGTERM or SIGINT begins a planned stop; a second signal ends at once.
+// Run runs until SIGTERM or SIGINT begins a planned stop; a second signal ends at once. SIGHUP
+// has the settings read again.
 func (c *nodeCommand) Run() error {
-	config, err := loadSettings(c.Settings, c.Set)
+	load := func() (settings.Settings, error) { return loadSettings(c.Settings, c.Set) }
+	config, err := load()
 	if err != nil {
 		return err
 	}
-	app := node.New(config, os.Stdout, dialects()...)
+	// From here on a signal to reload must not end the process.
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGHUP)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	app := node.New(node.Start{Settings: config, SettingsPath: c.Settings, Load: load, Reload: told, Logs: os.Stdout, Dialects: dialects()})
 	if err := app.Err(); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	startContext, cancelStart := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancelStart()
 	if err := app.Start(startContext); err != nil {
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -59,7 +59,9 @@
 // join tells some nodes of this one and reports whether it found its zone's view stable: all
 // nodes that answered know the same members, or there is none to ask.
 func (s *Syncer) join(ctx context.Context) bool {
+	s.mutex.Lock()
 	targets := append([]string(nil), s.seeds...)
+	s.mutex.Unlock()
 	listed, err := s.listZone(ctx)
 	if err == nil {
 		targets = append(targets, listed...)
@@ -112,8 +114,12 @@
 			return
 		}
 	}
-	if member, found := s.members.Random(); found {
-		s.pullFrom(ctx, member.Address)
+	if member, found := s.members.Random(); found && s.pullFrom(ctx, member.Address) {
+		return
+	}
+	// The zone may have no other node, or none with configuration.
+	if address, found := s.randomContact(); found {
+		s.pullFrom(ctx, address)
 	}
 }
 
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -54,7 +54,7 @@
 	transport peer.Transport
 	leafs     LeafNoticer
 	logger    *zap.Logger
-	seeds     []string
+	seeds     []string // guarded by mutex
 	relayed   func(kind string)
 	members   *membership.Membership
 
@@ -104,6 +104,13 @@
 // SetMembership gives the zone's members; the membership's listener is this syncer.
 func (s *Syncer) SetMembership(members *membership.Membership) { s.members = members }
 
+// SetSeeds changes the peer addresses to join through.
+func (s *Syncer) SetSeeds(seeds []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.seeds = seeds
+}
+
 // Ready is closed once the node has configuration, be it empty.
 func (s *Syncer) Ready() <-chan struct{} { return s.ready }
 
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -111,7 +111,7 @@
 	config.Stop.AnnounceDelay = 0
 	config.Listen.Callers, config.Listen.Operators, config.Listen.Peers = addresses[0], addresses[1], addresses[2]
 	c.callers, c.operators = config.Listen.Callers, config.Listen.Operators
-	app := node.New(config, c.output)
+	app := node.New(node.Start{Settings: config, Logs: c.output})
 	if err := app.Start(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,12 +8,14 @@
 
 import (
 	"io"
+	"os"
 	"time"
 
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"github.com/portgauge/portgauge/internal/reload"
 	"github.com/portgauge/portgauge/internal/settings"
 	"github.com/portgauge/portgauge/internal/telemetry"
 )
@@ -21,14 +23,29 @@
 // closeReserve is the time kept for closing after the drain.
 const closeReserve = 10 * time.Second
 
-// New makes the application of one node. Logs go to the output as JSON lines. Besides the
-// product's own protocol to a platform, the node speaks the given ones.
-func New(config settings.Settings, logs io.Writer, spoken ...Dialect) *fx.App {
+// Start is what a node is started with.
+type Start struct {
+	Settings settings.Settings
+	// SettingsPath is the file that Load reads; empty when there is none.
+	SettingsPath string
+	// Load reads the settings again; nil means that they can't change.
+	Load reload.Loader
+	// Reload tells the node to read the settings again.
+	Reload <-chan os.Signal
+	// Logs takes JSON lines.
+	Logs io.Writer
+	// Dialects are the protocols to a platform that the node speaks besides the product's own.
+	Dialects []Dialect
+}
+
+// New makes the application of one node.
+func New(start Start) *fx.App {
+	config := start.Settings
 	return fx.New(
-		fx.Supply(config, dialects(spoken), fx.Annotate(logs, fx.As(new(io.Writer)))),
+		fx.Supply(start, config, dialects(start.Dialects), fx.Annotate(start.Logs, fx.As(new(io.Writer)))),
 		fx.Provide(
 			newLevel,
-			func(level zap.AtomicLevel) *zap.Logger { return telemetry.NewLogger(logs, level) },
+			func(level zap.AtomicLevel) *zap.Logger { return telemetry.NewLogger(start.Logs, level) },
 			telemetry.NewMetrics,
 			newPlatform,
 			newLister,
@@ -58,7 +75,7 @@
 			events.UseLogLevel(zap.DebugLevel)
 			return events
 		}),
-		fx.Invoke(runLog, runControl, runOperators, runServing),
+		fx.Invoke(runLog, tellLife, runControl, runOperators, runServing, runReload),
 		fx.StopTimeout(config.Stop.AnnounceDelay+config.Stop.DrainTimeout+closeReserve),
 	)
 }
--- /dev/null
+++ b/internal/reload/reload_test.go
@@ -0,0 +1,54 @@
+package reload
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/settings"
+)
+
+func TestSettingsAreReloadedOnSignalAndChangeAndRefusedWhole(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(content string) {
+		if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		write("node: {zone: a}\n")
+		var applied []string
+		load := func() (settings.Settings, error) { return settings.Load(path, nil, nil) }
+		apply := func(changed settings.Settings) []string {
+			applied = append(applied, changed.LogLevel)
+			return nil
+		}
+		told := make(chan os.Signal, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go New(path, load, apply, zap.NewNop()).Run(ctx, told)
+		time.Sleep(time.Minute)
+		is.Equal(len(applied), 0) // nothing changed
+		told <- syscall.SIGHUP
+		synctest.Wait()
+		is.Equal(applied, []string{"info"})
+		write("node: {zone: a}\nlog_level: warn\n")
+		time.Sleep(2 * checkInterval)
+		is.Equal(applied, []string{"info", "warn"})
+		write("node: {zone: a}\nlog_level: debug\nunknown: 1\n")
+		time.Sleep(2 * checkInterval)
+		is.Equal(applied, []string{"info", "warn"}) // refused as a whole
+		is.NoErr(os.Remove(path))
+		told <- syscall.SIGHUP
+		synctest.Wait()
+		is.Equal(len(applied), 2)
+	})
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -237,3 +237,47 @@
 	}
 	return paths
 }
+
+// reloadable are the settings that a running node can change.
+var reloadable = map[string]bool{"log_level": true, "seeds": true}
+
+// Differences gives the names of the settings that differ and need a restart.
+func Differences(before, after Settings) []string {
+	first, second := values(before), values(after)
+	var names []string
+	for _, path := range Paths() {
+		if !reloadable[path] && first[path] != second[path] {
+			names = append(names, path)
+		}
+	}
+	return names
+}
+
+// values gives the encoded value of each setting by its name.
+func values(settings Settings) map[string]string {
+	content, err := yaml.Marshal(settings)
+	if err != nil {
+		return nil
+	}
+	var root yaml.Node
+	if err := yaml.Unmarshal(content, &root); err != nil {
+		return nil
+	}
+	found := map[string]string{}
+	collectValues(root.Content[0], "", found)
+	return found
+}
+
+func collectValues(node *yaml.Node, prefix string, found map[string]string) {
+	for index := 0; index+1 < len(node.Content); index += 2 {
+		path, value := prefix+node.Content[index].Value, node.Content[index+1]
+		if value.Kind == yaml.MappingNode {
+			collectValues(value, path+".", found)
+			continue
+		}
+		encoded, err := yaml.Marshal(value)
+		if err == nil {
+			found[path] = string(encoded)
+		}
+	}
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -83,3 +83,13 @@
 		_, _ = Parse("fuzz", content)
 	})
 }
+
+func TestDifferencesNameWhatNeedsARestart(t *testing.T) {
+	is := is.New(t)
+	changed := Default()
+	is.Equal(len(Differences(Default(), changed)), 0)
+	changed.LogLevel, changed.Seeds = "warn", []string{"127.0.0.1:1"}
+	is.Equal(len(Differences(Default(), changed)), 0)
+	changed.Node.Zone, changed.Gateway.HedgeFactor = "other", 3
+	is.Equal(Differences(Default(), changed), []string{"node.zone", "gateway.hedge_factor"})
+}
