--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -29,6 +29,8 @@
 	now    func() time.Time
 	// onDraining is told of a leaf that said itself that it is leaving.
 	onDraining func(leafID string)
+	// onEjected is told of a leaf that is ejected, or that is back.
+	onEjected func(leafID string, ejected bool)
 
 	mutex   sync.RWMutex
 	leafs   map[string]*Leaf
@@ -44,6 +46,10 @@
 // that it is leaving. It must be set before the balancer is used.
 func (b *Balancer) OnDraining(tell func(leafID string)) { b.onDraining = tell }
 
+// OnEjected sets who is told, without the balancer's locks held, of a leaf that is ejected or
+// back. It must be set before the balancer is used.
+func (b *Balancer) OnEjected(tell func(leafID string, ejected bool)) { b.onEjected = tell }
+
 // Candidate is one replica of a shard.
 type Candidate struct {
 	LeafID string
@@ -266,7 +272,10 @@
 // Finish counts an attempt at the leaf out. Typical is what such work usually takes at any leaf;
 // 0 when that is not known.
 func (b *Balancer) Finish(leaf *Leaf, outcome Outcome, took, typical time.Duration) {
-	leaf.finish(b.config, outcome, took, typical, b.now())
+	changed, ejected := leaf.finish(b.config, outcome, took, typical, b.now())
+	if changed && b.onEjected != nil {
+		b.onEjected(leaf.ID, ejected)
+	}
 	if outcome == Drained {
 		b.tellDraining(leaf)
 	}
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -87,10 +87,12 @@
 	}
 }
 
-// finish counts an attempt out and learns from its outcome.
-func (l *Leaf) finish(config Config, outcome Outcome, took, typical time.Duration, now time.Time) {
+// finish counts an attempt out and learns from its outcome. It reports whether the leaf was
+// ejected or came back by it.
+func (l *Leaf) finish(config Config, outcome Outcome, took, typical time.Duration, now time.Time) (changed, ejected bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	wasEjected := !l.ejectedUntil.IsZero()
 	l.inFlight--
 	l.trial = false
 	l.heard(outcome, now)
@@ -112,6 +114,8 @@
 		}
 	case Declined:
 	}
+	ejected = !l.ejectedUntil.IsZero()
+	return ejected != wasEjected, ejected
 }
 
 // heard keeps how long the leaf has been silent: any answer ends the silence, an attempt that
@@ -135,6 +139,11 @@
 	unknownStall      = 150 * time.Millisecond
 	minimumStallPause = 50 * time.Millisecond
 	maximumStallPause = 2 * time.Second
+	// shortStall is how long leafs that are well may pause; a longer silence is taken for the
+	// end of the leaf, and looked into more rarely, since each look costs a request its part.
+	shortStall      = 400 * time.Millisecond
+	shortStallShare = 0.5
+	longStallFactor = 2
 )
 
 // stalled reports whether the leaf owes answers for much longer than it usually takes. One
@@ -154,8 +163,12 @@
 	if l.inFlight > 0 {
 		return true
 	}
-	pause := min(max(silence/2, minimumStallPause), maximumStallPause)
-	return now.Sub(l.leftAt) < pause
+	silentUntilLeft := l.leftAt.Sub(l.silentSince)
+	pause := time.Duration(shortStallShare * float64(silentUntilLeft))
+	if silentUntilLeft > shortStall {
+		pause = longStallFactor * silentUntilLeft
+	}
+	return now.Sub(l.leftAt) < min(max(pause, minimumStallPause), maximumStallPause)
 }
 
 func (l *Leaf) succeed(config Config, took time.Duration, now time.Time) {
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -85,8 +85,7 @@
 				continue
 			}
 		}
-		s.storeDownAt.CompareAndSwap(0, time.Now().UnixNano())
-		s.logger.Warn("store watch ended", zap.Error(err), zap.Int64("revision", s.catalog.Revision()))
+		s.storeLost(err)
 		if time.Since(opened) > s.config.WatchSilence {
 			retryAfter = s.config.RetryPause
 		}
@@ -119,7 +118,7 @@
 		if err == nil {
 			break
 		}
-		s.logger.Warn("store can't be read at the start", zap.Error(err))
+		s.storeLost(err)
 		if !pause(ctx, retryAfter) {
 			return false
 		}
@@ -180,12 +179,27 @@
 	s.catalog.Replace(snapshot)
 	s.catalog.Confirm(time.Now())
 	s.markInitialised()
+	s.storeRegained()
 	return nil
 }
 
+// storeLost notes, and tells once, that the store can't be followed.
+func (s *Syncer) storeLost(err error) {
+	if s.storeDownAt.CompareAndSwap(0, time.Now().UnixNano()) {
+		s.logger.Warn("store lost", zap.Error(err), zap.Int64("revision", s.catalog.Revision()))
+	}
+}
+
+// storeRegained notes, and tells once, that the store is followed again.
+func (s *Syncer) storeRegained() {
+	if since := s.storeDownAt.Swap(0); since != 0 {
+		s.logger.Info("store regained", zap.Duration("after", time.Since(time.Unix(0, since))), zap.Int64("revision", s.catalog.Revision()))
+	}
+}
+
 // takeEvent applies a change and has it pushed, or notes that there is none newer.
 func (s *Syncer) takeEvent(ctx context.Context, event store.Event) error {
-	s.storeDownAt.Store(0)
+	s.storeRegained()
 	if event.Change != nil {
 		if !s.catalog.Apply(*event.Change) {
 			if err := s.readStore(ctx); err != nil {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -1,15 +1,91 @@
 package node
 
 import (
+	"context"
+	"strings"
 	"time"
 
+	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/gateway"
+	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/scatter"
 	"github.com/portgauge/portgauge/internal/telemetry"
 )
 
+// beliefJournal tells the decision log of what changes what the node believes.
+type beliefJournal struct {
+	log     *decisionlog.Log
+	catalog *catalog.Catalog
+}
+
+// Names of events that change what the node believes.
+const (
+	eventEntryChanged = "entry_changed"
+	eventLeafEjected  = "leaf_ejected"
+	eventLeafReturned = "leaf_returned"
+)
+
+type entryEvent struct {
+	Time     time.Time `json:"time"`
+	Event    string    `json:"event"`
+	Key      string    `json:"key"`
+	Revision int64     `json:"revision"`
+	Gone     bool      `json:"gone,omitempty"`
+	// Version is the operators' number of the routes in force after the change.
+	Version int64 `json:"config_version,omitempty"`
+	// State is the leaf's own word, for records of leafs.
+	State leafset.State `json:"state,omitempty"`
+}
+
+type leafEvent struct {
+	Time     time.Time `json:"time"`
+	Event    string    `json:"event"`
+	Leaf     string    `json:"leaf"`
+	Revision int64     `json:"revision"`
+}
+
+// changeBacklog is how many changes of configuration may wait to be logged.
+const changeBacklog = 128
+
+// run logs each change that is put into force until the context ends.
+func (j *beliefJournal) run(ctx context.Context) {
+	changes, stop := j.catalog.Subscribe(changeBacklog)
+	defer stop()
+	for {
+		select {
+		case change := <-changes:
+			for _, entry := range change.Entries() {
+				j.entryChanged(entry)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (j *beliefJournal) entryChanged(entry catalog.Entry) {
+	event := entryEvent{Time: time.Now(), Event: eventEntryChanged, Key: entry.Key, Revision: entry.Revision, Gone: entry.Deleted}
+	view := j.catalog.View()
+	if entry.Key == catalog.RoutesKey && view.Routes != nil {
+		event.Version = view.Routes.Version
+	}
+	if leaf, found := view.Leafs.ByID(strings.TrimPrefix(entry.Key, catalog.LeafKey(""))); found {
+		event.State = leaf.State
+	}
+	j.log.Write(decisionlog.Failed, event)
+}
+
+// leafEjected logs that a leaf gets no new work for its failures, or does again.
+func (j *beliefJournal) leafEjected(leafID string, ejected bool) {
+	event := leafEvent{Time: time.Now(), Event: eventLeafReturned, Leaf: leafID, Revision: j.catalog.Revision()}
+	if ejected {
+		event.Event = eventLeafEjected
+	}
+	j.log.Write(decisionlog.Ordinary, event)
+}
+
 // requestJournal tells the decision log and the metrics of requests.
 type requestJournal struct {
 	log     *decisionlog.Log
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 			newBudgets,
 			newDecisionLog,
 			newJournal,
+			newBeliefJournal,
 			newGateway,
 			newFront,
 			newEngine,
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -96,8 +96,14 @@
 	return leafmemory.NewWriter(config.LeafMemory, known, kept, self.ID, logger)
 }
 
-func newBalancer(config settings.Settings) *balancer.Balancer {
-	return balancer.New(config.Balancer, config.Node.Zone)
+func newBalancer(config settings.Settings, beliefs *beliefJournal) *balancer.Balancer {
+	choice := balancer.New(config.Balancer, config.Node.Zone)
+	choice.OnEjected(beliefs.leafEjected)
+	return choice
+}
+
+func newBeliefJournal(log *decisionlog.Log, known *catalog.Catalog) *beliefJournal {
+	return &beliefJournal{log: log, catalog: known}
 }
 
 func newLeafPool(config settings.Settings, lifecycle fx.Lifecycle) *leafclient.Pool {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -56,6 +56,7 @@
 	Engine    *search.Engine
 	Keeper    *leafKeeper
 	Writer    *leafmemory.Writer
+	Beliefs   *beliefJournal
 	Self      catalog.NodeRecord
 	Lessor    store.Lessor `optional:"true"`
 	Logger    *zap.Logger
@@ -72,6 +73,7 @@
 			go parts.Members.Run(ctx)
 			go parts.Keeper.run(ctx)
 			go parts.Writer.Run(ctx)
+			go parts.Beliefs.run(ctx)
 			if parts.Lessor != nil {
 				record := registry.New(parts.Config.Registry, parts.Lessor, parts.Self, parts.Logger)
 				running.Go(func() { record.Run(ctx) })
