--- /dev/null
+++ b/cmd/portgauge-lab/http_leaf.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/httpdialect"
+	"github.com/portgauge/portgauge/internal/lab/httpleaf"
+)
+
+// httpLeafCommand runs a stand-in back end for routes, which answers with random records.
+type httpLeafCommand struct {
+	ID      string        `help:"Identity of this start of the leaf." required:""`
+	Address string        `help:"IP number and port." default:"127.0.0.1:7600"`
+	Records int           `help:"Records of 16 bytes in an answer." default:"20"`
+	Delay   time.Duration `help:"How long the leaf works on a request." default:"2ms"`
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *httpLeafCommand) Run() error {
+	leaf, err := httpleaf.StartAt(c.Address, c.ID, httpdialect.Default(), func(httpleaf.Request) httpleaf.Answer {
+		return httpleaf.Answer{Delay: c.Delay, Body: c.records()}
+	})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	<-ctx.Done()
+	leaf.Stop()
+	return nil
+}
+
+// records makes an answer of readable records, each 16 bytes and a line of its own.
+func (c *httpLeafCommand) records() []byte {
+	var body bytes.Buffer
+	for range c.Records {
+		fmt.Fprintf(&body, "%06d %-8.8s\n", rand.IntN(1_000_000), c.ID)
+	}
+	return body.Bytes()
+}
--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -12,6 +12,7 @@
 // commandLine is the tree of subcommands; each has a file of its own.
 type commandLine struct {
 	Leaf       leafCommand       `cmd:"" help:"Run a stand-in back end."`
+	HTTPLeaf   httpLeafCommand   `cmd:"" name:"http-leaf" help:"Run a stand-in back end that routes are served by."`
 	Platform   platformCommand   `cmd:"" help:"Run a stand-in store and machine list."`
 	Sample     sampleCommand     `cmd:"" help:"Print a service or manifest over stand-in back ends."`
 	Hollow     hollowCommand     `cmd:"" help:"Run hollow nodes, for a scale run."`
--- /dev/null
+++ b/cmd/portgauge/routes.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+
+	"connectrpc.com/connect"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/api"
+	"github.com/portgauge/portgauge/internal/cli"
+	"github.com/portgauge/portgauge/internal/routing"
+)
+
+// routesCommand groups the calls about routes.
+type routesCommand struct {
+	Check routesCheckCommand `cmd:"" help:"Check a routing configuration and name all faults."`
+	Apply routesApplyCommand `cmd:"" help:"Replace the routing configuration from a file or standard input."`
+	Get   routesGetCommand   `cmd:"" help:"Show the routing configuration in force on a node, with its age."`
+}
+
+// routesCheckCommand checks a file without any node.
+type routesCheckCommand struct {
+	File string `arg:"" help:"Routing configuration as YAML or JSON; - for standard input."`
+}
+
+// Run fails with all faults of the file.
+func (c *routesCheckCommand) Run() error {
+	document, err := cli.ReadDocument(c.File, os.Stdin)
+	if err != nil {
+		return err
+	}
+	configuration, err := routing.Parse(document)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Printf("%s: %d routes, no fault found\n", c.File, len(configuration.Routes))
+	return err
+}
+
+// routesApplyCommand replaces the routing configuration.
+type routesApplyCommand struct {
+	operatorFlags
+	writeFlags
+	File string `arg:"" help:"Routing configuration as YAML or JSON; - for standard input."`
+}
+
+// Run applies the configuration and prints the revision that accepted it.
+func (c *routesApplyCommand) Run() error {
+	document, err := cli.ReadDocument(c.File, os.Stdin)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.context()
+	defer cancel()
+	response, err := cli.AdminClient(c.Address).ApplyRoutes(ctx, connect.NewRequest(&adminv1.ApplyRoutesRequest{
+		Document: string(document), ExpectedRevision: c.Revision, ChangeId: c.ChangeID,
+	}))
+	if err != nil {
+		return api.FailureOf(err)
+	}
+	rows := [][]string{{strconv.FormatInt(response.Msg.GetRevision(), 10), response.Msg.GetChangeId()}}
+	return cli.PrintMessage(os.Stdout, c.Output, response.Msg, []string{"REVISION", "CHANGE"}, rows)
+}
+
+// routesGetCommand shows the routing configuration.
+type routesGetCommand struct {
+	operatorFlags
+}
+
+// Run prints the routes that the node serves by.
+func (c *routesGetCommand) Run() error {
+	ctx, cancel := c.context()
+	defer cancel()
+	response, err := cli.AdminClient(c.Address).GetRoutes(ctx, connect.NewRequest(&adminv1.GetRoutesRequest{}))
+	if err != nil {
+		return api.FailureOf(err)
+	}
+	configuration, err := routing.Parse([]byte(response.Msg.GetDocument()))
+	if err != nil {
+		return err
+	}
+	var rows [][]string
+	for _, route := range configuration.Routes {
+		rows = append(rows, []string{
+			strconv.FormatInt(response.Msg.GetVersion(), 10), strconv.FormatInt(response.Msg.GetRevision(), 10),
+			route.Name, route.Host, route.Prefix, targetOf(route), string(route.Repeatability),
+		})
+	}
+	return cli.PrintMessage(os.Stdout, c.Output, response.Msg, []string{"VERSION", "REVISION", "ROUTE", "HOST", "PREFIX", "TARGET", "REPEATABILITY"}, rows)
+}
+
+func targetOf(route routing.Route) string {
+	switch {
+	case len(route.Gathered) > 0:
+		return fmt.Sprintf("%d gathered", len(route.Gathered))
+	case len(route.Weighted) > 0:
+		return fmt.Sprintf("%d weighted", len(route.Weighted))
+	}
+	return route.Service
+}
--- a/gen/portgauge/admin/v1/adminv1connect/admin.connect.go
+++ b/gen/portgauge/admin/v1/adminv1connect/admin.connect.go
@@ -56,6 +56,15 @@
 	// AdminServiceListSnapshotsProcedure is the fully-qualified name of the AdminService's
 	// ListSnapshots RPC.
 	AdminServiceListSnapshotsProcedure = "/portgauge.admin.v1.AdminService/ListSnapshots"
+	// AdminServiceApplyRoutesProcedure is the fully-qualified name of the AdminService's ApplyRoutes
+	// RPC.
+	AdminServiceApplyRoutesProcedure = "/portgauge.admin.v1.AdminService/ApplyRoutes"
+	// AdminServiceGetRoutesProcedure is the fully-qualified name of the AdminService's GetRoutes RPC.
+	AdminServiceGetRoutesProcedure = "/portgauge.admin.v1.AdminService/GetRoutes"
+	// AdminServiceApplyLeafProcedure is the fully-qualified name of the AdminService's ApplyLeaf RPC.
+	AdminServiceApplyLeafProcedure = "/portgauge.admin.v1.AdminService/ApplyLeaf"
+	// AdminServiceDeleteLeafProcedure is the fully-qualified name of the AdminService's DeleteLeaf RPC.
+	AdminServiceDeleteLeafProcedure = "/portgauge.admin.v1.AdminService/DeleteLeaf"
 )
 
 // AdminServiceClient is a client for the portgauge.admin.v1.AdminService service.
@@ -72,6 +81,12 @@
 	// PublishSnapshot makes a manifest the current one of its service by compare-and-swap.
 	PublishSnapshot(context.Context, *connect.Request[v1.PublishSnapshotRequest]) (*connect.Response[v1.PublishSnapshotResponse], error)
 	ListSnapshots(context.Context, *connect.Request[v1.ListSnapshotsRequest]) (*connect.Response[v1.ListSnapshotsResponse], error)
+	// ApplyRoutes replaces the routing configuration as a whole by compare-and-swap.
+	ApplyRoutes(context.Context, *connect.Request[v1.ApplyRoutesRequest]) (*connect.Response[v1.ApplyRoutesResponse], error)
+	GetRoutes(context.Context, *connect.Request[v1.GetRoutesRequest]) (*connect.Response[v1.GetRoutesResponse], error)
+	// ApplyLeaf adds or replaces the record of a leaf that routes are served by.
+	ApplyLeaf(context.Context, *connect.Request[v1.ApplyLeafRequest]) (*connect.Response[v1.ApplyLeafResponse], error)
+	DeleteLeaf(context.Context, *connect.Request[v1.DeleteLeafRequest]) (*connect.Response[v1.DeleteLeafResponse], error)
 }
 
 // NewAdminServiceClient constructs a client for the portgauge.admin.v1.AdminService service. By
@@ -133,6 +148,30 @@
 			connect.WithSchema(adminServiceMethods.ByName("ListSnapshots")),
 			connect.WithClientOptions(opts...),
 		),
+		applyRoutes: connect.NewClient[v1.ApplyRoutesRequest, v1.ApplyRoutesResponse](
+			httpClient,
+			baseURL+AdminServiceApplyRoutesProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("ApplyRoutes")),
+			connect.WithClientOptions(opts...),
+		),
+		getRoutes: connect.NewClient[v1.GetRoutesRequest, v1.GetRoutesResponse](
+			httpClient,
+			baseURL+AdminServiceGetRoutesProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("GetRoutes")),
+			connect.WithClientOptions(opts...),
+		),
+		applyLeaf: connect.NewClient[v1.ApplyLeafRequest, v1.ApplyLeafResponse](
+			httpClient,
+			baseURL+AdminServiceApplyLeafProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("ApplyLeaf")),
+			connect.WithClientOptions(opts...),
+		),
+		deleteLeaf: connect.NewClient[v1.DeleteLeafRequest, v1.DeleteLeafResponse](
+			httpClient,
+			baseURL+AdminServiceDeleteLeafProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("DeleteLeaf")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -146,6 +185,10 @@
 	getStatus       *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
 	publishSnapshot *connect.Client[v1.PublishSnapshotRequest, v1.PublishSnapshotResponse]
 	listSnapshots   *connect.Client[v1.ListSnapshotsRequest, v1.ListSnapshotsResponse]
+	applyRoutes     *connect.Client[v1.ApplyRoutesRequest, v1.ApplyRoutesResponse]
+	getRoutes       *connect.Client[v1.GetRoutesRequest, v1.GetRoutesResponse]
+	applyLeaf       *connect.Client[v1.ApplyLeafRequest, v1.ApplyLeafResponse]
+	deleteLeaf      *connect.Client[v1.DeleteLeafRequest, v1.DeleteLeafResponse]
 }
 
 // ApplyService calls portgauge.admin.v1.AdminService.ApplyService.
@@ -188,6 +231,26 @@
 	return c.listSnapshots.CallUnary(ctx, req)
 }
 
+// ApplyRoutes calls portgauge.admin.v1.AdminService.ApplyRoutes.
+func (c *adminServiceClient) ApplyRoutes(ctx context.Context, req *connect.Request[v1.ApplyRoutesRequest]) (*connect.Response[v1.ApplyRoutesResponse], error) {
+	return c.applyRoutes.CallUnary(ctx, req)
+}
+
+// GetRoutes calls portgauge.admin.v1.AdminService.GetRoutes.
+func (c *adminServiceClient) GetRoutes(ctx context.Context, req *connect.Request[v1.GetRoutesRequest]) (*connect.Response[v1.GetRoutesResponse], error) {
+	return c.getRoutes.CallUnary(ctx, req)
+}
+
+// ApplyLeaf calls portgauge.admin.v1.AdminService.ApplyLeaf.
+func (c *adminServiceClient) ApplyLeaf(ctx context.Context, req *connect.Request[v1.ApplyLeafRequest]) (*connect.Response[v1.ApplyLeafResponse], error) {
+	return c.applyLeaf.CallUnary(ctx, req)
+}
+
+// DeleteLeaf calls portgauge.admin.v1.AdminService.DeleteLeaf.
+func (c *adminServiceClient) DeleteLeaf(ctx context.Context, req *connect.Request[v1.DeleteLeafRequest]) (*connect.Response[v1.DeleteLeafResponse], error) {
+	return c.deleteLeaf.CallUnary(ctx, req)
+}
+
 // AdminServiceHandler is an implementation of the portgauge.admin.v1.AdminService service.
 type AdminServiceHandler interface {
 	// ApplyService creates or replaces a service by compare-and-swap.
@@ -202,6 +265,12 @@
 	// PublishSnapshot makes a manifest the current one of its service by compare-and-swap.
 	PublishSnapshot(context.Context, *connect.Request[v1.PublishSnapshotRequest]) (*connect.Response[v1.PublishSnapshotResponse], error)
 	ListSnapshots(context.Context, *connect.Request[v1.ListSnapshotsRequest]) (*connect.Response[v1.ListSnapshotsResponse], error)
+	// ApplyRoutes replaces the routing configuration as a whole by compare-and-swap.
+	ApplyRoutes(context.Context, *connect.Request[v1.ApplyRoutesRequest]) (*connect.Response[v1.ApplyRoutesResponse], error)
+	GetRoutes(context.Context, *connect.Request[v1.GetRoutesRequest]) (*connect.Response[v1.GetRoutesResponse], error)
+	// ApplyLeaf adds or replaces the record of a leaf that routes are served by.
+	ApplyLeaf(context.Context, *connect.Request[v1.ApplyLeafRequest]) (*connect.Response[v1.ApplyLeafResponse], error)
+	DeleteLeaf(context.Context, *connect.Request[v1.DeleteLeafRequest]) (*connect.Response[v1.DeleteLeafResponse], error)
 }
 
 // NewAdminServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -259,6 +328,30 @@
 		connect.WithSchema(adminServiceMethods.ByName("ListSnapshots")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceApplyRoutesHandler := connect.NewUnaryHandler(
+		AdminServiceApplyRoutesProcedure,
+		svc.ApplyRoutes,
+		connect.WithSchema(adminServiceMethods.ByName("ApplyRoutes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceGetRoutesHandler := connect.NewUnaryHandler(
+		AdminServiceGetRoutesProcedure,
+		svc.GetRoutes,
+		connect.WithSchema(adminServiceMethods.ByName("GetRoutes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceApplyLeafHandler := connect.NewUnaryHandler(
+		AdminServiceApplyLeafProcedure,
+		svc.ApplyLeaf,
+		connect.WithSchema(adminServiceMethods.ByName("ApplyLeaf")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceDeleteLeafHandler := connect.NewUnaryHandler(
+		AdminServiceDeleteLeafProcedure,
+		svc.DeleteLeaf,
+		connect.WithSchema(adminServiceMethods.ByName("DeleteLeaf")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/portgauge.admin.v1.AdminService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AdminServiceApplyServiceProcedure:
@@ -277,6 +370,14 @@
 			adminServicePublishSnapshotHandler.ServeHTTP(w, r)
 		case AdminServiceListSnapshotsProcedure:
 			adminServiceListSnapshotsHandler.ServeHTTP(w, r)
+		case AdminServiceApplyRoutesProcedure:
+			adminServiceApplyRoutesHandler.ServeHTTP(w, r)
+		case AdminServiceGetRoutesProcedure:
+			adminServiceGetRoutesHandler.ServeHTTP(w, r)
+		case AdminServiceApplyLeafProcedure:
+			adminServiceApplyLeafHandler.ServeHTTP(w, r)
+		case AdminServiceDeleteLeafProcedure:
+			adminServiceDeleteLeafHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -317,3 +418,19 @@
 func (UnimplementedAdminServiceHandler) ListSnapshots(context.Context, *connect.Request[v1.ListSnapshotsRequest]) (*connect.Response[v1.ListSnapshotsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.ListSnapshots is not implemented"))
 }
+
+func (UnimplementedAdminServiceHandler) ApplyRoutes(context.Context, *connect.Request[v1.ApplyRoutesRequest]) (*connect.Response[v1.ApplyRoutesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.ApplyRoutes is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) GetRoutes(context.Context, *connect.Request[v1.GetRoutesRequest]) (*connect.Response[v1.GetRoutesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.GetRoutes is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) ApplyLeaf(context.Context, *connect.Request[v1.ApplyLeafRequest]) (*connect.Response[v1.ApplyLeafResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.ApplyLeaf is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) DeleteLeaf(context.Context, *connect.Request[v1.DeleteLeafRequest]) (*connect.Response[v1.DeleteLeafResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.DeleteLeaf is not implemented"))
+}
--- a/internal/api/admin_handler.go
+++ b/internal/api/admin_handler.go
@@ -66,6 +66,26 @@
 	return reply(h.admin.ListSnapshots(request.Msg.GetService()))
 }
 
+// ApplyRoutes implements AdminServiceHandler.
+func (h *adminHandler) ApplyRoutes(ctx context.Context, request *connect.Request[adminv1.ApplyRoutesRequest]) (*connect.Response[adminv1.ApplyRoutesResponse], error) {
+	return reply(h.admin.ApplyRoutes(ctx, request.Msg))
+}
+
+// GetRoutes implements AdminServiceHandler.
+func (h *adminHandler) GetRoutes(context.Context, *connect.Request[adminv1.GetRoutesRequest]) (*connect.Response[adminv1.GetRoutesResponse], error) {
+	return reply(h.admin.GetRoutes())
+}
+
+// ApplyLeaf implements AdminServiceHandler.
+func (h *adminHandler) ApplyLeaf(ctx context.Context, request *connect.Request[adminv1.ApplyLeafRequest]) (*connect.Response[adminv1.ApplyLeafResponse], error) {
+	return reply(h.admin.ApplyLeaf(ctx, request.Msg))
+}
+
+// DeleteLeaf implements AdminServiceHandler.
+func (h *adminHandler) DeleteLeaf(ctx context.Context, request *connect.Request[adminv1.DeleteLeafRequest]) (*connect.Response[adminv1.DeleteLeafResponse], error) {
+	return reply(h.admin.DeleteLeaf(ctx, request.Msg))
+}
+
 // WatchServices implements AdminServiceHandler.
 func (h *adminHandler) WatchServices(ctx context.Context, request *connect.Request[adminv1.WatchServicesRequest], stream *connect.ServerStream[adminv1.WatchServicesResponse]) error {
 	changes, cancel := h.catalog.Subscribe(watchBuffer)
--- a/internal/cli/clients.go
+++ b/internal/cli/clients.go
@@ -49,22 +49,31 @@
 // ReadMessage reads a message as YAML or JSON from a file, or from standard input for "-".
 // Unknown fields are refused.
 func ReadMessage(path string, input io.Reader, message proto.Message) error {
-	content, err := readInput(path, input)
+	asJSON, err := ReadDocument(path, input)
 	if err != nil {
 		return err
 	}
+	if err := protojson.Unmarshal(asJSON, message); err != nil {
+		return failure.Invalid(path, "%v", err)
+	}
+	return nil
+}
+
+// ReadDocument reads YAML or JSON from a file, or from standard input for "-", and gives JSON.
+func ReadDocument(path string, input io.Reader) ([]byte, error) {
+	content, err := readInput(path, input)
+	if err != nil {
+		return nil, err
+	}
 	var tree any
 	if err := yaml.Unmarshal(content, &tree); err != nil {
-		return failure.Invalid(path, "neither YAML nor JSON: %v", err)
+		return nil, failure.Invalid(path, "neither YAML nor JSON: %v", err)
 	}
 	asJSON, err := json.Marshal(tree)
 	if err != nil {
-		return failure.Invalid(path, "not a plain document: %v", err)
+		return nil, failure.Invalid(path, "not a plain document: %v", err)
 	}
-	if err := protojson.Unmarshal(asJSON, message); err != nil {
-		return failure.Invalid(path, "%v", err)
-	}
-	return nil
+	return asJSON, nil
 }
 
 func readInput(path string, input io.Reader) ([]byte, error) {
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -66,7 +66,7 @@
 	retryAfter := s.config.RetryPause
 	for {
 		if s.rank() == notAWatcher {
-			s.storeDownAt.Store(0)
+			s.leaveStoreToOthers()
 			if !pause(ctx, s.config.RetryPause) {
 				return
 			}
@@ -190,6 +190,13 @@
 	}
 }
 
+// leaveStoreToOthers notes that this node need not follow the store, once it knows its zone.
+func (s *Syncer) leaveStoreToOthers() {
+	if s.settled.Load() && s.storeDownAt.Swap(0) != 0 {
+		s.logger.Info("store left to the watchers of the zone", zap.Int64("revision", s.catalog.Revision()))
+	}
+}
+
 // storeRegained notes, and tells once, that the store is followed again.
 func (s *Syncer) storeRegained() {
 	if since := s.storeDownAt.Swap(0); since != 0 {
--- a/internal/configwriter/configwriter.go
+++ b/internal/configwriter/configwriter.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -46,8 +47,20 @@
 	Key      string
 	Expected int64
 	ChangeID string
-	// Message is the new value; nil deletes the key.
-	Message proto.Message
+	// Message or Document is the new value, by the kind of key; with neither the key is deleted.
+	Message  proto.Message
+	Document json.RawMessage
+}
+
+// removes reports whether the change deletes its key.
+func (w Write) removes() bool { return w.Message == nil && w.Document == nil }
+
+// value wraps the new value for a write that replaces an entry.
+func (w Write) value(replaced *catalog.Entry) ([]byte, error) {
+	if w.Document != nil {
+		return catalog.NewDocument(w.ChangeID, w.Document, replaced)
+	}
+	return catalog.NewEnvelope(w.ChangeID, w.Message, replaced)
 }
 
 // Writer writes changes; it holds no state between them and is safe for concurrent use.
@@ -95,7 +108,7 @@
 	if liveRevision(current) != write.Expected {
 		return 0, true, conflict(write, current)
 	}
-	value, err := catalog.NewEnvelope(write.ChangeID, write.Message, current)
+	value, err := write.value(current)
 	if err != nil {
 		return 0, true, err
 	}
@@ -121,7 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, w.config.CallTimeout)
 	defer cancel()
 	*sent = true
-	return w.store.CompareAndSwap(ctx, write.Key, write.Expected, value, write.Message == nil)
+	return w.store.CompareAndSwap(ctx, write.Key, write.Expected, value, write.removes())
 }
 
 func (w *Writer) unsettled(write Write, sent bool, cause error) error {
--- a/internal/lab/httpleaf/httpleaf.go
+++ b/internal/lab/httpleaf/httpleaf.go
@@ -73,7 +73,12 @@
 // Start listens on a free address of the loopback. The answer function says how each request is
 // answered; it is called concurrently.
 func Start(id string, dialect httpdialect.Dialect, answer func(Request) Answer) (*Leaf, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	return StartAt("127.0.0.1:0", id, dialect, answer)
+}
+
+// StartAt listens on a given address.
+func StartAt(address, id string, dialect httpdialect.Dialect, answer func(Request) Answer) (*Leaf, error) {
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
