--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -172,6 +172,7 @@
 		is.Equal(len(answer.Stamps), shardCount-1)
 		is.Equal(time.Since(started), 200*time.Millisecond-DefaultConfig().ObjectiveReserve)
 		is.Equal(journal.records[0].MissingServices[0].Service, "s3")
+		is.True(journal.records[0].InTime)
 	})
 }
 
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -67,7 +67,7 @@
 	record := RequestRecord{
 		RequestID: q.Leaf.ID, Route: q.entry.Name, Version: q.table.Version, Revision: q.table.Revision,
 		ConfigAge: time.Since(work.gateway.catalog.ConfirmedAt()), Took: time.Since(q.Arrived),
-		InTime: !time.Now().After(q.objective), Parts: len(work.outcomes), Summary: work.summary,
+		InTime: time.Now().Before(q.late), Parts: len(work.outcomes), Summary: work.summary,
 	}
 	for index, outcome := range work.outcomes {
 		if outcome.Reply == nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,8 +45,10 @@
 	table *routing.Table
 	// deadline is when the answer must be on its way.
 	deadline time.Time
-	// objective is until when the answer has its full worth.
+	// objective is when the answer must be made to have its full worth.
 	objective time.Time
+	// late is from when an answer that goes out has lost some of its worth.
+	late time.Time
 }
 
 // newQuery finds the route of a request in the table in force.
@@ -61,6 +63,7 @@
 	}
 	pinned := &query{Request: request, entry: entry, table: table, deadline: request.Arrived.Add(entry.Timeout)}
 	pinned.objective = request.Arrived.Add(entry.Objective - g.elsewhere(request, entry))
+	pinned.late = pinned.objective.Add(g.config.ObjectiveReserve)
 	if request.Patience > 0 {
 		reserve := min(g.config.AnswerReserve+request.RoundTrip, request.Patience/4)
 		patient := request.Arrived.Add(request.Patience - reserve)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/fx"
@@ -110,6 +111,7 @@
 	Config  settings.Settings
 	Engine  *search.Engine
 	Front   *front.Server
+	Syncer  *configsync.Syncer
 	Members *membership.Membership
 	Logger  *zap.Logger
 }
@@ -131,7 +133,10 @@
 			if err != nil {
 				return err
 			}
-			go parts.Front.Serve(listener)
+			go func() {
+				awaitRoutes(parts.Syncer.Ready())
+				parts.Front.Serve(listener)
+			}()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
@@ -148,6 +153,18 @@
 	})
 }
 
+// acceptDelay is how long connections may wait in the listener's queue for the node's first
+// configuration, which usually takes a few milliseconds; then requests are refused as not run.
+const acceptDelay = 300 * time.Millisecond
+
+// awaitRoutes waits for the first configuration, for a short while.
+func awaitRoutes(ready <-chan struct{}) {
+	select {
+	case <-ready:
+	case <-time.After(acceptDelay):
+	}
+}
+
 // drain waits for what runs, within the time that the settings allow.
 func drain(ctx context.Context, parts servingParts) {
 	ctx, cancel := context.WithTimeout(ctx, parts.Config.Stop.DrainTimeout)
