--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -4,7 +4,7 @@
 import "runtime/debug"
 
 // Number is the version of the product, as in CHANGELOG.md.
-const Number = "0.1.0"
+const Number = "0.2.0"
 
 // Info describes a build.
 type Info struct {
