Answer requests that a planned stop gives up; prefer the own zone up to 1.6 times the delay

A request that ran until the end of the drain had its connection closed without an answer; it now gets 502 some 200 ms before.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -20,7 +20,7 @@
 
 // crossZoneDelay multiplies the expected delay of replicas in another zone: their answers cross
 // a slower and dearer link.
-const crossZoneDelay = 1.25
+const crossZoneDelay = 1.6
 
 // Balancer knows the leafs this node has used. It is safe for concurrent use.
 type Balancer struct {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -219,6 +219,25 @@
 	is.NoErr(<-stopped)
 }
 
+// A request that runs until the end of a planned stop gets a final answer that promises nothing.
+func TestPlannedStopAnswersWhatItGivesUp(t *testing.T) {
+	is := is.New(t)
+	server, _, address := start(t, func(ctx context.Context, _ *gateway.Request) (*gateway.Answer, error) {
+		<-ctx.Done()
+		return nil, failure.New(failure.Cancelled, failure.Unknown, "")
+	})
+	statuses := make(chan int, 1)
+	go func() {
+		response, _ := exchange(t, address, get())
+		statuses <- response.StatusCode
+	}()
+	time.Sleep(50 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), answerReserve+100*time.Millisecond)
+	defer cancel()
+	is.NoErr(server.Shutdown(ctx))
+	is.Equal(<-statuses, http.StatusBadGateway)
+}
+
 func TestNotReadyWithoutRoutes(t *testing.T) {
 	is := is.New(t)
 	server, backend, _ := start(t, nil)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"go.uber.org/zap"
@@ -39,6 +40,8 @@
 	logger  *zap.Logger
 	guard   *connectionGuard
 	http    *http.Server
+	// giveUp ends the work on requests that run, so that they get a final answer.
+	giveUp context.CancelFunc
 	// leaving is set from the announcement of a planned stop on.
 	leaving atomic.Bool
 }
@@ -49,7 +52,10 @@
 	router := newRouter()
 	router.RedirectTrailingSlash = false
 	router.NoRoute(func(c *gin.Context) { server.serve(c.Writer, c.Request) })
+	requests, giveUp := context.WithCancel(context.Background())
+	server.giveUp = giveUp
 	server.http = &http.Server{
+		BaseContext:                  func(net.Listener) context.Context { return requests },
 		Handler:                      router,
 		MaxHeaderBytes:               headerReserve,
 		ConnState:                    server.guard.changed,
@@ -94,9 +100,17 @@
 // close their connections, but requests are still served.
 func (s *Server) Announce() { s.leaving.Store(true) }
 
-// Shutdown closes the listener and resting connections and waits for requests in flight, until
-// the context ends; then it closes what is left.
+// answerReserve is how long before the end of a planned stop requests that still run are given
+// up, so that their callers get a final answer instead of a closed connection.
+const answerReserve = 200 * time.Millisecond
+
+// Shutdown closes the listener and resting connections and waits for requests in flight. Those
+// that run nearly until the context ends are given up; then it closes what is left.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		timer := time.AfterFunc(time.Until(deadline)-answerReserve, s.giveUp)
+		defer timer.Stop()
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		return errors.Join(err, s.http.Close())
 	}
