--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -274,6 +274,26 @@
 	is.Equal(err, io.EOF) // closed as its header never came
 }
 
+// The time for the header does not bound the body.
+func TestASlowBodyIsNoSlowHeader(t *testing.T) {
+	is := is.New(t)
+	_, backend, address := start(t, func(_ context.Context, request *gateway.Request) (*gateway.Answer, error) {
+		return &gateway.Answer{Status: 200, Body: request.Leaf.Body}, nil
+	})
+	backend.limits.Store(&routing.Limits{HeaderTimeoutMillis: 50})
+	connection, err := net.Dial("tcp4", address)
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na")
+	is.NoErr(err)
+	time.Sleep(150 * time.Millisecond)
+	_, err = io.WriteString(connection, "b")
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 200)
+}
+
 func TestRoundTripIsMeasured(t *testing.T) {
 	is := is.New(t)
 	trips := make(chan time.Duration, 1)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -35,13 +35,17 @@
 // serve answers one request.
 func (s *Server) serve(writer http.ResponseWriter, request *http.Request) {
 	arrived := time.Now()
+	connection, isConnection := request.Context().Value(connectionKey{}).(net.Conn)
+	if isConnection {
+		// From here on the limit of the header does not hold: the body may take longer.
+		s.guard.headerRead(connection)
+	}
 	asked, err := s.read(writer, request, arrived)
 	if err != nil {
 		s.writeFailure(writer, err)
 		return
 	}
-	if connection, isConnection := request.Context().Value(connectionKey{}).(net.Conn); isConnection {
-		s.guard.headerRead(connection)
+	if isConnection {
 		asked.RoundTrip = roundTrip(connection)
 	}
 	answer, err := s.backend.Serve(request.Context(), asked)
