--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,7 @@
 )
 
 // notReadyRetryAfter is what callers of a node without routes are told.
-const notReadyRetryAfter = 100 * time.Millisecond
+const notReadyRetryAfter = 600 * time.Millisecond
 
 // LeafCaller runs one attempt at a leaf; leafhttp.Pool is the real one.
 type LeafCaller interface {
