--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -250,6 +250,30 @@
 	return leaf
 }
 
+// Queueing gives how many times its usual time one more attempt takes at the least busy of some
+// replicas, because others wait there; 0 when none of them can be asked.
+func (b *Balancer) Queueing(candidates []Candidate) float64 {
+	now := b.now()
+	least := 0.0
+	for _, candidate := range candidates {
+		if candidate.Leaving || b.isLeaving(candidate.LeafID, now) {
+			continue
+		}
+		state := b.leaf(candidate.LeafID, candidate.Zone, now).standing(b.config, now)
+		if state.draining || state.ejected || state.stalled {
+			continue
+		}
+		queueing := state.queueing
+		if !state.reported {
+			queueing = 1 // nothing is known of others' work there
+		}
+		if least == 0 || queueing < least {
+			least = queueing
+		}
+	}
+	return least
+}
+
 // SetLeaving records the word of the machine list or a peer that a leaf must get no new work
 // until a time.
 func (b *Balancer) SetLeaving(leafID string, until time.Time) {
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -219,6 +219,7 @@
 	queueing float64 // times the usual that one more attempt takes because others wait
 	slowness float64 // times the usual that the leaf takes for the same kind of work
 	compared bool    // slowness is known
+	reported bool    // the leaf told its load a short while ago
 	warmth   float64 // share of its full part that a new or returned leaf should get
 }
 
@@ -248,6 +249,7 @@
 	}
 	result.load = busy + 1
 	result.queueing = l.queueing(config, now)
+	result.reported = l.reported.Slots > 0 && now.Sub(l.reportedAt) < config.LoadAge
 	result.slowness, result.compared = l.slowness.now(now)
 	result.warmth = l.warmth(config, now)
 	return result
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -36,20 +36,24 @@
 	MaximumRefusals int `yaml:"maximum_refusals"`
 	// RetryAfter is when callers of an overloaded service are told to come back.
 	RetryAfter time.Duration `yaml:"retry_after"`
+	// OverloadRetryAfter is about when callers are told to come back that are refused for the
+	// work that waits at most shards.
+	OverloadRetryAfter time.Duration `yaml:"overload_retry_after"`
 }
 
 // DefaultConfig suits objectives of tens of milliseconds and more.
 func DefaultConfig() Config {
 	return Config{
-		HedgeFactor:      1.6,
-		HedgeShare:       0.4,
-		LatencyWindow:    5 * time.Second,
-		HedgeReserve:     0.25,
-		ReplicaWait:      10 * time.Millisecond,
-		AnswerReserve:    10 * time.Millisecond,
-		ObjectiveReserve: 4500 * time.Microsecond,
-		MaximumRefusals:  3,
-		RetryAfter:       50 * time.Millisecond,
+		HedgeFactor:        1.6,
+		HedgeShare:         0.4,
+		LatencyWindow:      5 * time.Second,
+		HedgeReserve:       0.25,
+		ReplicaWait:        10 * time.Millisecond,
+		AnswerReserve:      10 * time.Millisecond,
+		ObjectiveReserve:   4500 * time.Microsecond,
+		MaximumRefusals:    3,
+		RetryAfter:         50 * time.Millisecond,
+		OverloadRetryAfter: 500 * time.Millisecond,
 	}
 }
 
@@ -65,5 +69,6 @@
 	checks.Refuse(c.ObjectiveReserve < 0, "objective_reserve", "must not be negative")
 	checks.Refuse(c.MaximumRefusals < 0, "maximum_refusals", "must not be negative")
 	checks.Refuse(c.RetryAfter <= 0, "retry_after", "must be positive")
+	checks.Refuse(c.OverloadRetryAfter <= 0, "overload_retry_after", "must be positive")
 	return checks.Err()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,11 @@
 func (w *gathering) isGathered() bool { return len(w.query.entry.Gathered) > 0 }
 
 func (w *gathering) serve(ctx context.Context) (*Answer, error) {
-	work := scatter.New(w.plan(), scatter.Parts[leafhttp.Response]{
+	plan := w.plan()
+	if err := w.refuse(plan); err != nil {
+		return nil, err
+	}
+	work := scatter.New(plan, scatter.Parts[leafhttp.Response]{
 		Balancer: w.gateway.balancer, Run: w.runAttempt, Observer: w, Superseded: leafhttp.ErrSuperseded,
 	})
 	w.outcomes, w.summary = work.Run(ctx)
@@ -171,10 +175,11 @@
 // alike, and are told apart from other routes by objective and priority.
 func (w *gathering) latency(service string) *kindLatency {
 	entry := w.query.entry
+	kind := service + " "
 	if w.isGathered() {
-		service = "gathered"
+		kind = gatheredKind
 	}
-	kind := service + " " + strconv.FormatInt(entry.ObjectiveMillis, 10) + " " + strconv.Itoa(entry.Priority)
+	kind += strconv.FormatInt(entry.ObjectiveMillis, 10) + " " + strconv.Itoa(entry.Priority)
 	return w.gateway.latencies.of(kind, entry.Objective/objectiveParts)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -343,5 +343,5 @@
 	is := is.New(t)
 	is.NoErr(DefaultConfig().Validate())
 	bad := Config{HedgeReserve: 1, AnswerReserve: -1, ObjectiveReserve: -1, MaximumRefusals: -1}
-	is.Equal(len(failure.Faults(bad.Validate())), 8)
+	is.Equal(len(failure.Faults(bad.Validate())), 9)
 }
--- /dev/null
+++ b/internal/gateway/overload_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+)
+
+// Where most shards have too much work waiting, a request is refused at once and unrun, with when
+// to come back; where only a few have, it is served.
+func TestOverloadOfMostShardsIsRefusedAtOnce(t *testing.T) {
+	for name, one := range map[string]struct {
+		busy    int // shards whose leafs have much waiting
+		refused bool
+	}{"most": {shardCount, true}, "a few": {3, false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				leafs := &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+					return time.Millisecond, answered(200, records(leaf)), nil
+				}}
+				g, _ := newGateway(t, leafs)
+				for range 100 {
+					g.latencies.of(gatheredKind+"200 0", time.Second).observe(20 * time.Millisecond)
+				}
+				for index := range one.busy {
+					for _, replica := range []string{"a", "b"} {
+						chosen := g.balancer.Choose([]balancer.Candidate{{LeafID: fmt.Sprintf("s%d%s", index, replica)}}, nil)
+						g.balancer.Report(chosen.Leaf, balancer.Load{InFlight: 40, Slots: 2})
+					}
+				}
+				started := time.Now()
+				_, err := g.Serve(t.Context(), ask("/pages/1"))
+				if !one.refused {
+					is.NoErr(err)
+					return
+				}
+				is.True(failure.Is(err, failure.Overloaded))
+				is.Equal(failure.From(err).Execution, failure.NotRun)
+				is.True(failure.From(err).RetryAfter > 0)
+				is.Equal(time.Since(started), time.Duration(0))
+				is.Equal(len(leafs.asked), 0)
+				time.Sleep(2 * time.Second) // what is known of the queues is old
+				_, err = g.Serve(t.Context(), ask("/pages/1"))
+				is.NoErr(err)
+			})
+		})
+	}
+}
--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -31,8 +32,16 @@
 
 	mutex  sync.Mutex
 	median time.Duration
+	// least is about the lowest median: what the work takes while nothing waits.
+	least time.Duration
 }
 
+// leastRise lets the lowest median follow work that became slower for good.
+const leastRise = 1.003
+
+// gatheredKind begins the names of the kinds of gathered requests.
+const gatheredKind = "gathered "
+
 func newLatencyBook(window time.Duration) *latencyBook {
 	return &latencyBook{window: window, kinds: map[string]*kindLatency{}}
 }
@@ -57,7 +66,32 @@
 		k.mutex.Lock()
 		defer k.mutex.Unlock()
 		k.median = median
+		rising := time.Duration(leastRise * float64(k.least))
+		if k.least == 0 || median < rising {
+			rising = median
+		}
+		k.least = rising
+	}
+}
+
+// unloaded gives what the work takes while nothing waits; 0 while that is not known.
+func (k *kindLatency) unloaded() time.Duration {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.least
+}
+
+// longestUnloaded gives the longest of what gathered kinds of work take while nothing waits.
+func (b *latencyBook) longestUnloaded() time.Duration {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	longest := time.Duration(0)
+	for kind, latency := range b.kinds {
+		if strings.HasPrefix(kind, gatheredKind) {
+			longest = max(longest, latency.unloaded())
+		}
 	}
+	return longest
 }
 
 func (k *kindLatency) typical() time.Duration {
