--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -68,6 +68,13 @@
 	return nil
 }
 
+// calls gives what was granted, kept and ended so far, and the lease of a key.
+func (m *memoryLessor) calls(key string) (granted, kept, ended int, lease int64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.granted, m.kept, m.ended, m.put[key]
+}
+
 func (m *memoryLessor) set(failing, lost bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -87,22 +94,28 @@
 			record.Run(ctx)
 			close(ended)
 		}()
+		key := catalog.NodeKey("n")
 		time.Sleep(5 * time.Second)
-		is.Equal(lessor.granted, 0)
+		granted, _, _, _ := lessor.calls(key)
+		is.Equal(granted, 0)
 		lessor.set(false, false)
 		time.Sleep(2 * time.Second)
-		is.Equal(lessor.granted, 1)
-		is.Equal(lessor.put[catalog.NodeKey("n")], int64(1))
+		granted, _, _, lease := lessor.calls(key)
+		is.Equal(granted, 1)
+		is.Equal(lease, int64(1))
 		time.Sleep(time.Minute)
-		is.True(lessor.kept >= 5 && lessor.kept <= 6)
+		_, kept, _, _ := lessor.calls(key)
+		is.True(kept >= 5 && kept <= 6)
 		lessor.set(true, true)
 		time.Sleep(time.Minute)
 		lessor.set(false, true)
 		time.Sleep(5 * time.Second)
-		is.Equal(lessor.granted, 2)
+		granted, _, _, _ = lessor.calls(key)
+		is.Equal(granted, 2)
 		cancel()
 		<-ended
-		is.Equal(lessor.ended, 1)
+		_, _, ends, _ := lessor.calls(key)
+		is.Equal(ends, 1)
 	})
 }
 
