Tell other nodes of slow and silent leafs; spare connections; plan for a node's own lag; fewer allocations

Changes: observations of leafs go to eight random nodes in packed datagrams within 1 KB/s; a node may try one connection beyond its part and stops for 5 s when a leaf refuses it; answers that go out at the objective are planned earlier by the lag learnt; maps, large channels and growing buffers of a gathered request are gone.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -10,6 +10,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,6 +23,10 @@
 // a slower and dearer link.
 const crossZoneDelay = 1.6
 
+// spareDelay multiplies the expected delay of replicas that this node would have to open a
+// connection to, which costs the leaf a moment of a slot.
+const spareDelay = 3
+
 // Balancer knows the leafs this node has used. It is safe for concurrent use.
 type Balancer struct {
 	config Config
@@ -32,14 +37,18 @@
 	// onEjected is told of a leaf that is ejected, or that is back.
 	onEjected func(leafID string, ejected bool)
 
+	// onObserved is told of what other nodes should know of a leaf.
+	onObserved func(Observation)
+
 	mutex   sync.RWMutex
 	leafs   map[string]*Leaf
+	keys    map[LeafKey]*Leaf
 	leaving map[string]time.Time // until when, by the machine list's or a peer's word
 }
 
 // New makes a balancer for a node in a zone.
 func New(config Config, zone string) *Balancer {
-	return &Balancer{config: config, zone: zone, now: time.Now, leafs: map[string]*Leaf{}, leaving: map[string]time.Time{}}
+	return &Balancer{config: config, zone: zone, now: time.Now, leafs: map[string]*Leaf{}, keys: map[LeafKey]*Leaf{}, leaving: map[string]time.Time{}}
 }
 
 // OnDraining sets who is told, without the balancer's locks held, of a leaf that said itself
@@ -56,6 +65,9 @@
 	Zone   string
 	// Leaving is the operator's word that the leaf must receive no new work.
 	Leaving bool
+	// Spare says that this node has no part of the leaf's connections, and would have to open
+	// one for the attempt.
+	Spare bool
 }
 
 // Choice is the outcome of Choose.
@@ -81,13 +93,13 @@
 )
 
 // Choose gives a replica that was not tried yet. Leaving and draining ones are never given.
-func (b *Balancer) Choose(candidates []Candidate, tried map[string]bool) Choice {
+func (b *Balancer) Choose(candidates []Candidate, tried []string) Choice {
 	now := b.now()
 	usable := make([]scored, 0, len(candidates))
 	var ejected []scored
 	full := false
 	for _, candidate := range candidates {
-		if tried[candidate.LeafID] || candidate.Leaving || b.isLeaving(candidate.LeafID, now) {
+		if slices.Contains(tried, candidate.LeafID) || candidate.Leaving || b.isLeaving(candidate.LeafID, now) {
 			continue
 		}
 		leaf := b.leaf(candidate.LeafID, candidate.Zone, now)
@@ -97,9 +109,9 @@
 		case state.full:
 			full = true
 		case state.ejected, state.stalled:
-			ejected = append(ejected, scored{leaf, state})
+			ejected = append(ejected, scored{leaf, state, candidate.Spare})
 		default:
-			usable = append(usable, scored{leaf, state})
+			usable = append(usable, scored{leaf, state, candidate.Spare})
 		}
 	}
 	troubled := len(usable) == 0
@@ -131,6 +143,16 @@
 type scored struct {
 	leaf  *Leaf
 	state standing
+	spare bool
+}
+
+// delay gives how many times the usual the attempt is expected to take there.
+func (s scored) delay() float64 {
+	expected := s.state.slowness * s.state.queueing
+	if s.spare {
+		return expected * spareDelay
+	}
+	return expected
 }
 
 // dropCold leaves a replica that is colder than its peers out of some choices, so that it
@@ -168,7 +190,7 @@
 	var best Choice
 	least := math.Inf(1)
 	for _, candidate := range usable {
-		expected := candidate.state.slowness * candidate.state.queueing
+		expected := candidate.delay()
 		score := expected * (1 + delayJitter*rand.Float64())
 		if candidate.leaf.Zone != b.zone {
 			score *= crossZoneDelay
@@ -247,6 +269,7 @@
 	}
 	leaf = newLeaf(id, zone, b.config, now)
 	b.leafs[id] = leaf
+	b.keys[leaf.key] = leaf
 	return leaf
 }
 
@@ -296,10 +319,11 @@
 // Finish counts an attempt at the leaf out. Typical is what such work usually takes at any leaf;
 // 0 when that is not known.
 func (b *Balancer) Finish(leaf *Leaf, outcome Outcome, took, typical time.Duration) {
-	changed, ejected := leaf.finish(b.config, outcome, took, typical, b.now())
-	if changed && b.onEjected != nil {
-		b.onEjected(leaf.ID, ejected)
+	result := leaf.finish(b.config, outcome, took, typical, b.now())
+	if result.changed && b.onEjected != nil {
+		b.onEjected(leaf.ID, result.ejected)
 	}
+	b.tell(leaf, result.news)
 	if outcome == Drained {
 		b.tellDraining(leaf)
 	}
@@ -324,9 +348,10 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
-	for id := range b.leafs {
+	for id, leaf := range b.leafs {
 		if !known[id] {
 			delete(b.leafs, id)
+			delete(b.keys, leaf.key)
 		}
 	}
 	for id, until := range b.leaving {
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -41,6 +41,7 @@
 type Leaf struct {
 	ID   string
 	Zone string
+	key  LeafKey
 
 	mutex         sync.Mutex
 	inFlight      int
@@ -61,10 +62,17 @@
 	silentSince time.Time
 	// leftAt is when an attempt without an answer was last given up.
 	leftAt time.Time
+	// answeredAt is when the leaf last answered this node.
+	answeredAt time.Time
+	// toldSilence is the silence that another node told of at toldAt; 0 once an answer came.
+	toldSilence time.Duration
+	toldAt      time.Time
+	// silenceTold is when this node last told others of the leaf's silence.
+	silenceTold time.Time
 }
 
 func newLeaf(id, zone string, config Config, now time.Time) *Leaf {
-	return &Leaf{ID: id, Zone: zone, limit: float64(config.InFlightLimit), warmSince: now}
+	return &Leaf{ID: id, Zone: zone, key: KeyOf(id), limit: float64(config.InFlightLimit), warmSince: now}
 }
 
 // Load is the leaf's own word on how busy it is.
@@ -87,16 +95,28 @@
 	}
 }
 
-// finish counts an attempt out and learns from its outcome. It reports whether the leaf was
-// ejected or came back by it.
-func (l *Leaf) finish(config Config, outcome Outcome, took, typical time.Duration, now time.Time) (changed, ejected bool) {
+// learned is what an attempt's end changed.
+type learned struct {
+	// changed says that the leaf was ejected, or came back.
+	changed bool
+	ejected bool
+	// news is what other nodes should know; nil when they need not.
+	news *Observation
+}
+
+// finish counts an attempt out and learns from its outcome.
+func (l *Leaf) finish(config Config, outcome Outcome, took, typical time.Duration, now time.Time) learned {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	wasEjected := !l.ejectedUntil.IsZero()
 	l.inFlight--
 	l.trial = false
+	wasSilent := l.silence(now) > 0
 	l.heard(outcome, now)
-	l.compare(config, outcome, took, typical, now)
+	news := l.compare(config, outcome, took, typical, now)
+	if news == nil && wasSilent && outcome == Succeeded {
+		news = &Observation{Slowness: 1}
+	}
 	switch outcome {
 	case Succeeded:
 		l.succeed(config, took, now)
@@ -114,8 +134,8 @@
 		}
 	case Declined:
 	}
-	ejected = !l.ejectedUntil.IsZero()
-	return ejected != wasEjected, ejected
+	ejected := !l.ejectedUntil.IsZero()
+	return learned{changed: ejected != wasEjected, ejected: ejected, news: news}
 }
 
 // heard keeps how long the leaf has been silent: any answer ends the silence, an attempt that
@@ -126,6 +146,8 @@
 		return
 	}
 	l.silentSince = time.Time{}
+	l.toldSilence = 0
+	l.answeredAt = now
 	if l.inFlight > 0 {
 		l.silentSince = now
 	}
@@ -149,26 +171,43 @@
 // stalled reports whether the leaf owes answers for much longer than it usually takes. One
 // attempt at a time sees whether it is back, after pauses that grow with the silence.
 func (l *Leaf) stalled(now time.Time) bool {
-	if l.silentSince.IsZero() {
+	if l.toldSilence > 0 && now.Sub(l.toldAt) < stallPause(l.toldSilence) {
+		return true
+	}
+	silence := l.silence(now)
+	if silence == 0 {
 		return false
 	}
+	if l.inFlight > 0 {
+		return true
+	}
+	return now.Sub(l.leftAt) < stallPause(l.leftAt.Sub(l.silentSince))
+}
+
+// silence gives how long the leaf has owed an answer to this node; 0 while it may just be
+// working on it.
+func (l *Leaf) silence(now time.Time) time.Duration {
+	if l.silentSince.IsZero() {
+		return 0
+	}
 	silence := now.Sub(l.silentSince)
 	limit := unknownStall
 	if l.latency > 0 {
 		limit = max(minimumStall, time.Duration(stallFactor*l.latency*float64(time.Second)))
 	}
 	if silence < limit {
-		return false
+		return 0
 	}
-	if l.inFlight > 0 {
-		return true
-	}
-	silentUntilLeft := l.leftAt.Sub(l.silentSince)
-	pause := time.Duration(shortStallShare * float64(silentUntilLeft))
-	if silentUntilLeft > shortStall {
-		pause = longStallFactor * silentUntilLeft
+	return silence
+}
+
+// stallPause is how long a leaf of such a silence is left alone.
+func stallPause(silence time.Duration) time.Duration {
+	pause := time.Duration(shortStallShare * float64(silence))
+	if silence > shortStall {
+		pause = longStallFactor * silence
 	}
-	return now.Sub(l.leftAt) < min(max(pause, minimumStallPause), maximumStallPause)
+	return min(max(pause, minimumStallPause), maximumStallPause)
 }
 
 func (l *Leaf) succeed(config Config, took time.Duration, now time.Time) {
--- /dev/null
+++ b/internal/balancer/observation.go
@@ -0,0 +1,88 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// LeafKey names a leaf between nodes, in few bytes. Two leafs may share one, which only costs a
+// wrong guess of one of them.
+type LeafKey uint32
+
+// KeyOf gives the key of a leaf's id.
+func KeyOf(leafID string) LeafKey { return LeafKey(xxhash.Sum64String(leafID)) }
+
+// Observation is what one node saw of a leaf, as it is told to others.
+type Observation struct {
+	Leaf LeafKey
+	// Slowness is how many times the usual an attempt took; 0 when there was no answer.
+	Slowness float64
+	// Silence is how long the leaf has owed an answer; 0 when it answered.
+	Silence time.Duration
+}
+
+// silencePause is the least time between two observations of a leaf's silence by one node.
+const silencePause = 100 * time.Millisecond
+
+// OnObserved sets who is told, without the balancer's locks held, of what other nodes should
+// know of a leaf. It must be set before the balancer is used.
+func (b *Balancer) OnObserved(tell func(Observation)) { b.onObserved = tell }
+
+// tell passes news of a leaf on; nil is none.
+func (b *Balancer) tell(leaf *Leaf, news *Observation) {
+	if news == nil || b.onObserved == nil {
+		return
+	}
+	news.Leaf = leaf.key
+	b.onObserved(*news)
+}
+
+// Late tells that an attempt at a leaf is late: others should know if the leaf is silent.
+func (b *Balancer) Late(leafID string) {
+	b.mutex.RLock()
+	leaf, found := b.leafs[leafID]
+	b.mutex.RUnlock()
+	if found {
+		b.tell(leaf, leaf.silenceNews(b.now()))
+	}
+}
+
+// Hear takes what another node saw.
+func (b *Balancer) Hear(seen Observation) {
+	b.mutex.RLock()
+	leaf, found := b.keys[seen.Leaf]
+	b.mutex.RUnlock()
+	if found {
+		leaf.hear(seen, b.now())
+	}
+}
+
+// silenceNews gives the leaf's silence, if others were not told of it a moment ago.
+func (l *Leaf) silenceNews(now time.Time) *Observation {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	silence := l.silence(now)
+	if silence == 0 || now.Sub(l.silenceTold) < silencePause {
+		return nil
+	}
+	l.silenceTold = now
+	return &Observation{Silence: silence}
+}
+
+// hear takes what another node saw. An answer that this node got meanwhile outweighs a silence.
+func (l *Leaf) hear(seen Observation, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if seen.Silence > 0 {
+		if now.Sub(l.answeredAt) > seen.Silence {
+			l.toldSilence, l.toldAt = seen.Silence, now
+		}
+		return
+	}
+	l.toldSilence = 0
+	if l.inFlight == 0 {
+		l.silentSince = time.Time{}
+	}
+	l.slowness.add(seen.Slowness, now)
+}
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -177,7 +177,7 @@
 	node.syncer.SetMembership(members)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	node.stop = cancel
-	transport.Serve(NewPeerHandler(node.syncer))
+	transport.Serve(NewPeerHandler(node.syncer, nil))
 	go node.syncer.Run(ctx)
 	go members.Run(ctx)
 	f.nodes[id] = node
--- a/internal/configsync/handler.go
+++ b/internal/configsync/handler.go
@@ -6,18 +6,30 @@
 	"github.com/portgauge/portgauge/internal/peer"
 )
 
-// PeerHandler answers other nodes: it hands each message to membership or configuration.
+// PeerHandler answers other nodes: it hands each message to membership, configuration or what
+// is known of leafs.
 type PeerHandler struct {
 	syncer *Syncer
+	// heard takes reports of leafs; nil drops them.
+	heard func(peer.LeafReports)
 }
 
 var _ peer.Handler = (*PeerHandler)(nil)
 
-// NewPeerHandler makes the handler of a node's peer address.
-func NewPeerHandler(syncer *Syncer) *PeerHandler { return &PeerHandler{syncer: syncer} }
+// NewPeerHandler makes the handler of a node's peer address. Heard takes reports of leafs, and
+// may be nil.
+func NewPeerHandler(syncer *Syncer, heard func(peer.LeafReports)) *PeerHandler {
+	return &PeerHandler{syncer: syncer, heard: heard}
+}
 
 // HandleDatagram implements peer.Handler.
 func (h *PeerHandler) HandleDatagram(message peer.Message) {
+	if len(message.LeafReports) > 0 {
+		if h.heard != nil {
+			h.heard(message.LeafReports)
+		}
+		return
+	}
 	h.syncer.members.HandleDatagram(message)
 }
 
--- a/internal/connshare/connshare.go
+++ b/internal/connshare/connshare.go
@@ -2,7 +2,9 @@
 //
 // A leaf accepts so many connections from all nodes together and resets any beyond. Each node
 // takes an equal part. Where that is less than one connection a leaf, each node keeps to some of
-// a service's leafs, dealt so that every leaf has as many nodes as the others.
+// a service's leafs, dealt so that every leaf has as many nodes as the others. Parts are made for
+// the worst moment: most of the time others leave theirs unused, so that a node may try spare
+// connections, and stops for a while when a leaf refuses one (see package leafhttp).
 //
 // A leaf does not notice when machines lose power: the connections of their processes count
 // until the leaf closes them for their long rest. A node that started a short while ago
@@ -29,11 +31,13 @@
 	StartSpan time.Duration `yaml:"start_span"`
 	// Unlimited is a node's limit at one leaf where operators set none.
 	Unlimited int `yaml:"unlimited"`
+	// Spare is how many connections to a leaf a node may try beyond its part.
+	Spare int `yaml:"spare"`
 }
 
 // DefaultConfig leaves half for the connections of dead processes.
 func DefaultConfig() Config {
-	return Config{Share: 0.9, ShareAfterStart: 0.45, StartSpan: 10 * time.Second, Unlimited: 16}
+	return Config{Share: 0.9, ShareAfterStart: 0.45, StartSpan: 10 * time.Second, Unlimited: 16, Spare: 1}
 }
 
 // Validate names every field at fault.
@@ -43,6 +47,7 @@
 	checks.Refuse(c.ShareAfterStart <= 0 || c.ShareAfterStart > c.Share, "share_after_start", "must be above 0 and at most share")
 	checks.Refuse(c.StartSpan < 0, "start_span", "must not be negative")
 	checks.Refuse(c.Unlimited < 1, "unlimited", "must be at least 1")
+	checks.Refuse(c.Spare < 0, "spare", "must not be negative")
 	return checks.Err()
 }
 
@@ -65,39 +70,67 @@
 	return &Dealer{config: config, fleet: fleet, self: self, now: time.Now, started: time.Now()}
 }
 
-// Deal gives the leafs of a service that this node may use, and how many connections it may
-// have to each. The limit is the leaf's own, 0 meaning none.
-func (d *Dealer) Deal(service string, leafs []*leafset.Leaf, limit int) (used []*leafset.Leaf, connections int) {
+// Dealt is a leaf with this node's part of its connections.
+type Dealt struct {
+	Leaf *leafset.Leaf
+	// Connections is the node's own part, 0 for leafs that others were dealt.
+	Connections int
+	// Spare is how many more may be tried while the leaf takes them: parts that others leave
+	// unused, and what no part covers.
+	Spare int
+}
+
+// Deal gives the leafs of a service with this node's parts. The limit is the leaf's own, 0
+// meaning none.
+func (d *Dealer) Deal(service string, leafs []*leafset.Leaf, limit int) []Dealt {
+	dealt := make([]Dealt, len(leafs))
+	for index, leaf := range leafs {
+		dealt[index] = Dealt{Leaf: leaf, Connections: d.config.Unlimited}
+	}
 	if limit <= 0 || len(leafs) == 0 {
-		return leafs, d.config.Unlimited
+		return dealt
 	}
 	ids := d.fleet.IDs()
-	each := d.config.ShareAfterStart * float64(limit) / float64(max(1, len(ids)))
-	if d.now().Sub(d.started) >= d.config.StartSpan {
-		each = d.config.Share * float64(limit) / float64(max(1, len(ids)))
-		if len(ids) < limit {
-			// A single connection for each node fits, if hardly.
-			each = max(1, each)
-		}
-	}
+	each := d.each(len(ids), limit)
 	if each >= 1 {
-		return leafs, min(int(each), d.config.Unlimited)
+		for index := range dealt {
+			dealt[index].Connections = min(int(each), d.config.Unlimited)
+			dealt[index].Spare = d.config.Spare
+		}
+		return dealt
 	}
 	count := max(1, int(each*float64(len(leafs))))
-	return d.some(service, leafs, ids, count), 1
+	first := d.first(service, ids, count, len(leafs))
+	for index := range dealt {
+		dealt[index].Connections, dealt[index].Spare = 0, d.config.Spare
+	}
+	for offset := range min(count, len(leafs)) {
+		dealt[(first+offset)%len(leafs)].Connections = 1
+	}
+	return dealt
 }
 
-// some gives so many of the leafs. Nodes are dealt in order of their ids, so that the leafs have
-// equally many; services start at different leafs, so that no node has all first ones.
-func (d *Dealer) some(service string, leafs []*leafset.Leaf, ids []string, count int) []*leafset.Leaf {
+// each gives a node's part of a leaf's limit, which may be less than one connection.
+func (d *Dealer) each(nodes, limit int) float64 {
+	nodes = max(1, nodes)
+	if d.now().Sub(d.started) < d.config.StartSpan {
+		return d.config.ShareAfterStart * float64(limit) / float64(nodes)
+	}
+	each := d.config.Share * float64(limit) / float64(nodes)
+	if nodes < limit {
+		// A single connection for each node fits, if hardly.
+		return max(1, each)
+	}
+	return each
+}
+
+// first gives the index of the first of a node's leafs. Nodes are dealt in order of their ids, so
+// that the leafs have equally many; services start at different leafs, so that no node has all
+// first ones.
+func (d *Dealer) first(service string, ids []string, count, leafs int) int {
 	index, found := slices.BinarySearch(ids, d.self)
 	if !found {
 		index = int(xxhash.Sum64String(d.self) % uint64(len(ids)+1))
 	}
-	first := (uint64(index)*uint64(count) + xxhash.Sum64String(service)) % uint64(len(leafs))
-	used := make([]*leafset.Leaf, 0, count)
-	for offset := range min(count, len(leafs)) {
-		used = append(used, leafs[(int(first)+offset)%len(leafs)])
-	}
-	return used
+	return int((uint64(index)*uint64(count) + xxhash.Sum64String(service)) % uint64(leafs))
 }
--- a/internal/connshare/connshare_test.go
+++ b/internal/connshare/connshare_test.go
@@ -45,12 +45,13 @@
 			for _, id := range fleet {
 				dealer := New(config, fleet, id)
 				dealer.now = func() time.Time { return dealer.started.Add(span) }
-				used, connections := dealer.Deal("s", leafs(count), limit)
-				if len(used) == 0 || connections < 1 {
-					t.Fatal("a node has no connection to the service")
+				own := 0
+				for _, dealt := range dealer.Deal("s", leafs(count), limit) {
+					own += dealt.Connections
+					open[dealt.Leaf.ID] += dealt.Connections
 				}
-				for _, leaf := range used {
-					open[leaf.ID] += connections
+				if own == 0 {
+					t.Fatal("a node has no connection to the service")
 				}
 			}
 			generations := 1
@@ -69,15 +70,31 @@
 
 func TestWithoutALimitEveryLeafIsUsed(t *testing.T) {
 	is := is.New(t)
-	used, connections := New(DefaultConfig(), fixedFleet{"a", "b"}, "a").Deal("s", leafs(3), 0)
+	used := New(DefaultConfig(), fixedFleet{"a", "b"}, "a").Deal("s", leafs(3), 0)
 	is.Equal(len(used), 3)
-	is.Equal(connections, DefaultConfig().Unlimited)
-	used, _ = New(DefaultConfig(), fixedFleet{}, "a").Deal("s", nil, 5)
-	is.Equal(len(used), 0)
+	for _, dealt := range used {
+		is.Equal(dealt.Connections, DefaultConfig().Unlimited)
+	}
+	is.Equal(len(New(DefaultConfig(), fixedFleet{}, "a").Deal("s", nil, 5)), 0)
+}
+
+// Where a node has no part of a leaf, it may still try a spare connection there.
+func TestEveryLeafMayBeTried(t *testing.T) {
+	is := is.New(t)
+	var fleet fixedFleet
+	for index := range 64 {
+		fleet = append(fleet, fmt.Sprintf("node-%03d", index))
+	}
+	own := 0
+	for _, dealt := range New(DefaultConfig(), fleet, fleet[7]).Deal("s", leafs(3), 54) {
+		own += dealt.Connections
+		is.Equal(dealt.Spare, DefaultConfig().Spare)
+	}
+	is.Equal(own, 1) // in the first moments of the node
 }
 
 func TestConfigNamesEveryFault(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(DefaultConfig().Validate())
-	is.Equal(len(failure.Faults(Config{StartSpan: -1}.Validate())), 4)
+	is.Equal(len(failure.Faults(Config{StartSpan: -1, Spare: -1}.Validate())), 5)
 }
--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/connshare"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/routing"
+)
+
+// benchShards is the fan-out of the benchmark.
+const benchShards = 90
+
+// cannedLeaf answers every request head on a connection with the same bytes.
+func cannedLeaf(b *testing.B) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = listener.Close() })
+	answer := []byte("HTTP/1.1 200 OK\r\n" + dialect.ResponseStamp + ": 3e1b.07.5a2.600.0.c9f2a4d1\r\n" +
+		dialect.ServerLoad + ": 1,0,2\r\nKeep-Alive: timeout=20\r\nContent-Length: 960\r\n\r\n" + string(bytes.Repeat([]byte("0123456789abcdef"), 60)))
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerAll(connection, answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerAll(connection net.Conn, answer []byte) {
+	reader := bufio.NewReader(connection)
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if len(line) > 2 {
+			continue
+		}
+		if _, err := connection.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// BenchmarkGather measures a whole gathered request over loopback connections, the leafs' side
+// included.
+func BenchmarkGather(b *testing.B) {
+	address := cannedLeaf(b)
+	known := catalog.New(func(key string, err error) { b.Errorf("%s: %v", key, err) })
+	set := func(key string, value any) {
+		content, err := json.Marshal(value)
+		if err != nil {
+			b.Fatal(err)
+		}
+		wrapped, err := catalog.NewDocument("", content, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		known.Apply(catalog.Change{Entry: catalog.Entry{Key: key, Value: wrapped, Revision: known.Revision() + 1}, Previous: known.Revision()})
+	}
+	var gathered []string
+	for index := range benchShards {
+		service := fmt.Sprintf("s%d", index)
+		gathered = append(gathered, service)
+		for _, replica := range []string{"a", "b"} {
+			id := service + replica
+			set(catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: address, State: leafset.Ready})
+		}
+	}
+	set(catalog.RoutesKey, routing.Configuration{Version: 1, Routes: []routing.Route{{
+		Name: "pages", Host: "h", Prefix: "/pages/", Gathered: gathered, TopRecords: 50, MinimumCoverage: 0.9,
+		Repeatability: routing.Repeatable, TimeoutMillis: 5000, ObjectiveMillis: 5000, MaximumAttempts: 2,
+	}}})
+	pool := leafhttp.New(leafhttp.DefaultConfig(), dialect, nil)
+	defer pool.Close()
+	g := New(Parts{
+		Config: DefaultConfig(), Dialect: dialect, Catalog: known, Memory: leafmemory.New(leafmemory.DefaultConfig(), known),
+		Dealer: connshare.New(connshare.DefaultConfig(), alone{}, "n"), Balancer: balancer.New(balancer.DefaultConfig(), "z"),
+		Budgets: retrybudget.New(retrybudget.DefaultConfig(), func() int { return 1 }), Leafs: pool, Journal: &discardingJournal{},
+	})
+	b.ReportAllocs()
+	for b.Loop() {
+		request := &Request{
+			Leaf: leafhttp.Request{ID: "9c41d07be2a35f68", Method: http.MethodGet, Target: "/pages/2f", Host: "h", Header: http.Header{}},
+			Path: "/pages/2f", Arrived: time.Now(), Patience: 5 * time.Second,
+		}
+		answer, err := g.Serve(b.Context(), request)
+		if err != nil || answer.Missing > 0 {
+			b.Fatalf("%v, %v", answer, err)
+		}
+	}
+}
+
+// discardingJournal keeps nothing.
+type discardingJournal struct{ silentJournal }
+
+func (j *discardingJournal) Served(RequestRecord) {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,8 @@
 // LeafCaller runs one attempt at a leaf; leafhttp.Pool is the real one.
 type LeafCaller interface {
 	Do(ctx context.Context, target leafhttp.Target, request *leafhttp.Request, deadline time.Time) (*leafhttp.Response, error)
+	// CanSpare reports whether a leaf that other nodes were dealt may be asked.
+	CanSpare(incarnation string) bool
 }
 
 // Parts are what a gateway is built from.
@@ -55,6 +57,7 @@
 	latencies *latencyBook
 	patience  *patienceBook
 	shares    *routing.Shares
+	lag       lagTracker
 }
 
 // New makes a gateway.
@@ -89,6 +92,7 @@
 		g.budgets.Request(service)
 	}
 	answer, err := work.serve(ctx)
+	work.learnLag()
 	g.journal.Served(pinned.record(work, answer, err))
 	return answer, err
 }
@@ -115,15 +119,26 @@
 	query    *query
 	services []string
 	// targets are the leafs that may be asked, by id.
-	targets  map[string]leafhttp.Target
-	summary  scatter.Summary
-	outcomes []scatter.Outcome[leafhttp.Response]
+	targets map[string]leafhttp.Target
+	// gatheredLatency is that of all shards of a gathered request; nil until it is looked up.
+	gatheredLatency *kindLatency
+	summary         scatter.Summary
+	outcomes        []scatter.Outcome[leafhttp.Response]
 
 	// mutex guards lastFailure, which attempts set as they end.
 	mutex       sync.Mutex
 	lastFailure *leafhttp.Response
 }
 
+// learnLag compares when an answer was made with when it was planned, where only the plan decided
+// it: enough parts were in before.
+func (w *gathering) learnLag() {
+	enoughAt := w.summary.SufficientAt
+	if w.isGathered() && !enoughAt.IsZero() && w.summary.SoftDeadlined && enoughAt.Before(w.query.planned) {
+		w.gateway.lag.observe(time.Since(w.query.planned))
+	}
+}
+
 func (w *gathering) isGathered() bool { return len(w.query.entry.Gathered) > 0 }
 
 func (w *gathering) serve(ctx context.Context) (*Answer, error) {
@@ -156,16 +171,18 @@
 		ReplicaWait:     w.gateway.config.ReplicaWait,
 	}
 	if w.isGathered() {
-		plan.SoftDeadline = w.query.objective
+		plan.SoftDeadline = w.query.planned
 	}
 	w.targets = make(map[string]leafhttp.Target, 2*len(w.services))
+	policies := make([]shardPolicy, len(w.services))
 	for index, service := range w.services {
+		policies[index] = shardPolicy{
+			config: &w.gateway.config, service: service, budgets: w.gateway.budgets,
+			latency: w.latency(service), objective: w.query.planned,
+		}
 		plan.Shards[index] = scatter.Shard{
 			Candidates: w.candidates(service),
-			Policy: &shardPolicy{
-				config: w.gateway.config, service: service, budgets: w.gateway.budgets,
-				latency: w.latency(service), objective: w.query.objective,
-			},
+			Policy:     &policies[index],
 		}
 	}
 	return plan
@@ -174,23 +191,34 @@
 // latency gives the latencies of this kind of request. The shards of a gathered route are
 // alike, and are told apart from other routes by objective and priority.
 func (w *gathering) latency(service string) *kindLatency {
+	if w.isGathered() && w.gatheredLatency != nil {
+		return w.gatheredLatency
+	}
 	entry := w.query.entry
 	kind := service + " "
 	if w.isGathered() {
 		kind = gatheredKind
 	}
 	kind += strconv.FormatInt(entry.ObjectiveMillis, 10) + " " + strconv.Itoa(entry.Priority)
-	return w.gateway.latencies.of(kind, entry.Objective/objectiveParts)
+	latency := w.gateway.latencies.of(kind, entry.Objective/objectiveParts)
+	if w.isGathered() {
+		w.gatheredLatency = latency
+	}
+	return latency
 }
 
 // candidates gives the leafs of a service that may be asked.
 func (w *gathering) candidates(service string) []balancer.Candidate {
 	leafs, _ := w.gateway.memory.Candidates(service)
-	leafs, connections := w.gateway.dealer.Deal(service, leafs, w.query.service(service).MaximumConnections)
-	candidates := make([]balancer.Candidate, 0, len(leafs))
-	for _, leaf := range leafs {
-		w.targets[leaf.ID] = leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: connections}
-		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone})
+	dealt := w.gateway.dealer.Deal(service, leafs, w.query.service(service).MaximumConnections)
+	candidates := make([]balancer.Candidate, 0, len(dealt))
+	for _, part := range dealt {
+		leaf := part.Leaf
+		if part.Connections == 0 && !w.gateway.leafs.CanSpare(leaf.ID) {
+			continue
+		}
+		w.targets[leaf.ID] = leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare}
+		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0})
 	}
 	return candidates
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -66,6 +66,8 @@
 	}
 }
 
+func (s *scriptedLeafs) CanSpare(string) bool { return true }
+
 func answered(status int, body string) *leafhttp.Response {
 	return &leafhttp.Response{Status: status, Header: http.Header{dialect.ResponseStamp: {"stamp-" + body}}, Body: []byte(body)}
 }
--- /dev/null
+++ b/internal/gateway/lag_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/leafhttp"
+)
+
+// A node that makes its answers late plans them earlier, and less so once it keeps up again.
+func TestLagIsPlannedFor(t *testing.T) {
+	is := is.New(t)
+	var lag lagTracker
+	is.Equal(lag.expected(time.Second), time.Duration(0))
+	for range 20 {
+		lag.observe(30 * time.Millisecond)
+	}
+	is.True((30*time.Millisecond - lag.expected(time.Second)).Abs() < time.Millisecond)
+	is.Equal(lag.expected(40*time.Millisecond), 10*time.Millisecond) // most of a short objective stays
+	for range 100 {
+		lag.observe(-time.Millisecond)
+	}
+	is.True(lag.expected(time.Second) < time.Millisecond)
+}
+
+// The lag is that of answers that only their plan decided, and moves the next plan.
+func TestLagOfPartialAnswersIsLearnt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newGateway(t, &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			if leaf == "s0a" || leaf == "s0b" {
+				return time.Hour, nil, nil
+			}
+			return time.Millisecond, answered(200, records(leaf)), nil
+		}})
+		request := ask("/pages/1")
+		started := time.Now()
+		answer, err := g.Serve(t.Context(), request)
+		is.NoErr(err)
+		is.Equal(answer.Missing, 1)
+		took := time.Since(started)
+		for range 20 {
+			g.lag.observe(20 * time.Millisecond)
+		}
+		started = time.Now()
+		_, err = g.Serve(t.Context(), ask("/pages/1"))
+		is.NoErr(err)
+		is.True((took - time.Since(started) - 20*time.Millisecond).Abs() < time.Millisecond)
+		is.True(g.lag.lag < 20*time.Millisecond) // this one was in time
+	})
+}
--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -102,7 +102,7 @@
 
 // shardPolicy decides on the hedges and retries of one shard of one request.
 type shardPolicy struct {
-	config  Config
+	config  *Config
 	service string
 	budgets *retrybudget.Budgets
 	latency *kindLatency
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -47,6 +47,8 @@
 	deadline time.Time
 	// objective is when the answer must be made to have its full worth.
 	objective time.Time
+	// planned is the objective less this node's lag: when an answer with parts missing is made.
+	planned time.Time
 	// late is from when an answer that goes out has lost some of its worth.
 	late time.Time
 }
@@ -63,6 +65,7 @@
 	}
 	pinned := &query{Request: request, entry: entry, table: table, deadline: request.Arrived.Add(entry.Timeout)}
 	pinned.objective = request.Arrived.Add(entry.Objective - g.elsewhere(request, entry))
+	pinned.planned = pinned.objective.Add(-g.lag.expected(entry.Objective))
 	pinned.late = pinned.objective.Add(g.config.ObjectiveReserve)
 	if request.Patience > 0 {
 		reserve := min(g.config.AnswerReserve+request.RoundTrip, request.Patience/4)
--- a/internal/lab/hollow/hollow.go
+++ b/internal/lab/hollow/hollow.go
@@ -173,7 +173,7 @@
 func (n *node) run(ctx context.Context) {
 	changes, cancel := n.catalog.Subscribe(changeBuffer)
 	defer cancel()
-	n.transport.Serve(configsync.NewPeerHandler(n.syncer))
+	n.transport.Serve(configsync.NewPeerHandler(n.syncer, nil))
 	go n.syncer.Run(ctx)
 	go n.members.Run(ctx)
 	for {
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -27,6 +27,9 @@
 // maximumForeignAnswers is how many answers to other requests are skipped on a connection.
 const maximumForeignAnswers = 2
 
+// spareRest is how long a spare connection may rest.
+const spareRest = 2 * time.Second
+
 // connection is one connection to a leaf, used by one attempt at a time.
 type connection struct {
 	socket    *net.TCPConn
@@ -34,6 +37,16 @@
 	idleSince time.Time
 	// idleLimit is how long the connection may rest.
 	idleLimit time.Duration
+	// isSpare says that it rests beyond the node's own part of the leaf's connections.
+	isSpare bool
+	// answered says that the leaf has answered on it.
+	answered bool
+}
+
+// isRefused reports whether an error means that the leaf did not take the connection: it ended
+// before the first answer.
+func (c *connection) isRefused(err error) bool {
+	return !c.answered && errors.Is(err, syscall.ECONNRESET)
 }
 
 // dial opens a connection to an address given by IP number.
@@ -85,6 +98,9 @@
 // rested reports whether the connection has rested as long as it may.
 func (c *connection) rested(now time.Time, reserve time.Duration) bool {
 	allowed := c.idleLimit - min(reserve, c.idleLimit/4)
+	if c.isSpare {
+		allowed = min(allowed, spareRest)
+	}
 	return now.Sub(c.idleSince) >= allowed
 }
 
@@ -164,6 +180,7 @@
 			continue
 		}
 		c.idleLimit = idleLimit(raw.Header, config.IdleTimeout)
+		c.answered = true
 		return newResponse(dialect, raw, body), foreign == 0 && !raw.Close, nil
 	}
 }
@@ -188,6 +205,11 @@
 	if raw.ContentLength > limit {
 		return nil, &AnswerTooLargeError{Limit: limit}
 	}
+	if raw.ContentLength > 0 && raw.Body != http.NoBody {
+		body := make([]byte, raw.ContentLength)
+		_, err := io.ReadFull(raw.Body, body)
+		return body, err
+	}
 	body, err := io.ReadAll(io.LimitReader(raw.Body, limit+1))
 	if err != nil {
 		return nil, err
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/httpdialect"
@@ -14,8 +15,10 @@
 	// Incarnation is the leaf's id; the leaf refuses requests meant for another.
 	Incarnation string
 	Address     string
-	// Connections is how many this node may have to the leaf; at least one.
+	// Connections is how many this node may have to the leaf in any case.
 	Connections int
+	// Spare is how many more it may try while the leaf takes them.
+	Spare int
 }
 
 // Pool holds the connections of a node to leafs; safe for concurrent use.
@@ -36,6 +39,16 @@
 	open      int           // idle, in use and being opened
 	waiting   []chan struct{}
 	forgotten bool
+	// refusedAt is when the leaf last refused a new connection.
+	refusedAt time.Time
+}
+
+// limit gives how many connections there may be now.
+func (l *leafConnections) limit(target Target, pause time.Duration, now time.Time) int {
+	if target.Spare > 0 && now.Sub(l.refusedAt) >= pause {
+		return target.Connections + target.Spare
+	}
+	return max(1, target.Connections)
 }
 
 // New makes a pool; opened is told of each connection opened, and may be nil.
@@ -65,10 +78,30 @@
 		superseded := errors.Is(context.Cause(ctx), ErrSuperseded)
 		reusable = reusable && superseded && held.socket.SetDeadline(time.Time{}) == nil
 	}
-	p.release(target.Incarnation, held, reusable)
+	if err != nil && held.isRefused(err) {
+		p.refused(target.Incarnation)
+	}
+	p.release(target, held, reusable)
 	return response, err
 }
 
+// refused remembers that a leaf takes no more connections for now.
+func (p *Pool) refused(incarnation string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if leaf, found := p.leafs[incarnation]; found {
+		leaf.refusedAt = time.Now()
+	}
+}
+
+// CanSpare reports whether a leaf may be tried on a spare connection now.
+func (p *Pool) CanSpare(incarnation string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	leaf, found := p.leafs[incarnation]
+	return !found || time.Since(leaf.refusedAt) >= p.config.SparePause
+}
+
 // abandon ends an attempt whose answer nobody waits for.
 func (p *Pool) abandon(ctx context.Context, held *connection) {
 	if p.config.LingerTimeout > 0 && errors.Is(context.Cause(ctx), ErrSuperseded) {
@@ -125,7 +158,7 @@
 		held.close()
 		leaf.open--
 	}
-	if leaf.open < max(1, target.Connections) {
+	if leaf.open < leaf.limit(target, p.config.SparePause, now) {
 		leaf.open++
 		return nil, nil, nil
 	}
@@ -142,6 +175,9 @@
 		if leaf, found := p.leafs[target.Incarnation]; found {
 			leaf.open--
 			leaf.wakeOne()
+			if errors.Is(err, syscall.ECONNRESET) {
+				leaf.refusedAt = time.Now()
+			}
 		}
 		return nil, err
 	}
@@ -149,10 +185,12 @@
 	return held, nil
 }
 
-// release gives a connection back, or counts it out.
-func (p *Pool) release(incarnation string, held *connection, reusable bool) {
+// release gives a connection back, or counts it out. A spare one rests only while the node's
+// own part is not used up by others.
+func (p *Pool) release(target Target, held *connection, reusable bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	incarnation := target.Incarnation
 	leaf, found := p.leafs[incarnation]
 	if !found || p.closed || leaf.forgotten {
 		reusable = false
@@ -169,6 +207,7 @@
 		return
 	}
 	held.idleSince = time.Now()
+	held.isSpare = leaf.open > target.Connections
 	leaf.idle = append(leaf.idle, held)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 			newMembership,
 			newAdmin,
 			newLeafKeeper,
+			newLeafGossip,
 		),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
 			events := &fxevent.ZapLogger{Logger: logger}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -21,6 +21,7 @@
 	"github.com/portgauge/portgauge/internal/gateway"
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/leafclient"
+	"github.com/portgauge/portgauge/internal/leafgossip"
 	"github.com/portgauge/portgauge/internal/leafhttp"
 	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/machines"
@@ -102,6 +103,12 @@
 	return choice
 }
 
+func newLeafGossip(config settings.Settings, census *registry.Census, transport *peer.SocketTransport, choice *balancer.Balancer) *leafgossip.Gossip {
+	gossip := leafgossip.New(config.LeafGossip, census, transport, choice.Hear)
+	choice.OnObserved(gossip.Tell)
+	return gossip
+}
+
 func newBeliefJournal(log *decisionlog.Log, known *catalog.Catalog) *beliefJournal {
 	return &beliefJournal{log: log, catalog: known}
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -16,6 +16,7 @@
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/front"
+	"github.com/portgauge/portgauge/internal/leafgossip"
 	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
@@ -57,6 +58,7 @@
 	Engine    *search.Engine
 	Keeper    *leafKeeper
 	Writer    *leafmemory.Writer
+	Gossip    *leafgossip.Gossip
 	Beliefs   *beliefJournal
 	Self      catalog.NodeRecord
 	Lessor    store.Lessor `optional:"true"`
@@ -69,11 +71,12 @@
 	var running sync.WaitGroup
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer))
+			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer, parts.Gossip.Heard))
 			go parts.Syncer.Run(ctx)
 			go parts.Members.Run(ctx)
 			go parts.Keeper.run(ctx)
 			go parts.Writer.Run(ctx)
+			go parts.Gossip.Run(ctx)
 			go parts.Beliefs.run(ctx)
 			if parts.Lessor != nil {
 				record := registry.New(parts.Config.Registry, parts.Lessor, parts.Self, parts.Logger)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -36,6 +36,9 @@
 	Millis int64 `json:"millis"`
 }
 
+// LeafReports is what the sender saw of leafs, packed by package leafgossip.
+type LeafReports []byte
+
 // Digest tells how far a node's configuration is.
 type Digest struct {
 	Revision int64 `json:"revision"`
@@ -47,8 +50,8 @@
 type Message struct {
 	// From is the sender's peer address.
 	From string `json:"from"`
-	// Digest and the rumours ride on every datagram.
-	Digest  Digest       `json:"digest"`
+	// Digest and the rumours ride on every datagram of the membership.
+	Digest  Digest       `json:"digest,omitzero"`
 	Members []Member     `json:"members,omitempty"`
 	Notices []LeafNotice `json:"notices,omitempty"`
 
@@ -62,6 +65,7 @@
 	State        *State        `json:"state,omitempty"`
 	StatusQuery  *StatusQuery  `json:"status_query,omitempty"`
 	StatusReply  *StatusReply  `json:"status_reply,omitempty"`
+	LeafReports  LeafReports   `json:"leaf_reports,omitempty"`
 }
 
 // Probe asks a member whether it lives.
--- a/internal/registry/census.go
+++ b/internal/registry/census.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -62,6 +63,22 @@
 	return c.ids
 }
 
+// Others gives the peer addresses of up to n random nodes that are registered, this one left out.
+func (c *Census) Others(n int) []string {
+	ids := c.IDs()
+	view := c.catalog.View()
+	addresses := make([]string, 0, n)
+	for _, index := range rand.Perm(len(ids)) {
+		if len(addresses) >= n {
+			break
+		}
+		if node, registered := view.Nodes[ids[index]]; registered && ids[index] != c.self {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	return addresses
+}
+
 // Sharing gives the number of nodes that share a bound, 0 unless this node is one of those
 // that the others know of.
 func (c *Census) Sharing() int {
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -163,6 +163,10 @@
 	Hedges    int
 	Retries   int
 	Cancelled int
+	// SufficientAt is when the plan's sufficient number of replies was in; zero when it never was.
+	SufficientAt time.Time
+	// SoftDeadlined says that the scatter ended at or after its soft deadline, with shards open.
+	SoftDeadlined bool
 }
 
 // Execution gives what is known of the whole request.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/balancer"
@@ -19,7 +20,7 @@
 
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	results chan finished[Reply]
+	results chan *finished[Reply]
 	shards  []shardState[Reply]
 	open    int // shards without an outcome
 	summary Summary
@@ -31,10 +32,16 @@
 	result  Result[Reply]
 }
 
+// outstanding is an attempt under way.
+type outstanding struct {
+	leafID  string
+	started time.Time
+}
+
 // shardState is the progress of one shard.
 type shardState[Reply any] struct {
-	tried     map[string]bool
-	inFlight  map[string]time.Time // start of each attempt under way, by leaf
+	tried     []string // leafs that were asked
+	inFlight  []outstanding
 	attempts  int
 	refusals  int
 	stage     int
@@ -61,7 +68,7 @@
 func New[Reply any](plan Plan, parts Parts[Reply]) *Scatter[Reply] {
 	return &Scatter[Reply]{
 		plan: plan, balancer: parts.Balancer, runOne: parts.Run, observer: parts.Observer, superseded: parts.Superseded,
-		results: make(chan finished[Reply], len(plan.Shards)*(plan.MaximumAttempts+plan.MaximumRefusals+1)),
+		results: make(chan *finished[Reply], len(plan.Shards)*(plan.MaximumAttempts+plan.MaximumRefusals+1)),
 		shards:  make([]shardState[Reply], len(plan.Shards)),
 		open:    len(plan.Shards),
 	}
@@ -90,6 +97,7 @@
 		}
 		timer.Reset(s.untilNext())
 	}
+	s.summary.SoftDeadlined = s.open > 0 && s.enough()
 	s.giveUp(Unneeded)
 	s.countCancelled()
 	return s.outcomes(), s.summary
@@ -145,7 +153,7 @@
 		took := time.Since(attempt.Started)
 		s.balancer.Finish(attempt.Leaf, result.Outcome, took, typical)
 		s.observer.Ended(attempt, result, took)
-		s.results <- finished[Reply]{attempt, result}
+		s.results <- &finished[Reply]{attempt, result}
 	}()
 	return true
 }
@@ -159,9 +167,9 @@
 	if choice.Leaf != nil || s.plan.ReplicaWait == 0 || len(shard.tried) == len(shard.inFlight) {
 		return choice
 	}
-	busy := make(map[string]bool, len(shard.inFlight))
-	for leafID := range shard.inFlight {
-		busy[leafID] = true
+	busy := make([]string, 0, len(shard.inFlight))
+	for _, out := range shard.inFlight {
+		busy = append(busy, out.leafID)
 	}
 	return s.balancer.Choose(candidates, busy)
 }
@@ -169,12 +177,10 @@
 // admit counts an attempt into its shard.
 func (s *Scatter[Reply]) admit(index int, leaf *balancer.Leaf, now time.Time) {
 	shard := &s.shards[index]
-	if shard.tried == nil {
-		shard.tried = make(map[string]bool, len(s.plan.Shards[index].Candidates))
-		shard.inFlight = make(map[string]time.Time, 2)
+	if !slices.Contains(shard.tried, leaf.ID) {
+		shard.tried = append(shard.tried, leaf.ID)
 	}
-	shard.tried[leaf.ID] = true
-	shard.inFlight[leaf.ID] = now
+	shard.inFlight = append(shard.inFlight, outstanding{leaf.ID, now})
 	shard.attempts++
 	shard.retryAt = time.Time{}
 	if !shard.counted {
@@ -195,10 +201,10 @@
 }
 
 // handle learns from one attempt's end and decides what follows for its shard.
-func (s *Scatter[Reply]) handle(ended finished[Reply]) {
+func (s *Scatter[Reply]) handle(ended *finished[Reply]) {
 	index, result := ended.attempt.Shard, ended.result
 	shard := &s.shards[index]
-	delete(shard.inFlight, ended.attempt.Leaf.ID)
+	shard.inFlight = slices.DeleteFunc(shard.inFlight, func(out outstanding) bool { return out.leafID == ended.attempt.Leaf.ID })
 	s.learn(ended)
 	if shard.done {
 		return
@@ -206,6 +212,9 @@
 	if result.Reply != nil {
 		shard.reply, shard.leaf = result.Reply, ended.attempt.Leaf
 		s.summary.Replies++
+		if s.summary.Replies == max(1, s.plan.Sufficient) {
+			s.summary.SufficientAt = time.Now()
+		}
 		s.settle(shard)
 		s.abandon(shard)
 		return
@@ -221,7 +230,7 @@
 	s.launch(index, Retry, s.plan.Shards[index].Policy.AllowRetry)
 }
 
-func (s *Scatter[Reply]) learn(ended finished[Reply]) {
+func (s *Scatter[Reply]) learn(ended *finished[Reply]) {
 	policy := s.plan.Shards[ended.attempt.Shard].Policy
 	switch ended.result.Execution {
 	case Ran:
@@ -313,8 +322,8 @@
 	now := time.Now()
 	for index := range s.shards {
 		s.summary.Cancelled += len(s.shards[index].inFlight)
-		for _, started := range s.shards[index].inFlight {
-			s.plan.Shards[index].Policy.Observe(now.Sub(started))
+		for _, out := range s.shards[index].inFlight {
+			s.plan.Shards[index].Policy.Observe(now.Sub(out.started))
 		}
 	}
 }
--- a/internal/scatter/schedule.go
+++ b/internal/scatter/schedule.go
@@ -62,6 +62,9 @@
 func (s *Scatter[Reply]) sendHedge(index int, now time.Time) {
 	shard := &s.shards[index]
 	shard.hedgeAt = time.Time{}
+	for _, out := range shard.inFlight {
+		s.balancer.Late(out.leafID)
+	}
 	if !s.hasAttempts(shard) {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,6 +21,7 @@
 	"github.com/portgauge/portgauge/internal/gateway"
 	"github.com/portgauge/portgauge/internal/hedging"
 	"github.com/portgauge/portgauge/internal/leafclient"
+	"github.com/portgauge/portgauge/internal/leafgossip"
 	"github.com/portgauge/portgauge/internal/leafhttp"
 	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
@@ -99,6 +100,7 @@
 	ConnectionShare connshare.Config    `yaml:"connection_share"`
 	RetryBudget     retrybudget.Config  `yaml:"retry_budget"`
 	Registry        registry.Config     `yaml:"registry"`
+	LeafGossip      leafgossip.Config   `yaml:"leaf_gossip"`
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
 }
 
@@ -126,6 +128,7 @@
 		ConnectionShare: connshare.DefaultConfig(),
 		RetryBudget:     retrybudget.DefaultConfig(),
 		Registry:        registry.DefaultConfig(),
+		LeafGossip:      leafgossip.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
 	}
 }
@@ -164,6 +167,7 @@
 	checks.Add("connection_share", s.ConnectionShare.Validate())
 	checks.Add("retry_budget", s.RetryBudget.Validate())
 	checks.Add("registry", s.Registry.Validate())
+	checks.Add("leaf_gossip", s.LeafGossip.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
 	return checks.Err()
 }
