--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/balancer"
@@ -21,12 +22,24 @@
 	reasonLeafRefuse scatter.Reason = "REFUSED_BY_LEAF"
 )
 
-// runAttempt asks one leaf and judges its answer.
-func (w *gathering) runAttempt(ctx context.Context, attempt scatter.Attempt) scatter.Result[leafhttp.Response] {
-	response, err := w.gateway.leafs.Do(ctx, w.targets[attempt.Leaf.ID], &w.query.Leaf, w.query.deadline)
-	if err != nil {
-		return judgeError(ctx, err)
+// startAttempt asks one leaf.
+func (w *gathering) startAttempt(_ context.Context, attempt scatter.Attempt, done func(scatter.Result[leafhttp.Response])) context.CancelCauseFunc {
+	var isAbandoned atomic.Bool
+	cancel := w.gateway.leafs.Start(w.targets[attempt.Leaf.ID], &w.query.Leaf, w.query.deadline, func(response *leafhttp.Response, err error) {
+		if err != nil {
+			done(judgeError(isAbandoned.Load(), err))
+			return
+		}
+		done(w.judgeResponse(attempt, response))
+	})
+	return func(cause error) {
+		isAbandoned.Store(true)
+		cancel(cause)
 	}
+}
+
+// judgeResponse judges an answer, after the leaf's word on its load.
+func (w *gathering) judgeResponse(attempt scatter.Attempt, response *leafhttp.Response) scatter.Result[leafhttp.Response] {
 	if response.Load != nil {
 		w.gateway.balancer.Report(attempt.Leaf, balancer.Load{
 			InFlight: uint32(response.Load.Running + response.Load.Waiting), Slots: uint32(response.Load.Slots),
@@ -76,9 +89,9 @@
 	return result
 }
 
-func judgeError(ctx context.Context, err error) scatter.Result[leafhttp.Response] {
+func judgeError(isAbandoned bool, err error) scatter.Result[leafhttp.Response] {
 	outcome := balancer.Failed
-	if ctx.Err() != nil {
+	if isAbandoned {
 		outcome = balancer.Abandoned
 	}
 	var neverSent *leafhttp.NeverSentError
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,9 +22,10 @@
 // notReadyRetryAfter is what callers of a node without routes are told.
 const notReadyRetryAfter = 600 * time.Millisecond
 
-// LeafCaller runs one attempt at a leaf; leafhttp.Pool is the real one.
+// LeafCaller starts attempts at leafs; leafhttp.Pool is the real one.
 type LeafCaller interface {
-	Do(ctx context.Context, target leafhttp.Target, request *leafhttp.Request, deadline time.Time) (*leafhttp.Response, error)
+	// Start begins an attempt without blocking; see leafhttp.Pool.
+	Start(target leafhttp.Target, request *leafhttp.Request, deadline time.Time, done leafhttp.Done) context.CancelCauseFunc
 	// CanSpare reports whether a leaf that other nodes were dealt may be asked.
 	CanSpare(incarnation string) bool
 }
@@ -147,7 +148,7 @@
 		return nil, err
 	}
 	work := scatter.New(plan, scatter.Parts[leafhttp.Response]{
-		Balancer: w.gateway.balancer, Run: w.runAttempt, Observer: w, Superseded: leafhttp.ErrSuperseded,
+		Balancer: w.gateway.balancer, Start: w.startAttempt, Observer: w, Superseded: leafhttp.ErrSuperseded,
 	})
 	w.outcomes, w.summary = work.Run(ctx)
 	if ctx.Err() != nil {
@@ -161,6 +162,7 @@
 
 func (w *gathering) plan() scatter.Plan {
 	entry := w.query.entry
+	w.query.Leaf.AtMostOnce = entry.Repeatability == routing.AtMostOnce
 	plan := scatter.Plan{
 		Shards:          make([]scatter.Shard, len(w.services)),
 		Deadline:        w.query.deadline,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -53,17 +53,21 @@
 	asked  []string
 }
 
-func (s *scriptedLeafs) Do(ctx context.Context, target leafhttp.Target, _ *leafhttp.Request, _ time.Time) (*leafhttp.Response, error) {
+func (s *scriptedLeafs) Start(target leafhttp.Target, _ *leafhttp.Request, _ time.Time, done leafhttp.Done) context.CancelCauseFunc {
 	s.mutex.Lock()
 	s.asked = append(s.asked, target.Incarnation)
 	s.mutex.Unlock()
-	delay, response, err := s.answer(target.Incarnation)
-	select {
-	case <-time.After(delay):
-		return response, err
-	case <-ctx.Done():
-		return nil, &leafhttp.BrokenAnswerError{Cause: context.Cause(ctx)}
-	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		delay, response, err := s.answer(target.Incarnation)
+		select {
+		case <-time.After(delay):
+			done(response, err)
+		case <-ctx.Done():
+			done(nil, &leafhttp.BrokenAnswerError{Cause: context.Cause(ctx)})
+		}
+	}()
+	return cancel
 }
 
 func (s *scriptedLeafs) CanSpare(string) bool { return true }
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -30,40 +31,53 @@
 // spareRest is how long a spare connection may rest.
 const spareRest = 2 * time.Second
 
-// connection is one connection to a leaf, used by one attempt at a time.
+// connection is one connection to a leaf, used by one exchange at a time. One goroutine reads it
+// from its start to its end, so that bytes that nobody asked for, and its close, are noticed
+// while it rests.
 type connection struct {
-	socket    *net.TCPConn
-	reader    *bufio.Reader
-	idleSince time.Time
+	pool        *Pool
+	incarnation string
+	socket      *net.TCPConn
+	reader      *bufio.Reader
+	// namesRequests says that the leaf's answers name the request; only the reading goroutine
+	// uses it.
+	namesRequests bool
 	// idleLimit is how long the connection may rest.
 	idleLimit time.Duration
+
+	// The rest is guarded by the pool's mutex.
+
+	// current is the exchange under way; nil while the connection rests.
+	current   *Exchange
+	idleSince time.Time
 	// isSpare says that it rests beyond the node's own part of the leaf's connections.
 	isSpare bool
 	// answered says that the leaf has answered on it.
 	answered bool
-}
-
-// isRefused reports whether an error means that the leaf did not take the connection: it ended
-// before the first answer.
-func (c *connection) isRefused(err error) bool {
-	return !c.answered && errors.Is(err, syscall.ECONNRESET)
+	// dropped says that it is counted out.
+	dropped bool
+	// bodies counts the bodies that are still being written.
+	bodies int
 }
 
 // dial opens a connection to an address given by IP number.
-func dial(ctx context.Context, config Config, address string) (*connection, error) {
+func dial(ctx context.Context, p *Pool, target Target) (*connection, error) {
 	dialer := net.Dialer{
-		Timeout:   config.ConnectTimeout,
+		Timeout:   p.config.ConnectTimeout,
 		KeepAlive: -1,
 		Control: func(_, _ string, raw syscall.RawConn) error {
-			return boundSilence(raw, config.SilenceTimeout)
+			return boundSilence(raw, p.config.SilenceTimeout)
 		},
 	}
-	opened, err := dialer.DialContext(ctx, "tcp4", address)
+	opened, err := dialer.DialContext(ctx, "tcp4", target.Address)
 	if err != nil {
 		return nil, err
 	}
 	socket := opened.(*net.TCPConn)
-	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBuffer), idleLimit: config.IdleTimeout}, nil
+	return &connection{
+		pool: p, incarnation: target.Incarnation, socket: socket,
+		reader: bufio.NewReaderSize(socket, readBuffer), idleLimit: p.config.IdleTimeout,
+	}, nil
 }
 
 // boundSilence lets the kernel end a connection whose sent bytes stay unacknowledged.
@@ -75,112 +89,225 @@
 	return errors.Join(err, optionErr)
 }
 
-// quiet reports whether a resting connection is open and holds no bytes: bytes that nobody
-// asked for belong to no request.
-func (c *connection) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
+// rested reports whether the connection has rested as long as it may.
+func (c *connection) rested(now time.Time) bool {
+	allowed := c.idleLimit - min(c.pool.config.IdleReserve, c.idleLimit/4)
+	if c.isSpare {
+		allowed = min(allowed, spareRest)
+	}
+	return now.Sub(c.idleSince) >= allowed
+}
+
+func (c *connection) close() {
+	// A second close is harmless, and nothing can be done about any other failure.
+	if err := c.socket.Close(); err != nil {
+		return
+	}
+}
+
+// begin sends the request of the exchange that holds the connection.
+func (c *connection) begin(e *Exchange) {
+	remaining := time.Until(e.deadline)
+	if remaining <= 0 {
+		// Nothing was sent, so the connection stays good.
+		c.giveBack(e, true)
+		e.end(nil, &NeverSentError{Cause: errDeadlinePassed})
+		return
+	}
+	if e.request.AtMostOnce && !c.quiet() {
+		e.end(nil, &NeverSentError{Cause: errStale})
+		c.fail(errStale)
+		return
 	}
+	head := e.request.encode(c.pool.dialect, e.target.Incarnation, remaining)
+	isInline := len(e.request.Body) <= inlineBody
+	if isInline {
+		head = append(head, e.request.Body...)
+	}
+	written, err := c.socket.Write(head)
+	switch {
+	case err != nil && written == 0:
+		e.end(nil, &NeverSentError{Cause: err})
+		c.fail(err)
+	case err != nil:
+		c.fail(err)
+	case !isInline:
+		c.sendBody(e.request.Body)
+	}
+}
+
+// quiet reports whether the connection is open and holds no bytes. What its reading goroutine
+// was not yet told of is of no matter for a request that may be repeated; for another it would
+// leave open whether the request ran.
+func (c *connection) quiet() bool {
 	raw, err := c.socket.SyscallConn()
 	if err != nil {
 		return false
 	}
 	isQuiet := false
-	err = raw.Read(func(descriptor uintptr) bool {
+	err = raw.Control(func(descriptor uintptr) {
 		var one [1]byte
 		_, _, peekErr := unix.Recvfrom(int(descriptor), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		isQuiet = errors.Is(peekErr, unix.EAGAIN)
-		return true
 	})
 	return err == nil && isQuiet
 }
 
-// rested reports whether the connection has rested as long as it may.
-func (c *connection) rested(now time.Time, reserve time.Duration) bool {
-	allowed := c.idleLimit - min(reserve, c.idleLimit/4)
-	if c.isSpare {
-		allowed = min(allowed, spareRest)
-	}
-	return now.Sub(c.idleSince) >= allowed
+// sendBody writes a long body beside the reading, since the leaf may answer before it has read
+// all of it.
+func (c *connection) sendBody(body []byte) {
+	c.pool.mutex.Lock()
+	c.bodies++
+	c.pool.mutex.Unlock()
+	go func() {
+		_, err := c.socket.Write(body)
+		c.pool.mutex.Lock()
+		c.bodies--
+		c.pool.mutex.Unlock()
+		if err != nil {
+			c.fail(err)
+		}
+	}()
 }
 
-func (c *connection) close() {
-	// A second close is harmless, and nothing can be done about any other failure.
-	if err := c.socket.Close(); err != nil {
-		return
+// read takes what the leaf sends until the connection ends.
+func (c *connection) read() {
+	for {
+		if _, err := c.reader.Peek(1); err != nil {
+			c.fail(err)
+			return
+		}
+		e := c.exchange()
+		if e == nil {
+			c.fail(errSurplus)
+			return
+		}
+		response, reusable, err := c.receive(e.request)
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		reusable = c.giveBack(e, reusable && c.reader.Buffered() == 0)
+		e.end(response, nil)
+		if !reusable {
+			return
+		}
 	}
 }
 
-// exchange sends a request and reads its answer. The connection may be used again only if
-// reusable is true.
-func (c *connection) exchange(dialect httpdialect.Dialect, config Config, request *Request, incarnation string, deadline time.Time) (response *Response, reusable bool, err error) {
-	remaining := time.Until(deadline)
-	if remaining <= 0 {
-		return nil, true, &NeverSentError{Cause: errDeadlinePassed}
+// exchange gives the exchange under way; nil while the connection rests.
+func (c *connection) exchange() *Exchange {
+	c.pool.mutex.Lock()
+	defer c.pool.mutex.Unlock()
+	return c.current
+}
+
+// giveBack takes the connection from an exchange whose answer is in, and hands it on or lets it
+// rest. It reports whether the connection is still in use.
+func (c *connection) giveBack(e *Exchange, reusable bool) bool {
+	p := c.pool
+	p.mutex.Lock()
+	if c.dropped {
+		p.mutex.Unlock()
+		return false
 	}
-	sent, err := c.send(request, request.encode(dialect, incarnation, remaining))
-	if err != nil {
-		return nil, false, err
+	c.current, e.conn, e.finished, c.answered = nil, nil, true, true
+	leaf := p.leafs[c.incarnation]
+	// A leaf that answered before the body was all written has no place for the rest any more.
+	reusable = reusable && c.bodies == 0 && !p.closed && !leaf.forgotten
+	if e.lingering {
+		reusable = c.socket.SetReadDeadline(time.Time{}) == nil && reusable
 	}
-	response, reusable, err = c.receive(dialect, config, request)
-	if err != nil {
-		return nil, false, &BrokenAnswerError{Cause: err}
+	if !reusable {
+		c.dropped = true
+		p.lost(c.incarnation, leaf)
+		p.mutex.Unlock()
+		c.close()
+		return false
 	}
-	select {
-	case sendErr := <-sent:
-		reusable = reusable && sendErr == nil
-	default:
-		// The leaf answered before the body was all written: the rest has no place any more.
-		reusable = false
+	next := c.restOrTake(leaf, e.target)
+	p.mutex.Unlock()
+	if next != nil {
+		c.begin(next)
 	}
-	return response, reusable && c.reader.Buffered() == 0, nil
+	return true
 }
 
-// send writes the head and body. The channel gives the end of the write of the body.
-func (c *connection) send(request *Request, head []byte) (<-chan error, error) {
-	sent := make(chan error, 1)
-	first := head
-	if len(request.Body) <= inlineBody {
-		first = append(first, request.Body...)
+// rest lets a connection rest that nobody uses any more.
+func (c *connection) rest(target Target) {
+	p := c.pool
+	p.mutex.Lock()
+	leaf := p.leafs[c.incarnation]
+	if p.closed || leaf.forgotten {
+		p.mutex.Unlock()
+		c.fail(errClosed)
+		return
 	}
-	written, err := c.socket.Write(first)
-	if err != nil {
-		if written == 0 {
-			return nil, &NeverSentError{Cause: err}
+	next := c.restOrTake(leaf, target)
+	p.mutex.Unlock()
+	if next != nil {
+		c.begin(next)
+	}
+}
+
+// restOrTake gives the connection to an exchange that waits, or lets it rest. The mutex must be
+// held.
+func (c *connection) restOrTake(leaf *leafConnections, target Target) *Exchange {
+	if next := leaf.next(); next != nil {
+		c.current, next.conn = next, c
+		return next
+	}
+	c.idleSince = time.Now()
+	c.isSpare = leaf.open > target.Connections
+	leaf.idle = append(leaf.idle, c)
+	return nil
+}
+
+// fail ends the connection, and the exchange under way with an answer that did not come.
+func (c *connection) fail(cause error) {
+	p := c.pool
+	p.mutex.Lock()
+	e := c.current
+	c.current = nil
+	if !c.dropped {
+		c.dropped = true
+		leaf := p.leafs[c.incarnation]
+		leaf.idle = slices.DeleteFunc(leaf.idle, func(held *connection) bool { return held == c })
+		if !c.answered && isRefusal(cause) {
+			leaf.refusedAt = time.Now()
 		}
-		return nil, &BrokenAnswerError{Cause: err}
+		p.lost(c.incarnation, leaf)
 	}
-	if len(request.Body) <= inlineBody {
-		sent <- nil
-		return sent, nil
+	p.mutex.Unlock()
+	c.close()
+	if e != nil {
+		e.end(nil, &BrokenAnswerError{Cause: cause})
 	}
-	go func() {
-		_, err := c.socket.Write(request.Body)
-		sent <- err
-	}()
-	return sent, nil
 }
 
 // receive reads answers until the one to the request; those to other requests are skipped,
 // and then the connection is not used again.
-func (c *connection) receive(dialect httpdialect.Dialect, config Config, request *Request) (*Response, bool, error) {
+func (c *connection) receive(request *Request) (*Response, bool, error) {
+	dialect := c.pool.dialect
 	for foreign := 0; ; foreign++ {
 		raw, err := c.readHead(request.Method)
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := readBody(raw, config.MaximumAnswerBytes)
+		body, err := readBody(raw, c.pool.config.MaximumAnswerBytes)
 		if err != nil {
 			return nil, false, err
 		}
-		if id := raw.Header.Get(dialect.RequestID); id != "" && id != request.ID {
+		id := raw.Header.Get(dialect.RequestID)
+		// A leaf that names requests names them all.
+		if id != request.ID && (id != "" || c.namesRequests) {
 			if foreign >= maximumForeignAnswers || raw.Close {
 				return nil, false, &ForeignAnswerError{RequestID: id}
 			}
 			continue
 		}
-		c.idleLimit = idleLimit(raw.Header, config.IdleTimeout)
-		c.answered = true
+		c.namesRequests = c.namesRequests || id != ""
+		c.idleLimit = idleLimit(raw.Header, c.pool.config.IdleTimeout)
 		return newResponse(dialect, raw, body), foreign == 0 && !raw.Close, nil
 	}
 }
--- a/internal/leafhttp/errors.go
+++ b/internal/leafhttp/errors.go
@@ -63,5 +63,11 @@
 // errDeadlinePassed refuses to send a request whose time is over.
 var errDeadlinePassed = errors.New("the deadline passed before the request was sent")
 
+// errSurplus ends a resting connection on which bytes came that nobody asked for.
+var errSurplus = errors.New("bytes that belong to no request")
+
+// errStale ends a resting connection that the leaf closed, or sent surplus bytes on.
+var errStale = errors.New("the connection ended while it rested")
+
 // errClosed ends waits for a connection of a closed pool or a forgotten leaf.
 var errClosed = errors.New("the leaf is no longer in use")
--- a/internal/leafhttp/leafhttp_test.go
+++ b/internal/leafhttp/leafhttp_test.go
@@ -50,7 +50,21 @@
 }
 
 func (b *bench) do(ctx context.Context, request *Request) (*Response, error) {
-	return b.pool.Do(ctx, b.target(), request, time.Now().Add(5*time.Second))
+	return b.ask(ctx, b.target(), request, time.Now().Add(5*time.Second))
+}
+
+// ask runs an attempt to its end; the end of the context cancels it.
+func (b *bench) ask(ctx context.Context, target Target, request *Request, deadline time.Time) (*Response, error) {
+	type result struct {
+		response *Response
+		err      error
+	}
+	ended := make(chan result, 1)
+	cancel := b.pool.Start(target, request, deadline, func(response *Response, err error) { ended <- result{response, err} })
+	stop := context.AfterFunc(ctx, func() { cancel(context.Cause(ctx)) })
+	defer stop()
+	got := <-ended
+	return got.response, got.err
 }
 
 func ok(body string) func(httpleaf.Request) httpleaf.Answer {
@@ -119,7 +133,7 @@
 	b := newBench(t, DefaultConfig(), ok("hello"))
 	target := b.target()
 	target.Incarnation = "leaf-0"
-	response, err := b.pool.Do(t.Context(), target, b.request(), time.Now().Add(time.Second))
+	response, err := b.ask(t.Context(), target, b.request(), time.Now().Add(time.Second))
 	is.NoErr(err)
 	is.True(response.NotExecuted)
 	is.Equal(response.Status, http.StatusMisdirectedRequest)
@@ -132,7 +146,7 @@
 	_, err := b.do(t.Context(), b.request())
 	var neverSent *NeverSentError
 	is.True(errors.As(err, &neverSent))
-	_, err = b.pool.Do(t.Context(), b.target(), b.request(), time.Now().Add(-time.Second))
+	_, err = b.ask(t.Context(), b.target(), b.request(), time.Now().Add(-time.Second))
 	is.True(errors.As(err, &neverSent))
 }
 
@@ -145,7 +159,7 @@
 	address := b.leaf.Address()
 	b.leaf.Stop()
 	time.Sleep(20 * time.Millisecond)
-	_, err = b.pool.Do(t.Context(), Target{Incarnation: "leaf-1", Address: address}, b.request(), time.Now().Add(time.Second))
+	_, err = b.ask(t.Context(), Target{Incarnation: "leaf-1", Address: address}, b.request(), time.Now().Add(time.Second))
 	var neverSent *NeverSentError
 	is.True(errors.As(err, &neverSent))
 }
@@ -210,7 +224,7 @@
 	for range 40 {
 		request := b.request()
 		running.Go(func() {
-			if _, err := b.pool.Do(t.Context(), target, request, time.Now().Add(5*time.Second)); err != nil {
+			if _, err := b.ask(t.Context(), target, request, time.Now().Add(5*time.Second)); err != nil {
 				t.Error(err)
 			}
 		})
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -1,10 +1,8 @@
 package leafhttp
 
 import (
-	"context"
-	"errors"
+	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/httpdialect"
@@ -37,7 +35,7 @@
 type leafConnections struct {
 	idle      []*connection // most recently used last
 	open      int           // idle, in use and being opened
-	waiting   []chan struct{}
+	waiting   []*Exchange
 	forgotten bool
 	// refusedAt is when the leaf last refused a new connection.
 	refusedAt time.Time
@@ -59,41 +57,6 @@
 	return &Pool{config: config, dialect: dialect, opened: opened, leafs: map[string]*leafConnections{}}
 }
 
-// Do runs one attempt. Its error is a *NeverSentError or a *BrokenAnswerError. When the
-// context ends, the connection is closed at once, unless the cause is ErrSuperseded: then the
-// answer is awaited a little longer, to keep the connection.
-func (p *Pool) Do(ctx context.Context, target Target, request *Request, deadline time.Time) (*Response, error) {
-	held, err := p.acquire(ctx, target)
-	if err != nil {
-		return nil, &NeverSentError{Cause: err}
-	}
-	abandoned := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		p.abandon(ctx, held)
-		close(abandoned)
-	})
-	response, reusable, err := held.exchange(p.dialect, p.config, request, target.Incarnation, deadline)
-	if !stop() {
-		<-abandoned
-		superseded := errors.Is(context.Cause(ctx), ErrSuperseded)
-		reusable = reusable && superseded && held.socket.SetDeadline(time.Time{}) == nil
-	}
-	if err != nil && held.isRefused(err) {
-		p.refused(target.Incarnation)
-	}
-	p.release(target, held, reusable)
-	return response, err
-}
-
-// refused remembers that a leaf takes no more connections for now.
-func (p *Pool) refused(incarnation string) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if leaf, found := p.leafs[incarnation]; found {
-		leaf.refusedAt = time.Now()
-	}
-}
-
 // CanSpare reports whether a leaf may be tried on a spare connection now.
 func (p *Pool) CanSpare(incarnation string) bool {
 	p.mutex.Lock()
@@ -102,138 +65,79 @@
 	return !found || time.Since(leaf.refusedAt) >= p.config.SparePause
 }
 
-// abandon ends an attempt whose answer nobody waits for.
-func (p *Pool) abandon(ctx context.Context, held *connection) {
-	if p.config.LingerTimeout > 0 && errors.Is(context.Cause(ctx), ErrSuperseded) {
-		if held.socket.SetDeadline(time.Now().Add(p.config.LingerTimeout)) == nil {
-			return
-		}
-	}
-	held.close()
-}
-
-// acquire gives a connection to the leaf: a resting one, a new one, or one that another
-// attempt gives back.
-func (p *Pool) acquire(ctx context.Context, target Target) (*connection, error) {
-	for {
-		held, wait, err := p.reserve(target)
-		switch {
-		case err != nil:
-			return nil, err
-		case held != nil:
-			return held, nil
-		case wait == nil:
-			return p.open(ctx, target)
-		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			p.stopWaiting(target.Incarnation, wait)
-			return nil, context.Cause(ctx)
-		}
-	}
-}
-
-// reserve gives a resting connection, or a channel to wait on; neither means that the caller
-// may open one, which is counted already.
-func (p *Pool) reserve(target Target) (*connection, chan struct{}, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if p.closed {
-		return nil, nil, errClosed
-	}
-	leaf, found := p.leafs[target.Incarnation]
+// reserve gives the exchange a resting connection, or counts one in that its caller may open, or
+// lets it wait. The mutex must be held.
+func (p *Pool) reserve(e *Exchange) (held *connection, mayOpen bool) {
+	leaf, found := p.leafs[e.target.Incarnation]
 	if !found {
 		leaf = &leafConnections{}
-		p.leafs[target.Incarnation] = leaf
+		p.leafs[e.target.Incarnation] = leaf
 	}
 	now := time.Now()
 	for len(leaf.idle) > 0 {
 		last := len(leaf.idle) - 1
 		held := leaf.idle[last]
 		leaf.idle = leaf.idle[:last]
-		if !held.rested(now, p.config.IdleReserve) && held.quiet() {
-			return held, nil, nil
+		if !held.rested(now) {
+			held.current, e.conn = e, held
+			return held, false
 		}
+		held.dropped = true
 		held.close()
 		leaf.open--
 	}
-	if leaf.open < leaf.limit(target, p.config.SparePause, now) {
+	if leaf.open < leaf.limit(e.target, p.config.SparePause, now) {
 		leaf.open++
-		return nil, nil, nil
+		return nil, true
 	}
-	wait := make(chan struct{}, 1)
-	leaf.waiting = append(leaf.waiting, wait)
-	return nil, wait, nil
+	leaf.waiting = append(leaf.waiting, e)
+	return nil, false
 }
 
-func (p *Pool) open(ctx context.Context, target Target) (*connection, error) {
-	held, err := dial(ctx, p.config, target.Address)
-	if err != nil {
-		p.mutex.Lock()
-		defer p.mutex.Unlock()
-		if leaf, found := p.leafs[target.Incarnation]; found {
-			leaf.open--
-			leaf.wakeOne()
-			if errors.Is(err, syscall.ECONNRESET) {
-				leaf.refusedAt = time.Now()
-			}
-		}
-		return nil, err
+// next gives the exchange that waits the longest; nil when none does. The mutex must be held.
+func (l *leafConnections) next() *Exchange {
+	if len(l.waiting) == 0 {
+		return nil
 	}
-	p.opened()
-	return held, nil
+	first := l.waiting[0]
+	l.waiting = l.waiting[1:]
+	return first
 }
 
-// release gives a connection back, or counts it out. A spare one rests only while the node's
-// own part is not used up by others.
-func (p *Pool) release(target Target, held *connection, reusable bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	incarnation := target.Incarnation
-	leaf, found := p.leafs[incarnation]
-	if !found || p.closed || leaf.forgotten {
-		reusable = false
+// stopWaiting takes an exchange out that waits for a connection or opens one. The mutex must be
+// held.
+func (p *Pool) stopWaiting(e *Exchange) {
+	if e.stopDial != nil {
+		e.stopDial()
 	}
-	if found {
-		leaf.wakeOne()
+	if leaf, found := p.leafs[e.target.Incarnation]; found {
+		leaf.waiting = slices.DeleteFunc(leaf.waiting, func(waiting *Exchange) bool { return waiting == e })
 	}
-	if !reusable {
-		held.close()
-		if found {
-			leaf.open--
-			p.dropEmpty(incarnation, leaf)
-		}
-		return
-	}
-	held.idleSince = time.Now()
-	held.isSpare = leaf.open > target.Connections
-	leaf.idle = append(leaf.idle, held)
 }
 
-func (l *leafConnections) wakeOne() {
-	if len(l.waiting) == 0 {
-		return
-	}
-	l.waiting[0] <- struct{}{}
-	l.waiting = l.waiting[1:]
-}
-
-// stopWaiting takes a waiter out; one that was woken meanwhile wakes the next instead.
-func (p *Pool) stopWaiting(incarnation string, wait chan struct{}) {
+// countOut counts a connection out that never came up, and lets another exchange open one.
+func (p *Pool) countOut(incarnation string, err error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	leaf, found := p.leafs[incarnation]
 	if !found {
 		return
 	}
-	for index, waiting := range leaf.waiting {
-		if waiting == wait {
-			leaf.waiting = append(leaf.waiting[:index], leaf.waiting[index+1:]...)
-			return
-		}
+	if isRefusal(err) {
+		leaf.refusedAt = time.Now()
+	}
+	p.lost(incarnation, leaf)
+}
+
+// lost counts a connection out. Whoever waits may open another. The mutex must be held.
+func (p *Pool) lost(incarnation string, leaf *leafConnections) {
+	leaf.open--
+	if len(leaf.waiting) > 0 && leaf.open < leaf.limit(leaf.waiting[0].target, p.config.SparePause, time.Now()) {
+		leaf.open++
+		go leaf.next().open()
+		return
 	}
-	leaf.wakeOne()
+	p.dropEmpty(incarnation, leaf)
 }
 
 func (p *Pool) dropEmpty(incarnation string, leaf *leafConnections) {
@@ -252,13 +156,15 @@
 		leaf.forgotten = !known(incarnation)
 		kept := leaf.idle[:0]
 		for _, held := range leaf.idle {
-			if leaf.forgotten || held.rested(now, p.config.IdleReserve) || !held.quiet() {
+			if leaf.forgotten || held.rested(now) {
+				held.dropped = true
 				held.close()
 				leaf.open--
 				continue
 			}
 			kept = append(kept, held)
 		}
+		clear(leaf.idle[len(kept):])
 		leaf.idle = kept
 		p.dropEmpty(incarnation, leaf)
 	}
@@ -282,6 +188,7 @@
 	p.closed = true
 	for _, leaf := range p.leafs {
 		for _, held := range leaf.idle {
+			held.dropped = true
 			held.close()
 		}
 		leaf.open -= len(leaf.idle)
--- a/internal/leafhttp/request.go
+++ b/internal/leafhttp/request.go
@@ -23,6 +23,8 @@
 	Body   []byte
 	// HasBody is set when the caller sent a body, be it an empty one.
 	HasBody bool
+	// AtMostOnce says that the request must not run twice.
+	AtMostOnce bool
 }
 
 // Response is a whole answer of the leaf that was asked.
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -133,9 +133,23 @@
 	Queued bool
 }
 
+// Start begins one attempt without blocking. It calls done once, at the attempt's end; the
+// function that it gives ends an attempt whose reply nobody waits for any more. The context is
+// that of the whole work.
+type Start[Reply any] func(ctx context.Context, attempt Attempt, done func(Result[Reply])) context.CancelCauseFunc
+
 // Run runs one attempt until it ends or the context does.
 type Run[Reply any] func(ctx context.Context, attempt Attempt) Result[Reply]
 
+// InBackground starts attempts that block, each in a goroutine of its own.
+func InBackground[Reply any](run Run[Reply]) Start[Reply] {
+	return func(ctx context.Context, attempt Attempt, done func(Result[Reply])) context.CancelCauseFunc {
+		ctx, cancel := context.WithCancelCause(ctx)
+		go func() { done(run(ctx, attempt)) }()
+		return cancel
+	}
+}
+
 // Observer is told of attempts as they begin and end.
 type Observer[Reply any] interface {
 	Began(attempt Attempt)
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -9,17 +9,16 @@
 )
 
 // Scatter is the work of one request under way. One goroutine, the caller of Run, owns all of
-// its state; each attempt runs in a goroutine of its own that only sends its result.
+// its state; attempts run elsewhere and only send their results.
 type Scatter[Reply any] struct {
 	plan     Plan
 	balancer *balancer.Balancer
-	runOne   Run[Reply]
+	start    Start[Reply]
 	observer Observer[Reply]
 	// superseded is the cause that ends attempts which nobody waits for any more.
 	superseded error
 
 	ctx     context.Context
-	cancel  context.CancelCauseFunc
 	results chan *finished[Reply]
 	shards  []shardState[Reply]
 	open    int // shards without an outcome
@@ -58,7 +57,7 @@
 // Parts are what a scatter is built from besides its plan.
 type Parts[Reply any] struct {
 	Balancer *balancer.Balancer
-	Run      Run[Reply]
+	Start    Start[Reply]
 	Observer Observer[Reply]
 	// Superseded is the cause of the contexts of attempts that lost to another.
 	Superseded error
@@ -67,7 +66,7 @@
 // New prepares the work of one request.
 func New[Reply any](plan Plan, parts Parts[Reply]) *Scatter[Reply] {
 	return &Scatter[Reply]{
-		plan: plan, balancer: parts.Balancer, runOne: parts.Run, observer: parts.Observer, superseded: parts.Superseded,
+		plan: plan, balancer: parts.Balancer, start: parts.Start, observer: parts.Observer, superseded: parts.Superseded,
 		results: make(chan *finished[Reply], len(plan.Shards)*(plan.MaximumAttempts+plan.MaximumRefusals+1)),
 		shards:  make([]shardState[Reply], len(plan.Shards)),
 		open:    len(plan.Shards),
@@ -79,8 +78,8 @@
 func (s *Scatter[Reply]) Run(ctx context.Context) ([]Outcome[Reply], Summary) {
 	deadlined, stopTimer := context.WithDeadline(ctx, s.plan.Deadline)
 	defer stopTimer()
-	s.ctx, s.cancel = context.WithCancelCause(deadlined)
-	defer func() { s.cancel(s.superseded) }()
+	s.ctx = deadlined
+	defer s.cancelOutstanding()
 	for index := range s.shards {
 		s.launch(index, First, always)
 	}
@@ -90,6 +89,7 @@
 		select {
 		case ended := <-s.results:
 			s.handle(ended)
+			s.handleWaiting()
 		case <-timer.C:
 			s.sendDue()
 		case <-s.ctx.Done():
@@ -103,6 +103,31 @@
 	return s.outcomes(), s.summary
 }
 
+// handleWaiting takes the results that are there, so that the timer is set once for all of them.
+func (s *Scatter[Reply]) handleWaiting() {
+	for s.open > 0 && !s.enough() && !s.hopeless() {
+		select {
+		case ended := <-s.results:
+			s.handle(ended)
+		default:
+			return
+		}
+	}
+}
+
+// cancelOutstanding ends the attempts whose replies nobody waits for any more.
+func (s *Scatter[Reply]) cancelOutstanding() {
+	cause := s.superseded
+	if s.ctx.Err() != nil {
+		cause = context.Cause(s.ctx)
+	}
+	for index := range s.shards {
+		for _, cancel := range s.shards[index].cancelAll {
+			cancel(cause)
+		}
+	}
+}
+
 // enough reports whether the replies that are in may go out without the others.
 func (s *Scatter[Reply]) enough() bool {
 	if s.plan.SoftDeadline.IsZero() || s.summary.Replies < max(1, s.plan.Sufficient) {
@@ -146,15 +171,13 @@
 	s.scheduleHedge(index, now)
 	s.observer.Began(attempt)
 	typical := s.plan.Shards[index].Policy.Typical()
-	ctx, cancel := context.WithCancelCause(s.ctx)
-	shard.cancelAll = append(shard.cancelAll, cancel)
-	go func() {
-		result := s.runOne(ctx, attempt)
+	cancel := s.start(s.ctx, attempt, func(result Result[Reply]) {
 		took := time.Since(attempt.Started)
 		s.balancer.Finish(attempt.Leaf, result.Outcome, took, typical)
 		s.observer.Ended(attempt, result, took)
 		s.results <- &finished[Reply]{attempt, result}
-	}()
+	})
+	shard.cancelAll = append(shard.cancelAll, cancel)
 	return true
 }
 
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -94,7 +94,7 @@
 func play(ctx context.Context, plan Plan, script script) ([]Outcome[string], Summary, *watcher) {
 	watched := &watcher{script: script}
 	work := New(plan, Parts[string]{
-		Balancer: balancer.New(balancer.DefaultConfig(), ""), Run: watched.run, Observer: watched, Superseded: errSuperseded,
+		Balancer: balancer.New(balancer.DefaultConfig(), ""), Start: InBackground(watched.run), Observer: watched, Superseded: errSuperseded,
 	})
 	outcomes, summary := work.Run(ctx)
 	return outcomes, summary, watched
--- a/internal/search/scatter.go
+++ b/internal/search/scatter.go
@@ -48,7 +48,7 @@
 		plan.Shards[index] = scatter.Shard{Candidates: s.candidatesFor(part), Policy: s.policy}
 	}
 	work := scatter.New(plan, scatter.Parts[shardReply]{
-		Balancer: s.engine.balancer, Run: s.runAttempt, Observer: s, Superseded: errSuperseded,
+		Balancer: s.engine.balancer, Start: scatter.InBackground(s.runAttempt), Observer: s, Superseded: errSuperseded,
 	})
 	outcomes, summary := work.Run(ctx)
 	s.summary = summary
