--- a/internal/connshare/connshare.go
+++ b/internal/connshare/connshare.go
@@ -92,28 +92,35 @@
 	}
 	ids := d.fleet.IDs()
 	each := d.each(len(ids), limit)
+	spare := d.config.Spare
+	if d.isNew() {
+		spare = 0 // what looks unused may be counted for a dead process
+	}
 	if each >= 1 {
 		for index := range dealt {
 			dealt[index].Connections = min(int(each), d.config.Unlimited)
-			dealt[index].Spare = d.config.Spare
+			dealt[index].Spare = spare
 		}
 		return dealt
 	}
 	count := max(1, int(each*float64(len(leafs))))
 	first := d.first(service, ids, count, len(leafs))
 	for index := range dealt {
-		dealt[index].Connections, dealt[index].Spare = 0, d.config.Spare
+		dealt[index].Connections, dealt[index].Spare = 0, spare
 	}
 	for offset := range min(count, len(leafs)) {
 		dealt[(first+offset)%len(leafs)].Connections = 1
 	}
-	return dealt
+	return slices.DeleteFunc(dealt, func(part Dealt) bool { return part.Connections+part.Spare == 0 })
 }
 
+// isNew reports whether the node started a short while ago.
+func (d *Dealer) isNew() bool { return d.now().Sub(d.started) < d.config.StartSpan }
+
 // each gives a node's part of a leaf's limit, which may be less than one connection.
 func (d *Dealer) each(nodes, limit int) float64 {
 	nodes = max(1, nodes)
-	if d.now().Sub(d.started) < d.config.StartSpan {
+	if d.isNew() {
 		return d.config.ShareAfterStart * float64(limit) / float64(nodes)
 	}
 	each := d.config.Share * float64(limit) / float64(nodes)
--- a/internal/connshare/connshare_test.go
+++ b/internal/connshare/connshare_test.go
@@ -85,12 +85,16 @@
 	for index := range 64 {
 		fleet = append(fleet, fmt.Sprintf("node-%03d", index))
 	}
-	own := 0
-	for _, dealt := range New(DefaultConfig(), fleet, fleet[7]).Deal("s", leafs(3), 54) {
+	dealer := New(DefaultConfig(), fleet, fleet[7])
+	is.Equal(dealer.Deal("s", leafs(3), 54), []Dealt{{Leaf: leafs(3)[0], Connections: 1}}) // a new node keeps to its part
+	dealer.now = func() time.Time { return dealer.started.Add(DefaultConfig().StartSpan) }
+	own, tried := 0, 0
+	for _, dealt := range dealer.Deal("s", leafs(3), 54) {
 		own += dealt.Connections
-		is.Equal(dealt.Spare, DefaultConfig().Spare)
+		tried += dealt.Connections + dealt.Spare
 	}
-	is.Equal(own, 1) // in the first moments of the node
+	is.Equal(own, 2)
+	is.Equal(tried, 5)
 }
 
 func TestConfigNamesEveryFault(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,12 +14,14 @@
 
 // The reasons of this package for a shard without a reply.
 const (
-	reasonGone       scatter.Reason = "LEAF_GONE"
-	reasonNotSent    scatter.Reason = "NOT_SENT"
-	reasonBroken     scatter.Reason = "BROKEN_ANSWER"
-	reasonLeafError  scatter.Reason = "LEAF_ERROR"
-	reasonUnsigned   scatter.Reason = "UNSIGNED_ANSWER"
-	reasonLeafRefuse scatter.Reason = "REFUSED_BY_LEAF"
+	reasonGone    scatter.Reason = "LEAF_GONE"
+	reasonNotSent scatter.Reason = "NOT_SENT"
+	reasonBroken  scatter.Reason = "BROKEN_ANSWER"
+	// reasonRefusedConnection means that the leaf takes no more connections.
+	reasonRefusedConnection scatter.Reason = "REFUSED_CONNECTION"
+	reasonLeafError         scatter.Reason = "LEAF_ERROR"
+	reasonUnsigned          scatter.Reason = "UNSIGNED_ANSWER"
+	reasonLeafRefuse        scatter.Reason = "REFUSED_BY_LEAF"
 )
 
 // startAttempt asks one leaf.
@@ -98,6 +100,10 @@
 	if errors.As(err, &neverSent) {
 		return scatter.Result[leafhttp.Response]{Reason: reasonNotSent, Execution: scatter.NotRun, Outcome: outcome}
 	}
+	var refused *leafhttp.RefusedConnectionError
+	if errors.As(err, &refused) {
+		return scatter.Result[leafhttp.Response]{Reason: reasonRefusedConnection, Execution: scatter.Unknown, Outcome: outcome, Refused: true}
+	}
 	return scatter.Result[leafhttp.Response]{Reason: reasonBroken, Execution: scatter.Unknown, Outcome: outcome}
 }
 
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -275,6 +275,7 @@
 		leaf.idle = slices.DeleteFunc(leaf.idle, func(held *connection) bool { return held == c })
 		if !c.answered && isRefusal(cause) {
 			leaf.refusedAt = time.Now()
+			cause = &RefusedConnectionError{Cause: cause}
 		}
 		p.lost(c.incarnation, leaf)
 	}
--- a/internal/leafhttp/errors.go
+++ b/internal/leafhttp/errors.go
@@ -28,6 +28,18 @@
 // Unwrap gives the cause.
 func (e *BrokenAnswerError) Unwrap() error { return e.Cause }
 
+// RefusedConnectionError means that the leaf reset a new connection before it answered anything
+// on it, as it does when it has too many. Whether it ran the request is not known for sure.
+type RefusedConnectionError struct {
+	Cause error
+}
+
+// Error gives the cause.
+func (e *RefusedConnectionError) Error() string { return "new connection refused: " + e.Cause.Error() }
+
+// Unwrap gives the cause.
+func (e *RefusedConnectionError) Unwrap() error { return e.Cause }
+
 // ForeignAnswerError means that an answer carries the id of another request.
 type ForeignAnswerError struct {
 	RequestID string
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -129,6 +129,9 @@
 	Outcome   balancer.Outcome
 	// Final says that another attempt could not help, although there is no reply.
 	Final bool
+	// Refused says that the leaf most likely did not take the attempt, without proof: it does
+	// not count among those that may have run.
+	Refused bool
 	// Queued says that the leaf had more attempts than slots, by its own word.
 	Queued bool
 }
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -243,7 +243,7 @@
 		return
 	}
 	shard.reason = result.Reason
-	if result.Execution == NotRun {
+	if result.Execution == NotRun || result.Refused {
 		shard.refusals++
 	}
 	if !s.mayRetry(shard, result) {
