--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -92,11 +92,14 @@
 	ReplicasFull NoChoice = "REPLICAS_FULL"
 )
 
+// usualReplicas is how many replicas of a shard are compared without allocating memory.
+const usualReplicas = 4
+
 // Choose gives a replica that was not tried yet. Leaving and draining ones are never given.
 func (b *Balancer) Choose(candidates []Candidate, tried []string) Choice {
 	now := b.now()
-	usable := make([]scored, 0, len(candidates))
-	var ejected []scored
+	var usableBuffer, ejectedBuffer [usualReplicas]scored
+	usable, ejected := usableBuffer[:0], ejectedBuffer[:0]
 	full := false
 	for _, candidate := range candidates {
 		if slices.Contains(tried, candidate.LeafID) || candidate.Leaving || b.isLeaving(candidate.LeafID, now) {
@@ -162,9 +165,9 @@
 	for _, candidate := range usable {
 		warmest = max(warmest, candidate.state.warmth)
 	}
-	kept := make([]scored, 0, len(usable))
+	kept := usable[:0]
 	for _, candidate := range usable {
-		if rand.Float64()*warmest < candidate.state.warmth {
+		if candidate.state.warmth >= warmest || rand.Float64()*warmest < candidate.state.warmth {
 			kept = append(kept, candidate)
 		}
 	}
@@ -282,15 +285,8 @@
 		if candidate.Leaving || b.isLeaving(candidate.LeafID, now) {
 			continue
 		}
-		state := b.leaf(candidate.LeafID, candidate.Zone, now).standing(b.config, now)
-		if state.draining || state.ejected || state.stalled {
-			continue
-		}
-		queueing := state.queueing
-		if !state.reported {
-			queueing = 1 // nothing is known of others' work there
-		}
-		if least == 0 || queueing < least {
+		queueing, usable := b.leaf(candidate.LeafID, candidate.Zone, now).queue(b.config, now)
+		if usable && (least == 0 || queueing < least) {
 			least = queueing
 		}
 	}
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -258,7 +258,6 @@
 	queueing float64 // times the usual that one more attempt takes because others wait
 	slowness float64 // times the usual that the leaf takes for the same kind of work
 	compared bool    // slowness is known
-	reported bool    // the leaf told its load a short while ago
 	warmth   float64 // share of its full part that a new or returned leaf should get
 }
 
@@ -288,12 +287,26 @@
 	}
 	result.load = busy + 1
 	result.queueing = l.queueing(config, now)
-	result.reported = l.reported.Slots > 0 && now.Sub(l.reportedAt) < config.LoadAge
 	result.slowness, result.compared = l.slowness.now(now)
 	result.warmth = l.warmth(config, now)
 	return result
 }
 
+// queue gives how many times its usual time one more attempt takes because others wait there, by
+// the leaf's word of a short while ago; false when the leaf can't be asked.
+func (l *Leaf) queue(config Config, now time.Time) (times float64, usable bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	isEjected := !l.ejectedUntil.IsZero() && (l.trial || now.Before(l.ejectedUntil))
+	if now.Before(l.drainingUntil) || isEjected || l.stalled(now) {
+		return 0, false
+	}
+	if l.reported.Slots == 0 || now.Sub(l.reportedAt) >= config.LoadAge {
+		return 1, true // nothing is known of others' work there
+	}
+	return l.queueing(config, now), true
+}
+
 // warmth grows from leastWarmth to 1 over the warm-up.
 func (l *Leaf) warmth(config Config, now time.Time) float64 {
 	age := now.Sub(l.warmSince)
--- a/internal/balancer/slowness.go
+++ b/internal/balancer/slowness.go
@@ -40,6 +40,8 @@
 	samples []sample
 	next    int
 	at      time.Time
+	// middle is the median, kept since it is read far more often than samples come.
+	middle float64
 }
 
 func (s *slowness) add(value float64, now time.Time) {
@@ -47,10 +49,11 @@
 	s.at = now
 	if len(s.samples) < slownessSamples {
 		s.samples = append(s.samples, added)
-		return
+	} else {
+		s.samples[s.next] = added
+		s.next = (s.next + 1) % slownessSamples
 	}
-	s.samples[s.next] = added
-	s.next = (s.next + 1) % slownessSamples
+	s.middle = s.median()
 }
 
 // median gives the lower median of the recent samples if there are several, else of all.
@@ -76,7 +79,7 @@
 		return 1, false
 	}
 	faded := math.Exp2(-float64(now.Sub(s.at)) / float64(slownessHalfLife))
-	return 1 + (s.median()-1)*faded, true
+	return 1 + (s.middle-1)*faded, true
 }
 
 // compare takes the latency of an attempt as a sample of the leaf's slowness. Typical is what
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,7 +27,7 @@
 // startAttempt asks one leaf.
 func (w *gathering) startAttempt(_ context.Context, attempt scatter.Attempt, done func(scatter.Result[leafhttp.Response])) context.CancelCauseFunc {
 	var isAbandoned atomic.Bool
-	cancel := w.gateway.leafs.Start(w.targets[attempt.Leaf.ID], &w.query.Leaf, w.query.deadline, func(response *leafhttp.Response, err error) {
+	cancel := w.gateway.leafs.Start(w.target(attempt), &w.query.Leaf, w.query.deadline, func(response *leafhttp.Response, err error) {
 		if err != nil {
 			done(judgeError(isAbandoned.Load(), err))
 			return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,8 +119,8 @@
 	gateway  *Gateway
 	query    *query
 	services []string
-	// targets are the leafs that may be asked, by id.
-	targets map[string]leafhttp.Target
+	// targets are the leafs that may be asked, by shard.
+	targets [][]leafhttp.Target
 	// gatheredLatency is that of all shards of a gathered request; nil until it is looked up.
 	gatheredLatency *kindLatency
 	summary         scatter.Summary
@@ -175,7 +175,7 @@
 	if w.isGathered() {
 		plan.SoftDeadline = w.query.planned
 	}
-	w.targets = make(map[string]leafhttp.Target, 2*len(w.services))
+	w.targets = make([][]leafhttp.Target, len(w.services))
 	policies := make([]shardPolicy, len(w.services))
 	for index, service := range w.services {
 		policies[index] = shardPolicy{
@@ -183,7 +183,7 @@
 			latency: w.latency(service), objective: w.query.planned,
 		}
 		plan.Shards[index] = scatter.Shard{
-			Candidates: w.candidates(service),
+			Candidates: w.candidates(index),
 			Policy:     &policies[index],
 		}
 	}
@@ -209,22 +209,35 @@
 	return latency
 }
 
-// candidates gives the leafs of a service that may be asked.
-func (w *gathering) candidates(service string) []balancer.Candidate {
+// candidates gives the leafs of a shard that may be asked, and keeps how.
+func (w *gathering) candidates(shard int) []balancer.Candidate {
+	service := w.services[shard]
 	leafs, _ := w.gateway.memory.Candidates(service)
 	dealt := w.gateway.dealer.Deal(service, leafs, w.query.service(service).MaximumConnections)
 	candidates := make([]balancer.Candidate, 0, len(dealt))
+	targets := make([]leafhttp.Target, 0, len(dealt))
 	for _, part := range dealt {
 		leaf := part.Leaf
 		if part.Connections == 0 && !w.gateway.leafs.CanSpare(leaf.ID) {
 			continue
 		}
-		w.targets[leaf.ID] = leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare}
+		targets = append(targets, leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare})
 		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0})
 	}
+	w.targets[shard] = targets
 	return candidates
 }
 
+// target gives the leaf of an attempt.
+func (w *gathering) target(attempt scatter.Attempt) leafhttp.Target {
+	for _, target := range w.targets[attempt.Shard] {
+		if target.Incarnation == attempt.Leaf.ID {
+			return target
+		}
+	}
+	return leafhttp.Target{Incarnation: attempt.Leaf.ID}
+}
+
 // execution gives what is known of whether the request ran.
 func (w *gathering) execution() failure.ExecutionState {
 	switch w.summary.Execution() {
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -39,6 +40,8 @@
 	incarnation string
 	socket      *net.TCPConn
 	reader      *bufio.Reader
+	// outgoing holds the head of the request under way; whoever begins the exchange uses it.
+	outgoing bytes.Buffer
 	// namesRequests says that the leaf's answers name the request; only the reading goroutine
 	// uses it.
 	namesRequests bool
@@ -119,12 +122,12 @@
 		c.fail(errStale)
 		return
 	}
-	head := e.request.encode(c.pool.dialect, e.target.Incarnation, remaining)
+	e.request.encode(&c.outgoing, c.pool.dialect, e.target.Incarnation, remaining)
 	isInline := len(e.request.Body) <= inlineBody
 	if isInline {
-		head = append(head, e.request.Body...)
+		c.outgoing.Write(e.request.Body)
 	}
-	written, err := c.socket.Write(head)
+	written, err := c.socket.Write(c.outgoing.Bytes())
 	switch {
 	case err != nil && written == 0:
 		e.end(nil, &NeverSentError{Cause: err})
@@ -363,24 +366,21 @@
 const loadFields = 3
 
 func parseLoad(text string) *Load {
-	fields := strings.Split(text, ",")
-	if len(fields) != loadFields {
-		return nil
-	}
 	var figures [loadFields]int
-	for index, field := range fields {
+	for index := range figures {
+		field, rest, more := strings.Cut(text, ",")
 		figure, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || figure < 0 {
+		if err != nil || figure < 0 || more != (index < loadFields-1) {
 			return nil
 		}
-		figures[index] = figure
+		figures[index], text = figure, rest
 	}
 	return &Load{Running: figures[0], Waiting: figures[1], Slots: figures[2]}
 }
 
 // idleLimit reads how long the leaf lets a connection rest from its Keep-Alive header.
 func idleLimit(header http.Header, otherwise time.Duration) time.Duration {
-	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if !strings.EqualFold(name, "timeout") {
 			continue
--- a/internal/leafhttp/request.go
+++ b/internal/leafhttp/request.go
@@ -75,10 +75,9 @@
 	return passed
 }
 
-// encode writes the request line and headers for one attempt.
-func (r *Request) encode(dialect httpdialect.Dialect, incarnation string, remaining time.Duration) []byte {
-	var buffer bytes.Buffer
-	buffer.Grow(512)
+// encode writes the request line and headers for one attempt, over what the buffer holds.
+func (r *Request) encode(buffer *bytes.Buffer, dialect httpdialect.Dialect, incarnation string, remaining time.Duration) {
+	buffer.Reset()
 	buffer.WriteString(r.Method)
 	buffer.WriteByte(' ')
 	buffer.WriteString(r.Target)
@@ -87,17 +86,16 @@
 	buffer.WriteString("\r\n")
 	for name, values := range r.Header {
 		for _, value := range values {
-			writeHeader(&buffer, name, value)
+			writeHeader(buffer, name, value)
 		}
 	}
-	writeHeader(&buffer, dialect.RequestID, r.ID)
-	writeHeader(&buffer, dialect.DeadlineMillis, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
-	writeHeader(&buffer, dialect.ExpectedIncarnation, incarnation)
+	writeHeader(buffer, dialect.RequestID, r.ID)
+	writeHeader(buffer, dialect.DeadlineMillis, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	writeHeader(buffer, dialect.ExpectedIncarnation, incarnation)
 	if r.HasBody {
-		writeHeader(&buffer, "Content-Length", strconv.Itoa(len(r.Body)))
+		writeHeader(buffer, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	buffer.WriteString("\r\n")
-	return buffer.Bytes()
 }
 
 func writeHeader(buffer *bytes.Buffer, name, value string) {
--- a/internal/leafmemory/memory.go
+++ b/internal/leafmemory/memory.go
@@ -75,7 +75,7 @@
 func (m *Memory) Candidates(service string) (leafs []*leafset.Leaf, lastResort bool) {
 	view := m.catalog.View()
 	m.notice(view.Leafs)
-	ready := readyOf(view.Leafs.Of(service))
+	ready := view.Leafs.Ready(service)
 	if len(ready) > 0 {
 		return ready, false
 	}
@@ -88,16 +88,6 @@
 	return nil, true
 }
 
-func readyOf(leafs []*leafset.Leaf) []*leafset.Leaf {
-	ready := make([]*leafset.Leaf, 0, len(leafs))
-	for _, leaf := range leafs {
-		if leaf.State == leafset.Ready {
-			ready = append(ready, leaf)
-		}
-	}
-	return ready
-}
-
 // notice finds which leafs were lost since the last look.
 func (m *Memory) notice(current *leafset.Set) {
 	m.mutex.Lock()
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -79,15 +80,27 @@
 // Set is the leafs of all services at one revision; immutable.
 type Set struct {
 	byService map[string][]*Leaf // each sorted by id
+	ready     map[string][]*Leaf // of byService, those that take work; services with all of them left out
 	byID      map[string]*Leaf
 }
 
 // Empty gives a set without leafs.
-func Empty() *Set { return &Set{byService: map[string][]*Leaf{}, byID: map[string]*Leaf{}} }
+func Empty() *Set {
+	return &Set{byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}}
+}
 
 // Of gives the leafs of a service. The slice is shared: callers must not change it.
 func (s *Set) Of(service string) []*Leaf { return s.byService[service] }
 
+// Ready gives the leafs of a service that take work. The slice is shared: callers must not change
+// it.
+func (s *Set) Ready(service string) []*Leaf {
+	if some, found := s.ready[service]; found {
+		return some
+	}
+	return s.byService[service]
+}
+
 // ByID gives a leaf; false when discovery knows none of that id.
 func (s *Set) ByID(id string) (*Leaf, bool) {
 	leaf, found := s.byID[id]
@@ -114,13 +127,7 @@
 
 // Edit starts a copy.
 func (s *Set) Edit() *Editor {
-	copied := &Set{byService: make(map[string][]*Leaf, len(s.byService)), byID: make(map[string]*Leaf, len(s.byID))}
-	for service, leafs := range s.byService {
-		copied.byService[service] = leafs
-	}
-	for id, leaf := range s.byID {
-		copied.byID[id] = leaf
-	}
+	copied := &Set{byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID)}
 	return &Editor{set: copied, owned: map[string]bool{}}
 }
 
@@ -149,7 +156,19 @@
 }
 
 // Done gives the changed set; the editor must not be used after it.
-func (e *Editor) Done() *Set { return e.set }
+func (e *Editor) Done() *Set {
+	for service := range e.owned {
+		leafs := e.set.byService[service]
+		if !slices.ContainsFunc(leafs, isNotReady) {
+			delete(e.set.ready, service)
+			continue
+		}
+		e.set.ready[service] = slices.DeleteFunc(slices.Clone(leafs), isNotReady)
+	}
+	return e.set
+}
+
+func isNotReady(leaf *Leaf) bool { return leaf.State != Ready }
 
 func (e *Editor) own(service string) []*Leaf {
 	if !e.owned[service] {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/failure"
@@ -90,10 +92,20 @@
 type requestJournal struct {
 	log     *decisionlog.Log
 	metrics *telemetry.Metrics
+	// attempts are the counters of attempts by kind.
+	attempts map[scatter.Kind]prometheus.Counter
 	// everyAttempt logs attempts that went as usual, too.
 	everyAttempt bool
 }
 
+func newRequestJournal(log *decisionlog.Log, metrics *telemetry.Metrics, everyAttempt bool) *requestJournal {
+	attempts := map[scatter.Kind]prometheus.Counter{}
+	for _, kind := range []scatter.Kind{scatter.First, scatter.Hedge, scatter.Retry} {
+		attempts[kind] = metrics.FrontAttempts.WithLabelValues(string(kind))
+	}
+	return &requestJournal{log: log, metrics: metrics, attempts: attempts, everyAttempt: everyAttempt}
+}
+
 var _ gateway.Journal = (*requestJournal)(nil)
 
 // Names of events in the decision log.
@@ -168,7 +180,7 @@
 
 // Attempted implements gateway.Journal.
 func (j *requestJournal) Attempted(_ string, kind scatter.Kind) {
-	j.metrics.FrontAttempts.WithLabelValues(string(kind)).Inc()
+	j.attempts[kind].Inc()
 }
 
 // AttemptEnded implements gateway.Journal. Attempts that went as usual are logged only where the
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -138,7 +138,7 @@
 }
 
 func newJournal(config settings.Settings, log *decisionlog.Log, metrics *telemetry.Metrics) gateway.Journal {
-	return &requestJournal{log: log, metrics: metrics, everyAttempt: config.DecisionLog.EveryAttempt}
+	return newRequestJournal(log, metrics, config.DecisionLog.EveryAttempt)
 }
 
 func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, memory *leafmemory.Memory, dealer *connshare.Dealer, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
