Warm connections at a start; let hedges wait a little while most shards are late together

Ruled out: slow leafs unknown to the node (without processor time only 5 of some 60 requests of six nodes came late while leafs were slow, all in the first second).

Changes: one connection for each gathered service is opened once the first routes are there; where most shards are late together, hedges wait for 0.4 of the time waited, then go out all the same (all leafs of a zone may be dark).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,8 @@
 	Start(target leafhttp.Target, request *leafhttp.Request, deadline time.Time, done leafhttp.Done) context.CancelCauseFunc
 	// CanSpare reports whether a leaf that other nodes were dealt may be asked.
 	CanSpare(incarnation string) bool
+	// Warm opens a connection to a leaf that has none.
+	Warm(target leafhttp.Target)
 }
 
 // Parts are what a gateway is built from.
@@ -212,19 +214,24 @@
 // candidates gives the leafs of a shard that may be asked, and keeps how.
 func (w *gathering) candidates(shard int) []balancer.Candidate {
 	service := w.services[shard]
-	leafs, _ := w.gateway.memory.Candidates(service)
-	dealt := w.gateway.dealer.Deal(service, leafs, w.query.service(service).MaximumConnections)
+	return w.gateway.partsOf(service, w.query.service(service).MaximumConnections, &w.targets[shard])
+}
+
+// partsOf gives the leafs of a service that this node may ask, and adds to targets how. The limit
+// is that of the connections of one leaf.
+func (g *Gateway) partsOf(service string, limit int, targets *[]leafhttp.Target) []balancer.Candidate {
+	leafs, _ := g.memory.Candidates(service)
+	dealt := g.dealer.Deal(service, leafs, limit)
 	candidates := make([]balancer.Candidate, 0, len(dealt))
-	targets := make([]leafhttp.Target, 0, len(dealt))
+	*targets = make([]leafhttp.Target, 0, len(dealt))
 	for _, part := range dealt {
 		leaf := part.Leaf
-		if part.Connections == 0 && !w.gateway.leafs.CanSpare(leaf.ID) {
+		if part.Connections == 0 && !g.leafs.CanSpare(leaf.ID) {
 			continue
 		}
-		targets = append(targets, leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare})
+		*targets = append(*targets, leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare})
 		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0})
 	}
-	w.targets[shard] = targets
 	return candidates
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,6 +51,7 @@
 	answer func(leaf string) (time.Duration, *leafhttp.Response, error)
 	mutex  sync.Mutex
 	asked  []string
+	warmed []string
 }
 
 func (s *scriptedLeafs) Start(target leafhttp.Target, _ *leafhttp.Request, _ time.Time, done leafhttp.Done) context.CancelCauseFunc {
@@ -72,6 +73,12 @@
 
 func (s *scriptedLeafs) CanSpare(string) bool { return true }
 
+func (s *scriptedLeafs) Warm(target leafhttp.Target) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.warmed = append(s.warmed, target.Incarnation)
+}
+
 func answered(status int, body string) *leafhttp.Response {
 	return &leafhttp.Response{Status: status, Header: http.Header{dialect.ResponseStamp: {"stamp-" + body}}, Body: []byte(body)}
 }
@@ -351,3 +358,18 @@
 	bad := Config{HedgeReserve: 1, AnswerReserve: -1, ObjectiveReserve: -1, MaximumRefusals: -1}
 	is.Equal(len(failure.Faults(bad.Validate())), 9)
 }
+
+// A node opens a connection for each gathered service before its first request, and none for
+// others.
+func TestGatheredServicesAreWarmed(t *testing.T) {
+	is := is.New(t)
+	leafs := &scriptedLeafs{}
+	g, _ := newGateway(t, leafs)
+	g.Warm()
+	is.Equal(len(leafs.warmed), shardCount)
+	services := map[string]bool{}
+	for _, id := range leafs.warmed {
+		services[id[:2]] = true
+	}
+	is.Equal(len(services), shardCount)
+}
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -1,6 +1,7 @@
 package leafhttp
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -65,14 +66,44 @@
 	return !found || time.Since(leaf.refusedAt) >= p.config.SparePause
 }
 
-// reserve gives the exchange a resting connection, or counts one in that its caller may open, or
-// lets it wait. The mutex must be held.
-func (p *Pool) reserve(e *Exchange) (held *connection, mayOpen bool) {
-	leaf, found := p.leafs[e.target.Incarnation]
+// Warm opens a connection to a leaf that has none, and lets it rest. It does not block.
+func (p *Pool) Warm(target Target) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	leaf := p.leaf(target.Incarnation)
+	if p.closed || leaf.open > 0 {
+		return
+	}
+	leaf.open++
+	go p.warm(target)
+}
+
+// warm opens a connection that is counted in already, and reads it to its end.
+func (p *Pool) warm(target Target) {
+	held, err := dial(context.Background(), p, target)
+	if err != nil {
+		p.countOut(target.Incarnation, err)
+		return
+	}
+	p.opened()
+	held.rest(target)
+	held.read()
+}
+
+// leaf gives what is kept of a leaf. The mutex must be held.
+func (p *Pool) leaf(incarnation string) *leafConnections {
+	leaf, found := p.leafs[incarnation]
 	if !found {
 		leaf = &leafConnections{}
-		p.leafs[e.target.Incarnation] = leaf
+		p.leafs[incarnation] = leaf
 	}
+	return leaf
+}
+
+// reserve gives the exchange a resting connection, or counts one in that its caller may open, or
+// lets it wait. The mutex must be held.
+func (p *Pool) reserve(e *Exchange) (held *connection, mayOpen bool) {
+	leaf := p.leaf(e.target.Incarnation)
 	now := time.Now()
 	for len(leaf.idle) > 0 {
 		last := len(leaf.idle) - 1
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -16,6 +16,7 @@
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/front"
+	"github.com/portgauge/portgauge/internal/gateway"
 	"github.com/portgauge/portgauge/internal/leafgossip"
 	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
@@ -113,6 +114,7 @@
 
 	Config  settings.Settings
 	Engine  *search.Engine
+	Gateway *gateway.Gateway
 	Front   *front.Server
 	Syncer  *configsync.Syncer
 	Members *membership.Membership
@@ -138,6 +140,7 @@
 			}
 			go func() {
 				awaitRoutes(parts.Syncer.Ready())
+				parts.Gateway.Warm()
 				parts.Front.Serve(listener)
 			}()
 			return nil
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -23,6 +23,9 @@
 	shards  []shardState[Reply]
 	open    int // shards without an outcome
 	summary Summary
+	began   time.Time
+	// heldSince is when hedges first had to wait for this node; zero while they never had to.
+	heldSince time.Time
 }
 
 // finished is an attempt with its result.
@@ -79,6 +82,7 @@
 	deadlined, stopTimer := context.WithDeadline(ctx, s.plan.Deadline)
 	defer stopTimer()
 	s.ctx = deadlined
+	s.began = time.Now()
 	defer s.cancelOutstanding()
 	for index := range s.shards {
 		s.launch(index, First, always)
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -250,3 +251,43 @@
 		})
 	})
 }
+
+// Where most shards are late together, their hedges wait a little: it may be this node. They are
+// sent all the same when the shards stay late, as when all leafs of a zone are dark.
+func TestHedgesOfMostShardsWait(t *testing.T) {
+	const shards, hedgeAfter = 20, 40 * time.Millisecond
+	for name, one := range map[string]struct {
+		late   int           // shards whose first leaf is slow
+		delay  time.Duration // of that leaf
+		hedges int
+	}{
+		"a few, for long":     {5, time.Second, 5},
+		"most, for a moment":  {18, hedgeAfter + hedgeAfter/4, 0},
+		"most, for long":      {18, time.Second, 18},
+		"a few, for a moment": {5, hedgeAfter + hedgeAfter/4, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				plan := Plan{Deadline: time.Now().Add(5 * time.Second), MaximumAttempts: 2}
+				for index := range shards {
+					plan.Shards = append(plan.Shards, Shard{
+						Candidates: []balancer.Candidate{{LeafID: fmt.Sprint(index, "a")}, {LeafID: fmt.Sprint(index, "b")}},
+						Policy:     &testPolicy{hedgeAfter: hedgeAfter, budget: 1},
+					})
+				}
+				watched := &watcher{script: func(_ string, attempt Attempt) (time.Duration, Result[string]) {
+					if attempt.Shard < one.late && attempt.Kind == First {
+						return one.delay, replied("slow")
+					}
+					return 5 * time.Millisecond, replied("fast")
+				}}
+				_, summary := New(plan, Parts[string]{
+					Balancer: balancer.New(balancer.DefaultConfig(), ""), Start: InBackground(watched.run), Observer: watched, Superseded: errSuperseded,
+				}).Run(t.Context())
+				is.Equal(summary.Hedges, one.hedges)
+				is.Equal(summary.Replies, shards)
+			})
+		})
+	}
+}
--- a/internal/scatter/schedule.go
+++ b/internal/scatter/schedule.go
@@ -43,6 +43,9 @@
 // sendDue sends the hedges and retries that are due.
 func (s *Scatter[Reply]) sendDue() {
 	now := time.Now()
+	if s.isLateItself(now) {
+		s.postponeHedges(now)
+	}
 	for index := range s.shards {
 		shard := &s.shards[index]
 		if shard.done {
@@ -57,6 +60,37 @@
 	}
 }
 
+// Where more shards than these are late together, it is most likely this node that is late, and
+// hedges would only add to its work: they wait for a part of the time that they waited already.
+const (
+	mostLateShare  = 0.5
+	leastLateCount = 8
+	heldPart       = 0.4
+)
+
+// isLateItself reports whether so many shards are late at once that leafs can hardly be the cause.
+func (s *Scatter[Reply]) isLateItself(now time.Time) bool {
+	if s.open < leastLateCount || float64(s.open) <= mostLateShare*float64(len(s.shards)) {
+		return false
+	}
+	if s.heldSince.IsZero() {
+		s.heldSince = now
+	}
+	return float64(now.Sub(s.heldSince)) <= heldPart*float64(s.heldSince.Sub(s.began))
+}
+
+// postponement is how much longer hedges wait that are due while the node itself is late.
+const postponement = 5 * time.Millisecond
+
+// postponeHedges lets the hedges that are due wait a little.
+func (s *Scatter[Reply]) postponeHedges(now time.Time) {
+	for index := range s.shards {
+		if shard := &s.shards[index]; !shard.done && isDue(shard.hedgeAt, now) {
+			shard.hedgeAt = now.Add(postponement)
+		}
+	}
+}
+
 func isDue(at, now time.Time) bool { return !at.IsZero() && !at.After(now) }
 
 func (s *Scatter[Reply]) sendHedge(index int, now time.Time) {
