--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -39,6 +39,8 @@
 
 	// onObserved is told of what other nodes should know of a leaf.
 	onObserved func(Observation)
+	// onBelief is told of changes of what this node believes of a leaf.
+	onBelief func(Belief)
 
 	mutex   sync.RWMutex
 	leafs   map[string]*Leaf
@@ -320,6 +322,7 @@
 		b.onEjected(leaf.ID, result.ejected)
 	}
 	b.tell(leaf, result.news)
+	b.believe(result.belief)
 	if outcome == Drained {
 		b.tellDraining(leaf)
 	}
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -67,6 +67,8 @@
 	// toldSilence is the silence that another node told of at toldAt; 0 once an answer came.
 	toldSilence time.Duration
 	toldAt      time.Time
+	// isSlow is the condition last told of.
+	isSlow bool
 	// silenceTold is when this node last told others of the leaf's silence.
 	silenceTold time.Time
 }
@@ -102,6 +104,8 @@
 	ejected bool
 	// news is what other nodes should know; nil when they need not.
 	news *Observation
+	// belief is the belief that it changed; nil when it changed none.
+	belief *Belief
 }
 
 // finish counts an attempt out and learns from its outcome.
@@ -135,7 +139,7 @@
 	case Declined:
 	}
 	ejected := !l.ejectedUntil.IsZero()
-	return learned{changed: ejected != wasEjected, ejected: ejected, news: news}
+	return learned{changed: ejected != wasEjected, ejected: ejected, news: news, belief: l.judged(false)}
 }
 
 // heard keeps how long the leaf has been silent: any answer ends the silence, an attempt that
--- a/internal/balancer/observation.go
+++ b/internal/balancer/observation.go
@@ -22,6 +22,53 @@
 	Silence time.Duration
 }
 
+// Condition is how a leaf does, as this node believes.
+type Condition string
+
+// The conditions that are told of.
+const (
+	Slow   Condition = "slow"
+	Well   Condition = "well"
+	Silent Condition = "silent"
+)
+
+// Belief is a change of what this node believes of a leaf.
+type Belief struct {
+	LeafID    string
+	Condition Condition
+	// Slowness is how many times the usual the leaf takes; Silence, for how long it owes an
+	// answer.
+	Slowness float64
+	Silence  time.Duration
+	// Told says that another node's word changed it, not an attempt of this one.
+	Told bool
+}
+
+// OnBelief sets who is told, without the balancer's locks held, of changed beliefs. It must be set
+// before the balancer is used.
+func (b *Balancer) OnBelief(tell func(Belief)) { b.onBelief = tell }
+
+// believe tells of a changed belief; nil is none.
+func (b *Balancer) believe(changed *Belief) {
+	if changed != nil && b.onBelief != nil {
+		b.onBelief(*changed)
+	}
+}
+
+// judged gives the belief that the newest sample changed; nil when it changed none.
+func (l *Leaf) judged(told bool) *Belief {
+	isSlow := l.slowness.middle >= slowNews
+	if isSlow == l.isSlow {
+		return nil
+	}
+	l.isSlow = isSlow
+	changed := &Belief{LeafID: l.ID, Condition: Well, Slowness: l.slowness.middle, Told: told}
+	if isSlow {
+		changed.Condition = Slow
+	}
+	return changed
+}
+
 // silencePause is the least time between two observations of a leaf's silence by one node.
 const silencePause = 100 * time.Millisecond
 
@@ -54,7 +101,7 @@
 	leaf, found := b.keys[seen.Leaf]
 	b.mutex.RUnlock()
 	if found {
-		leaf.hear(seen, b.now())
+		b.believe(leaf.hear(seen, b.now()))
 	}
 }
 
@@ -71,18 +118,28 @@
 }
 
 // hear takes what another node saw. An answer that this node got meanwhile outweighs a silence.
-func (l *Leaf) hear(seen Observation, now time.Time) {
+func (l *Leaf) hear(seen Observation, now time.Time) *Belief {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if seen.Silence > 0 {
-		if now.Sub(l.answeredAt) > seen.Silence {
-			l.toldSilence, l.toldAt = seen.Silence, now
-		}
-		return
+		return l.hearSilence(seen.Silence, now)
 	}
 	l.toldSilence = 0
 	if l.inFlight == 0 {
 		l.silentSince = time.Time{}
 	}
 	l.slowness.add(seen.Slowness, now)
+	return l.judged(true)
+}
+
+func (l *Leaf) hearSilence(silence time.Duration, now time.Time) *Belief {
+	if now.Sub(l.answeredAt) <= silence {
+		return nil
+	}
+	isNews := l.toldSilence == 0
+	l.toldSilence, l.toldAt = silence, now
+	if !isNews {
+		return nil
+	}
+	return &Belief{LeafID: l.ID, Condition: Silent, Silence: silence, Told: true}
 }
--- a/internal/balancer/observation_test.go
+++ b/internal/balancer/observation_test.go
@@ -43,6 +43,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		here := New(DefaultConfig(), "z")
+		var believed []Condition
+		here.OnBelief(func(changed Belief) {
+			is.True(changed.Told)
+			is.Equal(changed.LeafID, "b")
+			believed = append(believed, changed.Condition)
+		})
 		knows(here)
 		time.Sleep(recentSpan + time.Second)
 		for range leastRecent {
@@ -51,6 +57,7 @@
 			seesSlow(there, "b")
 		}
 		is.Equal(shares(here)["b"], 0)
+		is.Equal(believed, []Condition{Slow})
 		time.Sleep(recentSpan + time.Second)
 		there := New(DefaultConfig(), "z")
 		there.OnObserved(here.Hear)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/failure"
@@ -27,6 +28,7 @@
 	eventEntryChanged = "entry_changed"
 	eventLeafEjected  = "leaf_ejected"
 	eventLeafReturned = "leaf_returned"
+	eventLeafJudged   = "leaf_judged"
 )
 
 type entryEvent struct {
@@ -48,6 +50,17 @@
 	Revision int64     `json:"revision"`
 }
 
+// judgedEvent says how a leaf does, and who found it: this node's own attempts or others' word.
+type judgedEvent struct {
+	Time          time.Time          `json:"time"`
+	Event         string             `json:"event"`
+	Leaf          string             `json:"leaf"`
+	Condition     balancer.Condition `json:"condition"`
+	Slowness      float64            `json:"slowness,omitempty"`
+	SilenceMillis int64              `json:"silence_millis,omitempty"`
+	Told          bool               `json:"told"`
+}
+
 // changeBacklog is how many changes of configuration may wait to be logged.
 const changeBacklog = 128
 
@@ -88,6 +101,14 @@
 	j.log.Write(decisionlog.Ordinary, event)
 }
 
+// leafJudged logs that a leaf is held for slow, silent or well again.
+func (j *beliefJournal) leafJudged(belief balancer.Belief) {
+	j.log.Write(decisionlog.Ordinary, judgedEvent{
+		Time: time.Now(), Event: eventLeafJudged, Leaf: belief.LeafID, Condition: belief.Condition,
+		Slowness: belief.Slowness, SilenceMillis: belief.Silence.Milliseconds(), Told: belief.Told,
+	})
+}
+
 // requestJournal tells the decision log and the metrics of requests.
 type requestJournal struct {
 	log     *decisionlog.Log
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -100,6 +100,7 @@
 func newBalancer(config settings.Settings, beliefs *beliefJournal) *balancer.Balancer {
 	choice := balancer.New(config.Balancer, config.Node.Zone)
 	choice.OnEjected(beliefs.leafEjected)
+	choice.OnBelief(beliefs.leafJudged)
 	return choice
 }
 
