Retry attempts that never arrived without a budget; a new node's other leafs as a last resort

A new node knew one leaf of three, its retries had no budget yet, and requests waited for their deadline with 10 to 36 shards refused (REFUSED_CONNECTION, NOT_SENT). Warmed and spare connections had made more of them dead. Ruled out: attempts used up (one a shard in the logs), the processor (the same without it).

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -67,6 +67,8 @@
 	Zone   string
 	// Leaving is the operator's word that the leaf must receive no new work.
 	Leaving bool
+	// LastResort says that the leaf is for attempts that no other can take.
+	LastResort bool
 	// Spare says that this node has no part of the leaf's connections, and would have to open
 	// one for the attempt.
 	Spare bool
@@ -113,7 +115,7 @@
 		case state.draining:
 		case state.full:
 			full = true
-		case state.ejected, state.stalled:
+		case state.ejected, state.stalled, candidate.LastResort:
 			ejected = append(ejected, scored{leaf, state, candidate.Spare})
 		default:
 			usable = append(usable, scored{leaf, state, candidate.Spare})
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -204,3 +204,17 @@
 	is.True(compared)
 	is.Equal(current, 1.0)
 }
+
+// A replica of last resort is asked only when no other can be.
+func TestLastResortIsAskedLast(t *testing.T) {
+	is := is.New(t)
+	b := New(DefaultConfig(), "z")
+	candidates := three()
+	candidates[0].LastResort, candidates[1].LastResort = true, true
+	for range 100 {
+		is.Equal(b.Choose(candidates, nil).Leaf.ID, "c")
+	}
+	choice := b.Choose(candidates, []string{"c"})
+	is.True(choice.Leaf != nil)
+	is.True(choice.Troubled)
+}
--- a/internal/connshare/connshare.go
+++ b/internal/connshare/connshare.go
@@ -78,6 +78,8 @@
 	// Spare is how many more may be tried while the leaf takes them: parts that others leave
 	// unused, and what no part covers.
 	Spare int
+	// LastResort says that the leaf is only for requests that its own leafs refuse.
+	LastResort bool
 }
 
 // Deal gives the leafs of a service with this node's parts. The limit is the leaf's own, 0
@@ -92,26 +94,33 @@
 	}
 	ids := d.fleet.IDs()
 	each := d.each(len(ids), limit)
-	spare := d.config.Spare
-	if d.isNew() {
-		spare = 0 // what looks unused may be counted for a dead process
-	}
 	if each >= 1 {
 		for index := range dealt {
 			dealt[index].Connections = min(int(each), d.config.Unlimited)
-			dealt[index].Spare = spare
+			dealt[index].Spare = d.spare()
 		}
 		return dealt
 	}
 	count := max(1, int(each*float64(len(leafs))))
 	first := d.first(service, ids, count, len(leafs))
 	for index := range dealt {
-		dealt[index].Connections, dealt[index].Spare = 0, spare
+		dealt[index].Connections, dealt[index].Spare = 0, d.config.Spare
+		dealt[index].LastResort = d.isNew()
 	}
 	for offset := range min(count, len(leafs)) {
-		dealt[(first+offset)%len(leafs)].Connections = 1
+		own := &dealt[(first+offset)%len(leafs)]
+		own.Connections, own.Spare, own.LastResort = 1, d.spare(), false
+	}
+	return dealt
+}
+
+// spare gives how many connections to an own leaf may be tried beyond the part: none for a new
+// node, since what looks unused may be counted for a dead process.
+func (d *Dealer) spare() int {
+	if d.isNew() {
+		return 0
 	}
-	return slices.DeleteFunc(dealt, func(part Dealt) bool { return part.Connections+part.Spare == 0 })
+	return d.config.Spare
 }
 
 // isNew reports whether the node started a short while ago.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,11 +98,11 @@
 	}
 	var neverSent *leafhttp.NeverSentError
 	if errors.As(err, &neverSent) {
-		return scatter.Result[leafhttp.Response]{Reason: reasonNotSent, Execution: scatter.NotRun, Outcome: outcome}
+		return scatter.Result[leafhttp.Response]{Reason: reasonNotSent, Execution: scatter.NotRun, Outcome: outcome, NeverArrived: true}
 	}
 	var refused *leafhttp.RefusedConnectionError
 	if errors.As(err, &refused) {
-		return scatter.Result[leafhttp.Response]{Reason: reasonRefusedConnection, Execution: scatter.Unknown, Outcome: outcome, Refused: true}
+		return scatter.Result[leafhttp.Response]{Reason: reasonRefusedConnection, Execution: scatter.Unknown, Outcome: outcome, NeverArrived: true}
 	}
 	return scatter.Result[leafhttp.Response]{Reason: reasonBroken, Execution: scatter.Unknown, Outcome: outcome}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -230,7 +230,7 @@
 			continue
 		}
 		*targets = append(*targets, leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare})
-		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0})
+		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0, LastResort: part.LastResort})
 	}
 	return candidates
 }
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -129,9 +129,10 @@
 	Outcome   balancer.Outcome
 	// Final says that another attempt could not help, although there is no reply.
 	Final bool
-	// Refused says that the leaf most likely did not take the attempt, without proof: it does
-	// not count among those that may have run.
-	Refused bool
+	// NeverArrived says that the attempt most likely did not reach the leaf, without proof
+	// unless the execution says so: it does not count among those that may have run, and the
+	// next one is no repeat for the leafs.
+	NeverArrived bool
 	// Queued says that the leaf had more attempts than slots, by its own word.
 	Queued bool
 }
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -42,19 +42,21 @@
 
 // shardState is the progress of one shard.
 type shardState[Reply any] struct {
-	tried     []string // leafs that were asked
-	inFlight  []outstanding
-	attempts  int
-	refusals  int
-	stage     int
-	hedgeAt   time.Time // zero when no hedge is to come
-	retryAt   time.Time // zero when the shard does not wait for a replica
-	counted   bool      // the policy knows of the first attempt
-	done      bool
-	leaf      *balancer.Leaf
-	reply     *Reply
-	reason    Reason
-	cancelAll []context.CancelCauseFunc
+	tried    []string // leafs that were asked
+	inFlight []outstanding
+	attempts int
+	refusals int
+	stage    int
+	hedgeAt  time.Time // zero when no hedge is to come
+	retryAt  time.Time // zero when the shard does not wait for a replica
+	counted  bool      // the policy knows of the first attempt
+	done     bool
+	// neverArrived says that the last attempt most likely did not reach its leaf.
+	neverArrived bool
+	leaf         *balancer.Leaf
+	reply        *Reply
+	reason       Reason
+	cancelAll    []context.CancelCauseFunc
 }
 
 // Parts are what a scatter is built from besides its plan.
@@ -247,14 +249,24 @@
 		return
 	}
 	shard.reason = result.Reason
-	if result.Execution == NotRun || result.Refused {
+	if result.Execution == NotRun || result.NeverArrived {
 		shard.refusals++
 	}
 	if !s.mayRetry(shard, result) {
 		s.settleUnlessOut(shard)
 		return
 	}
-	s.launch(index, Retry, s.plan.Shards[index].Policy.AllowRetry)
+	shard.neverArrived = result.NeverArrived
+	s.launch(index, Retry, s.allowRetry(index))
+}
+
+// allowRetry gives the budget of a shard's next retry: none is needed where the last attempt never
+// reached a leaf.
+func (s *Scatter[Reply]) allowRetry(index int) func() bool {
+	if s.shards[index].neverArrived {
+		return always
+	}
+	return s.plan.Shards[index].Policy.AllowRetry
 }
 
 func (s *Scatter[Reply]) learn(ended *finished[Reply]) {
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -291,3 +291,31 @@
 		})
 	}
 }
+
+// An attempt that never reached its leaf is followed by another without a budget; one that did is
+// not.
+func TestNoBudgetForAttemptsThatNeverArrived(t *testing.T) {
+	for name, neverArrived := range map[string]bool{"never arrived": true, "arrived": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				plan := Plan{
+					Deadline: time.Now().Add(time.Second), MaximumAttempts: 2, MaximumRefusals: 2, ReplicaWait: 10 * time.Millisecond,
+					Shards: []Shard{{Candidates: []balancer.Candidate{{LeafID: "a"}, {LeafID: "b"}, {LeafID: "c"}}, Policy: &testPolicy{}}},
+				}
+				tries := 0
+				watched := &watcher{script: func(string, Attempt) (time.Duration, Result[string]) {
+					if tries++; tries <= 3 {
+						return time.Millisecond, Result[string]{Reason: LeafFailed, Execution: Unknown, NeverArrived: neverArrived}
+					}
+					return time.Millisecond, replied("answer")
+				}}
+				outcomes, summary := New(plan, Parts[string]{
+					Balancer: balancer.New(balancer.DefaultConfig(), ""), Start: InBackground(watched.run), Observer: watched, Superseded: errSuperseded,
+				}).Run(t.Context())
+				is.Equal(outcomes[0].Reply != nil, neverArrived)
+				is.Equal(summary.Retries, map[bool]int{true: 3, false: 0}[neverArrived])
+			})
+		})
+	}
+}
--- a/internal/scatter/schedule.go
+++ b/internal/scatter/schedule.go
@@ -118,5 +118,5 @@
 		s.launch(index, First, always)
 		return
 	}
-	s.launch(index, Retry, s.plan.Shards[index].Policy.AllowRetry)
+	s.launch(index, Retry, s.allowRetry(index))
 }
