--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -21,6 +21,7 @@
 	Bare       bareCommand       `cmd:"" help:"Serve searches by a fan-out without decisions, the baseline of node-cost."`
 	Load       loadCommand       `cmd:"" help:"Send searches open-loop and print latency, coverage and extra load."`
 	Experiment experimentCommand `cmd:"" help:"Measure the node against a baseline in one run."`
+	Soak       soakCommand       `cmd:"" help:"Bring about random faults around real nodes and judge the promises."`
 	Replay     replayCommand     `cmd:"" help:"Replay traces over real processes and judge their outcomes."`
 }
 
--- a/internal/lab/httpleaf/httpleaf.go
+++ b/internal/lab/httpleaf/httpleaf.go
@@ -54,6 +54,8 @@
 	Header      http.Header
 	Body        []byte
 	Deadline    time.Duration
+	// At is when it was read.
+	At time.Time
 }
 
 // Leaf is one incarnation; safe for concurrent use.
@@ -158,7 +160,7 @@
 	request := Request{
 		ID: read.Header.Get(l.dialect.RequestID), Method: read.Method, Target: read.RequestURI, Host: read.Host,
 		Incarnation: read.Header.Get(l.dialect.ExpectedIncarnation), Header: read.Header, Body: body,
-		Deadline: time.Duration(millis) * time.Millisecond,
+		Deadline: time.Duration(millis) * time.Millisecond, At: time.Now(),
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -111,6 +111,9 @@
 // Wake lets a frozen process run on.
 func (p *Process) Wake() { p.signal(syscall.SIGCONT) }
 
+// Reload tells the process to read its settings again.
+func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
+
 // Stop asks the process to stop and waits for its end; it reports whether the process ended
 // in time and without an error.
 func (p *Process) Stop() error {
--- /dev/null
+++ b/internal/lab/soak/faults.go
@@ -0,0 +1,239 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/lab/kvstore"
+	"github.com/portgauge/portgauge/internal/wait"
+)
+
+// touchSlack is how long after a fault a node is not held to promises with a time bound.
+const touchSlack = 5 * time.Second
+
+// fault is one kind of trouble: it begins, and gives what ends it.
+type fault struct {
+	name  string
+	begin func(i *injector, span time.Duration) (end func())
+}
+
+// injector draws faults from a seed and brings them about from outside the processes.
+type injector struct {
+	world  *world
+	random *rand.Rand
+	tell   func(string)
+}
+
+// faults are all kinds of trouble that the soak knows.
+func faults() []fault {
+	return []fault{
+		{"node frozen", (*injector).freezeNode},
+		{"node killed", (*injector).killNode},
+		{"node stopped and started", (*injector).stopNode},
+		{"node told to reload", (*injector).reloadNode},
+		{"node cut from the store", (*injector).cutStore},
+		{"node's store link one way", (*injector).oneWayStore},
+		{"node cut from its peers", (*injector).cutPeers},
+		{"store refuses", (*injector).refuseStore},
+		{"store loses answers", (*injector).loseAnswers},
+		{"store forgets its history", (*injector).compactStore},
+		{"leaf dark", (*injector).darkLeaf},
+		{"leaf link delayed", (*injector).slowLeaf},
+		{"leaf link one way", (*injector).oneWayLeaf},
+		{"leaf link reset", (*injector).resetLeaf},
+		{"leaf replaced", (*injector).replaceLeaf},
+		{"configuration changed", (*injector).changeConfiguration},
+		{"configurations in a row", (*injector).changeOften},
+	}
+}
+
+// Spans of faults and of the rest between them.
+const (
+	leastSpan = 300 * time.Millisecond
+	spanRange = 3 * time.Second
+	restRange = 2 * time.Second
+)
+
+// run brings about one fault after the other, some of them together, until the context ends.
+func (i *injector) run(ctx context.Context) {
+	kinds := faults()
+	for ctx.Err() == nil {
+		count := 1 + i.random.IntN(2)
+		var ends []func()
+		span := leastSpan + time.Duration(i.random.Int64N(int64(spanRange)))
+		for range count {
+			kind := kinds[i.random.IntN(len(kinds))]
+			i.tell(fmt.Sprintf("%s for %v", kind.name, span.Round(time.Millisecond)))
+			ends = append(ends, kind.begin(i, span))
+		}
+		wait.For(ctx, span)
+		for _, end := range ends {
+			end()
+		}
+		wait.For(ctx, time.Duration(i.random.Int64N(int64(restRange))))
+	}
+}
+
+func (i *injector) node(span time.Duration) *nodeState {
+	node := i.world.nodes[i.random.IntN(len(i.world.nodes))]
+	node.touch(span+touchSlack, false)
+	return node
+}
+
+// everyNode notes a fault that touches all nodes.
+func (i *injector) everyNode(span time.Duration) {
+	for _, node := range i.world.nodes {
+		node.touch(span+touchSlack, false)
+	}
+}
+
+// leaf draws a leaf that is in use.
+func (i *injector) leaf() (string, *leafState) {
+	i.world.mu.Lock()
+	defer i.world.mu.Unlock()
+	for {
+		id := fmt.Sprintf("leaf-%d", 1+i.random.IntN(i.world.nextID))
+		if state := i.world.leafs[id]; state.leavingAt.IsZero() {
+			state.disturbed = time.Now()
+			return id, state
+		}
+	}
+}
+
+func (i *injector) freezeNode(span time.Duration) func() {
+	node := i.node(span)
+	node.process.Freeze()
+	return func() {
+		node.process.Wake()
+		node.touch(touchSlack, false)
+	}
+}
+
+func (i *injector) killNode(span time.Duration) func() {
+	node := i.node(span)
+	node.process.Kill()
+	return func() { i.restart(node) }
+}
+
+func (i *injector) stopNode(span time.Duration) func() {
+	node := i.world.nodes[i.random.IntN(len(i.world.nodes))]
+	node.stop(span + touchSlack)
+	stopped := make(chan struct{})
+	go func() {
+		if err := node.process.Stop(); err != nil {
+			i.tell("FAILED STOP " + err.Error())
+		}
+		close(stopped)
+	}()
+	return func() {
+		<-stopped
+		i.restart(node)
+	}
+}
+
+func (i *injector) restart(node *nodeState) {
+	node.touch(touchSlack, false)
+	if err := i.world.startNode(node); err != nil {
+		i.tell("FAILED START " + err.Error())
+	}
+}
+
+func (i *injector) reloadNode(span time.Duration) func() {
+	i.node(span).process.Reload()
+	return func() {}
+}
+
+func (i *injector) setStoreLink(span time.Duration, condition Condition) func() {
+	node := i.node(span)
+	node.storeLink.Set(condition)
+	return func() {
+		node.storeLink.Set(Sound)
+		node.touch(touchSlack, false)
+	}
+}
+
+func (i *injector) cutStore(span time.Duration) func()    { return i.setStoreLink(span, Silent) }
+func (i *injector) oneWayStore(span time.Duration) func() { return i.setStoreLink(span, OneWay) }
+
+func (i *injector) cutPeers(span time.Duration) func() {
+	node := i.node(span)
+	node.setCut(true)
+	node.peerLink.Recheck()
+	return func() { node.setCut(false) }
+}
+
+func (i *injector) setStore(span time.Duration, wrong kvstore.Faults) func() {
+	i.everyNode(span)
+	i.world.store.SetFaults(wrong)
+	return func() {
+		i.world.store.SetFaults(kvstore.Faults{})
+		i.everyNode(0)
+	}
+}
+
+func (i *injector) refuseStore(span time.Duration) func() {
+	return i.setStore(span, kvstore.Faults{Refuse: 503})
+}
+
+func (i *injector) loseAnswers(span time.Duration) func() {
+	return i.setStore(span, kvstore.Faults{LoseAnswers: true})
+}
+
+func (i *injector) compactStore(span time.Duration) func() {
+	i.everyNode(span)
+	i.world.store.SetFaults(kvstore.Faults{HushWatches: true})
+	return func() {
+		i.world.store.Compact()
+		i.world.store.SetFaults(kvstore.Faults{})
+	}
+}
+
+func (i *injector) setLeafLink(condition Condition) func() {
+	_, state := i.leaf()
+	state.link.Set(condition)
+	return func() { state.link.Set(Sound) }
+}
+
+func (i *injector) darkLeaf(time.Duration) func()   { return i.setLeafLink(Silent) }
+func (i *injector) slowLeaf(time.Duration) func()   { return i.setLeafLink(Delayed) }
+func (i *injector) oneWayLeaf(time.Duration) func() { return i.setLeafLink(OneWay) }
+func (i *injector) resetLeaf(time.Duration) func()  { return i.setLeafLink(Resetting) }
+
+// replaceLeaf starts a successor and lets the leaf drain.
+func (i *injector) replaceLeaf(time.Duration) func() {
+	id, state := i.leaf()
+	if _, err := i.world.addLeaf(state.service); err != nil {
+		i.tell("FAILED LEAF " + err.Error())
+		return func() {}
+	}
+	i.world.register(id, stateDraining)
+	i.world.mu.Lock()
+	state.leavingAt = time.Now()
+	i.world.mu.Unlock()
+	return func() { i.world.store.Remove(leafKey(id)) }
+}
+
+func (i *injector) changeConfiguration(time.Duration) func() {
+	next := singleName
+	if i.world.switched() == singleName {
+		next = anotherName
+	}
+	i.world.configure(next)
+	return func() {}
+}
+
+// Bounds of configurations in quick succession.
+const (
+	stormChanges = 6
+	stormGap     = 60 * time.Millisecond
+)
+
+func (i *injector) changeOften(span time.Duration) func() {
+	for range stormChanges {
+		i.changeConfiguration(span)
+		time.Sleep(stormGap)
+	}
+	return func() {}
+}
--- /dev/null
+++ b/internal/lab/soak/judge.go
@@ -0,0 +1,224 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds that the judge holds nodes to.
+const (
+	configurationBound = 3 * time.Second
+	drainBound         = 3 * time.Second
+	servedShare        = 0.95
+)
+
+// Verdict is one promise with what broke it.
+type Verdict struct {
+	Promise string
+	// Checked is how many cases it was checked on.
+	Checked int
+	// Broken describes the cases that broke it.
+	Broken []string
+}
+
+func (v *Verdict) check(kept bool, format string, arguments ...any) {
+	v.Checked++
+	if !kept {
+		v.Broken = append(v.Broken, fmt.Sprintf(format, arguments...))
+	}
+}
+
+func sortDescending(records [][]byte) {
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+}
+
+// judge checks every promise on what callers and leafs saw. Calm is since when there were no more
+// faults, with time to recover.
+func judge(w *world, seen []outcome, calm time.Time) []Verdict {
+	ran := w.runs()
+	return []Verdict{
+		judgeOnce(seen, ran), judgeRefusals(seen, ran), judgeAsked(seen, ran), judgeSingles(w, seen), judgeGathered(w, seen),
+		judgeConfiguration(w, seen), judgeDraining(w), judgeStops(seen), judgeRecovery(seen, calm),
+	}
+}
+
+func judgeOnce(seen []outcome, ran map[string][]string) Verdict {
+	v := Verdict{Promise: "a request marked not repeatable runs at most once"}
+	for _, o := range seen {
+		if o.kind == Once {
+			v.check(len(ran[o.id]) <= 1, "%s ran at %v", o.id, ran[o.id])
+		}
+	}
+	return v
+}
+
+func judgeRefusals(seen []outcome, ran map[string][]string) Verdict {
+	v := Verdict{Promise: "a refusal that says not run is true"}
+	for _, o := range seen {
+		switch o.status {
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+			if o.kind == Once {
+				v.check(len(ran[o.id]) == 0, "%s got %d and ran at %v", o.id, o.status, ran[o.id])
+			}
+		}
+	}
+	return v
+}
+
+func judgeAsked(seen []outcome, ran map[string][]string) Verdict {
+	v := Verdict{Promise: "leafs run only what callers sent"}
+	known := map[string]bool{}
+	for _, o := range seen {
+		known[o.id] = true
+	}
+	for id := range ran {
+		v.check(known[id], "%s ran and was never sent", id)
+	}
+	return v
+}
+
+func judgeSingles(w *world, seen []outcome) Verdict {
+	v := Verdict{Promise: "an answer of one leaf is whole and the caller's own"}
+	for _, o := range seen {
+		if o.status != http.StatusOK || o.kind == Gathered {
+			continue
+		}
+		leafID, id, _ := strings.Cut(o.header.Get(w.dialect.ResponseStamp), ".")
+		service := w.serviceOf(leafID)
+		v.check(id == o.id && bytes.Equal(o.body, partBody(service, o.id)), "%s got the answer %q of %s (%s)", o.id, o.body, leafID, id)
+	}
+	return v
+}
+
+func judgeGathered(w *world, seen []outcome) Verdict {
+	v := Verdict{Promise: "a gathered answer holds the greatest records of the parts that it names, and says how many are missing"}
+	for _, o := range seen {
+		if o.status == http.StatusOK && o.kind == Gathered {
+			fault := gatheredFault(w, o)
+			v.check(fault == "", "%s: %s", o.id, fault)
+		}
+	}
+	return v
+}
+
+// gatheredFault says what is wrong with a gathered answer; empty when nothing is.
+func gatheredFault(w *world, o outcome) string {
+	services := map[string]bool{}
+	var bodies [][]byte
+	for _, stamp := range o.parts(w.dialect) {
+		leafID, id, _ := strings.Cut(stamp, ".")
+		service := w.serviceOf(leafID)
+		if id != o.id || services[service] || !slices.Contains(w.gathered, service) {
+			return fmt.Sprintf("part %q of service %q", stamp, service)
+		}
+		services[service] = true
+		bodies = append(bodies, partBody(service, o.id))
+	}
+	missing := 0
+	if text := o.header.Get(w.dialect.MissingParts); text != "" {
+		if _, err := fmt.Sscan(text, &missing); err != nil {
+			return "missing parts " + text
+		}
+	}
+	switch {
+	case len(services)+missing != len(w.gathered):
+		return fmt.Sprintf("%d parts and %d missing of %d", len(services), missing, len(w.gathered))
+	case len(services) < int(math.Ceil(minCoverage*float64(len(w.gathered)))):
+		return fmt.Sprintf("only %d parts", len(services))
+	case !bytes.Equal(o.body, greatest(bodies, topRecords)):
+		return "not the greatest records"
+	}
+	return ""
+}
+
+// judgeConfiguration checks that nodes without a fault serve by the newest configuration after its
+// bound, and that no process goes back.
+func judgeConfiguration(w *world, seen []outcome) Verdict {
+	v := Verdict{Promise: "an accepted configuration is in force within its bound and never reverts"}
+	bySent := slices.Clone(seen)
+	slices.SortFunc(bySent, func(a, b outcome) int { return a.sent.Compare(b.sent) })
+	type process struct {
+		node *nodeState
+		life int
+	}
+	reached := map[process]lastVersion{}
+	for _, o := range bySent {
+		if o.kind != Switched || o.status != http.StatusOK {
+			continue
+		}
+		leafID, _, _ := strings.Cut(o.header.Get(w.dialect.ResponseStamp), ".")
+		newest := w.newestWith(w.serviceOf(leafID), o.ended)
+		due := w.dueAt(o.sent.Add(-configurationBound))
+		inTouch := !o.node.isTroubled(o.sent.Add(-configurationBound), o.ended, true)
+		v.check(!inTouch || newest >= due, "%s at %s served by version %d at most, %d was due", o.id, o.node.name, newest, due)
+		at := process{o.node, o.life}
+		before := reached[at]
+		v.check(before.version <= newest || o.sent.Before(before.seen), "%s at %s served by version %d at most after %d was seen", o.id, o.node.name, newest, before.version)
+		if oldest := w.oldestWith(w.serviceOf(leafID), before.version); oldest > before.version {
+			reached[at] = lastVersion{oldest, o.ended}
+		}
+	}
+	return v
+}
+
+// lastVersion is the least version that a process must have had in force, and since when.
+type lastVersion struct {
+	version int
+	seen    time.Time
+}
+
+func judgeDraining(w *world) Verdict {
+	v := Verdict{Promise: "a leaving leaf gets no new work after its bound"}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, state := range w.leafs {
+		if state.leavingAt.IsZero() {
+			continue
+		}
+		late := 0
+		for _, asked := range state.leaf.Asked() {
+			if asked.At.After(state.leavingAt.Add(drainBound)) && w.isCalmAt(asked.At) {
+				late++
+			}
+		}
+		v.check(late == 0, "%s got %d requests more than %v after it said that it leaves", id, late, drainBound)
+	}
+	return v
+}
+
+// stopWindow is how long before a planned stop requests are looked at that were under way.
+const stopWindow = time.Second
+
+func judgeStops(seen []outcome) Verdict {
+	v := Verdict{Promise: "a planned stop cuts no request in flight"}
+	for _, o := range seen {
+		for _, stop := range o.node.stopTimes() {
+			wasUnderWay := o.sent.Before(stop) && o.ended.After(stop) && stop.Sub(o.sent) < stopWindow
+			if wasUnderWay && !o.node.isTroubled(o.sent, o.ended, false) {
+				v.check(o.status != 0, "%s at %s was cut %v after the stop", o.id, o.node.name, o.ended.Sub(stop))
+			}
+		}
+	}
+	return v
+}
+
+func judgeRecovery(seen []outcome, calm time.Time) Verdict {
+	v := Verdict{Promise: "requests are served once the faults are over"}
+	served, asked := 0, 0
+	for _, o := range seen {
+		if o.sent.Before(calm) {
+			continue
+		}
+		asked++
+		if o.status == http.StatusOK {
+			served++
+		}
+	}
+	v.check(asked > 0 && float64(served) >= servedShare*float64(asked), "%d of %d requests served in calm", served, asked)
+	return v
+}
--- /dev/null
+++ b/internal/lab/soak/judge_test.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/lab/httpleaf"
+	"github.com/portgauge/portgauge/internal/lab/kvstore"
+	"github.com/portgauge/portgauge/platform"
+)
+
+// still is a world without processes: two gathered services of a leaf each, and a single one.
+func still(t *testing.T) *world {
+	t.Helper()
+	store := kvstore.New()
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	w := &world{dialect: platform.Dialect(), store: store, leafs: map[string]*leafState{}, gathered: []string{"part0", "part1"}}
+	for _, service := range []string{"part0", "part1", singleName, anotherName} {
+		if _, err := w.addLeaf(service); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Cleanup(func() {
+		for _, state := range w.leafs {
+			state.leaf.Stop()
+			state.link.Close()
+		}
+	})
+	w.nodes = []*nodeState{{name: "node-0"}}
+	return w
+}
+
+func (w *world) answered(id string, kind Kind, stamps string, missing string, body []byte) outcome {
+	header := http.Header{}
+	if kind == Gathered {
+		header.Set(w.dialect.PartStamps, stamps)
+		header.Set(w.dialect.MissingParts, missing)
+	} else {
+		header.Set(w.dialect.ResponseStamp, stamps)
+	}
+	return outcome{id: id, kind: kind, node: w.nodes[0], status: http.StatusOK, header: header, body: body, sent: time.Now(), ended: time.Now()}
+}
+
+// Each promise holds for a good case and is found broken for a bad one.
+func TestJudgeTellsGoodFromBad(t *testing.T) {
+	w := still(t)
+	whole := greatest([][]byte{partBody("part0", "r"), partBody("part1", "r")}, topRecords)
+	half := greatest([][]byte{partBody("part0", "r")}, topRecords)
+	now := time.Now()
+	node := w.nodes[0]
+	once := outcome{id: "r", kind: Once, node: node, status: http.StatusServiceUnavailable}
+	stopped := &nodeState{name: "stopped", stops: []time.Time{now}}
+	cases := map[string]struct {
+		good, bad Verdict
+	}{
+		"once":     {judgeOnce([]outcome{once}, map[string][]string{"r": {"leaf-1"}}), judgeOnce([]outcome{once}, map[string][]string{"r": {"leaf-1", "leaf-2"}})},
+		"refusals": {judgeRefusals([]outcome{once}, nil), judgeRefusals([]outcome{once}, map[string][]string{"r": {"leaf-1"}})},
+		"asked":    {judgeAsked([]outcome{once}, map[string][]string{"r": {"leaf-1"}}), judgeAsked([]outcome{once}, map[string][]string{"x": {"leaf-1"}})},
+		"single": {
+			judgeSingles(w, []outcome{w.answered("r", Single, "leaf-3.r", "", partBody(singleName, "r"))}),
+			judgeSingles(w, []outcome{w.answered("r", Single, "leaf-3.q", "", partBody(singleName, "q"))}),
+		},
+		"gathered": {
+			judgeGathered(w, []outcome{w.answered("r", Gathered, "leaf-1.r, leaf-2.r", "0", whole)}),
+			judgeGathered(w, []outcome{w.answered("r", Gathered, "leaf-1.r, leaf-2.r", "0", half)}),
+		},
+		"missing parts": {
+			judgeGathered(w, []outcome{w.answered("r", Gathered, "leaf-1.r,leaf-2.r", "", whole)}),
+			judgeGathered(w, []outcome{w.answered("r", Gathered, "leaf-1.r", "0", half)}),
+		},
+		"stops": {
+			judgeStops([]outcome{{node: stopped, status: http.StatusOK, sent: now.Add(-time.Millisecond), ended: now.Add(time.Millisecond)}}),
+			judgeStops([]outcome{{node: stopped, sent: now.Add(-time.Millisecond), ended: now.Add(time.Millisecond)}}),
+		},
+		"recovery": {
+			judgeRecovery([]outcome{{status: http.StatusOK, sent: now}}, now),
+			judgeRecovery([]outcome{{status: http.StatusBadGateway, sent: now}}, now),
+		},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(one.good.Checked, 1)
+			is.Equal(len(one.good.Broken), 0)
+			is.Equal(len(one.bad.Broken), 1)
+		})
+	}
+}
+
+// A node that serves by an old configuration after the bound, or goes back, is found; one that has
+// trouble is given time.
+func TestJudgeConfiguration(t *testing.T) {
+	is := is.New(t)
+	w := still(t)
+	began := time.Now()
+	w.changes = []change{{1, singleName, began}, {2, anotherName, began.Add(10 * time.Second)}}
+	served := func(leafID string, after time.Duration) outcome {
+		o := w.answered("r", Switched, leafID+".r", "", nil)
+		o.sent, o.ended = began.Add(after), began.Add(after+time.Millisecond)
+		return o
+	}
+	const old, current = "leaf-3", "leaf-4"
+	is.Equal(len(judgeConfiguration(w, []outcome{served(old, time.Second), served(old, 12*time.Second), served(current, 14*time.Second)}).Broken), 0)
+	is.Equal(len(judgeConfiguration(w, []outcome{served(old, 14*time.Second)}).Broken), 1)                                  // late
+	is.Equal(len(judgeConfiguration(w, []outcome{served(current, 11*time.Second), served(old, 12*time.Second)}).Broken), 1) // back
+	w.nodes[0].troubles = []trouble{{from: began.Add(12 * time.Second), until: began.Add(20 * time.Second)}}
+	is.Equal(len(judgeConfiguration(w, []outcome{served(old, 14*time.Second)}).Broken), 0)
+}
+
+// A leaving leaf that is asked after the bound is found, while no node has trouble.
+func TestJudgeDraining(t *testing.T) {
+	is := is.New(t)
+	w := still(t)
+	state := w.leafs["leaf-3"]
+	ask(t, state.leaf)
+	state.leavingAt = time.Now()
+	is.Equal(len(judgeDraining(w).Broken), 0)
+	state.leavingAt = time.Now().Add(-drainBound - time.Second)
+	is.Equal(len(judgeDraining(w).Broken), 1)
+	w.nodes[0].touch(time.Second, false)
+	ask(t, state.leaf)
+	is.Equal(len(judgeDraining(w).Broken), 1) // the first one still
+}
+
+// ask sends a leaf one request.
+func ask(t *testing.T, leaf *httpleaf.Leaf) {
+	t.Helper()
+	answer, err := http.Get("http://" + leaf.Address() + "/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+}
+
+// A link in trouble does what its condition says, and is sound again after it.
+func TestLinkConditions(t *testing.T) {
+	is := is.New(t)
+	leaf, err := httpleaf.Start("leaf-1", platform.Dialect(), func(httpleaf.Request) httpleaf.Answer {
+		return httpleaf.Answer{Body: []byte("x")}
+	})
+	is.NoErr(err)
+	defer leaf.Stop()
+	link, err := NewLink(leaf.Address())
+	is.NoErr(err)
+	defer link.Close()
+	get := func() error {
+		client := http.Client{Timeout: 2 * linkDelay, Transport: &http.Transport{DisableKeepAlives: true}}
+		answer, err := client.Get("http://" + link.Address() + "/")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = answer.Body.Close() }()
+		var body bytes.Buffer
+		_, err = body.ReadFrom(answer.Body)
+		return err
+	}
+	is.NoErr(get())
+	for _, condition := range []Condition{Silent, OneWay, Resetting} {
+		link.Set(condition)
+		is.True(get() != nil)
+		link.Set(Sound)
+		is.NoErr(get())
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/load.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/httpdialect"
+)
+
+// Kind is what a request asks for.
+type Kind string
+
+// The kinds of request, named after their routes.
+const (
+	Gathered Kind = GatheredPrefix
+	Single   Kind = SinglePrefix
+	Once     Kind = OncePrefix
+	Switched Kind = SwitchedPrefix
+)
+
+// requestDeadline is how long a caller waits.
+const requestDeadline = 1500 * time.Millisecond
+
+// outcome is one request as its caller saw it.
+type outcome struct {
+	id    string
+	kind  Kind
+	node  *nodeState
+	life  int
+	sent  time.Time
+	ended time.Time
+	// status is 0 where no whole answer came.
+	status  int
+	header  http.Header
+	body    []byte
+	refused bool // no connection came up
+}
+
+// load sends requests until the context ends.
+type load struct {
+	world  *world
+	client *http.Client
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+func newLoad(w *world) *load {
+	dialer := net.Dialer{Timeout: time.Second}
+	return &load{world: w, client: &http.Client{
+		Timeout: requestDeadline + time.Second,
+		Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+		},
+	}}
+}
+
+// run sends requests to random nodes at a rate, each in a goroutine of its own.
+func (l *load) run(ctx context.Context, random *rand.Rand, perSecond int) {
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	kinds := []Kind{Gathered, Gathered, Single, Once, Switched}
+	for number := 0; ; number++ {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		kind := kinds[random.IntN(len(kinds))]
+		node := l.world.nodes[random.IntN(len(l.world.nodes))]
+		id := fmt.Sprintf("request-%d", number)
+		running.Go(func() { l.add(l.send(id, kind, node)) })
+	}
+}
+
+func (l *load) add(seen outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes = append(l.outcomes, seen)
+}
+
+// all gives every outcome so far.
+func (l *load) all() []outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]outcome(nil), l.outcomes...)
+}
+
+// send sends one request and takes its answer. At-most-once requests have a body, which keeps the
+// client library from sending them again.
+func (l *load) send(id string, kind Kind, node *nodeState) outcome {
+	seen := outcome{id: id, kind: kind, node: node, life: node.lifeNow(), sent: time.Now()}
+	method, body := http.MethodGet, io.Reader(nil)
+	if kind == Once {
+		method, body = http.MethodPost, io.NopCloser(strings.NewReader("once"))
+	}
+	asked, err := http.NewRequest(method, "http://"+node.front+string(kind)+id, body)
+	if err != nil {
+		panic(err) // the address is the soak's own
+	}
+	dialect := l.world.dialect
+	asked.Host = host
+	asked.Header.Set(dialect.RequestID, id)
+	asked.Header.Set(dialect.DeadlineMillis, strconv.FormatInt(requestDeadline.Milliseconds(), 10))
+	answer, err := l.client.Do(asked)
+	if err != nil {
+		seen.ended = time.Now()
+		seen.refused = strings.Contains(err.Error(), "connection refused")
+		return seen
+	}
+	content, err := io.ReadAll(answer.Body)
+	_ = answer.Body.Close()
+	seen.ended = time.Now()
+	if err == nil {
+		seen.status, seen.header, seen.body = answer.StatusCode, answer.Header, content
+	}
+	return seen
+}
+
+// parts gives the leafs whose parts a gathered answer names.
+func (o outcome) parts(dialect httpdialect.Dialect) []string {
+	var parts []string
+	for _, line := range o.header.Values(dialect.PartStamps) {
+		for stamp := range strings.SplitSeq(line, ",") {
+			if stamp = strings.TrimSpace(stamp); stamp != "" {
+				parts = append(parts, stamp)
+			}
+		}
+	}
+	return parts
+}
+
+// greatest gives the greatest records of some bodies, greatest first.
+func greatest(bodies [][]byte, count int) []byte {
+	var records [][]byte
+	for _, body := range bodies {
+		for ; len(body) >= recordBytes; body = body[recordBytes:] {
+			records = append(records, body[:recordBytes])
+		}
+	}
+	sortDescending(records)
+	return bytes.Join(records[:min(count, len(records))], nil)
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,89 @@
+// Package soak runs real nodes as processes of their own over a stand-in store and leafs, brings
+// about faults from outside of them, drawn from a seed, and judges the promises of the product by
+// what callers and leafs saw.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/wait"
+)
+
+// Config is one soak.
+type Config struct {
+	Seed uint64
+	// Length is how long faults are brought about.
+	Length time.Duration
+	// PerSecond is the requests a second of all callers.
+	PerSecond int
+}
+
+// Times around the faults.
+const (
+	startTime   = 6 * time.Second
+	recoverTime = 12 * time.Second
+	calmTime    = 4 * time.Second
+)
+
+// mostShown bounds the broken cases shown of each promise.
+const mostShown = 5
+
+// Run plays one soak over the program at a path and gives a verdict for each promise. What happens
+// is told to out as it does.
+func Run(ctx context.Context, program string, cfg Config, out io.Writer) ([]Verdict, error) {
+	folder, err := os.MkdirTemp("", "portgauge-soak-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	w, err := newWorld(program, folder)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	began := time.Now()
+	tell := func(text string) {
+		_, _ = fmt.Fprintf(out, "%8.3f %s\n", time.Since(began).Seconds(), text)
+	}
+	wait.For(ctx, startTime)
+
+	callers := newLoad(w)
+	calling, stopCalling := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		callers.run(calling, rand.New(rand.NewPCG(cfg.Seed, 1)), cfg.PerSecond)
+		close(ended)
+	}()
+	faulty, cancel := context.WithTimeout(ctx, cfg.Length)
+	(&injector{world: w, random: rand.New(rand.NewPCG(cfg.Seed, 2)), tell: tell}).run(faulty)
+	cancel()
+	tell("no more faults")
+	wait.For(ctx, recoverTime)
+	calm := time.Now()
+	wait.For(ctx, calmTime)
+	stopCalling()
+	<-ended
+	return judge(w, callers.all(), calm), ctx.Err()
+}
+
+// Report writes a line for each promise, and the first broken cases; it gives how many promises
+// held and how many did not.
+func Report(verdicts []Verdict, out io.Writer) (passed, failed int) {
+	for _, v := range verdicts {
+		if len(v.Broken) == 0 {
+			passed++
+			_, _ = fmt.Fprintf(out, "PASS %s (%d checked)\n", v.Promise, v.Checked)
+			continue
+		}
+		failed++
+		shown := v.Broken[:min(len(v.Broken), mostShown)]
+		_, _ = fmt.Fprintf(out, "FAIL %s (%d of %d)\n  %s\n", v.Promise, len(v.Broken), v.Checked, strings.Join(shown, "\n  "))
+	}
+	return passed, failed
+}
