--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,8 +28,8 @@
 	Start(target leafhttp.Target, request *leafhttp.Request, deadline time.Time, done leafhttp.Done) context.CancelCauseFunc
 	// CanSpare reports whether a leaf that other nodes were dealt may be asked.
 	CanSpare(incarnation string) bool
-	// Warm opens a connection to a leaf that has none.
-	Warm(target leafhttp.Target)
+	// Warm opens a connection to the first of some leafs, unless there is one to any.
+	Warm(targets []leafhttp.Target)
 }
 
 // Parts are what a gateway is built from.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -73,10 +73,16 @@
 
 func (s *scriptedLeafs) CanSpare(string) bool { return true }
 
-func (s *scriptedLeafs) Warm(target leafhttp.Target) {
+func (s *scriptedLeafs) warmedCount() int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.warmed = append(s.warmed, target.Incarnation)
+	return len(s.warmed)
+}
+
+func (s *scriptedLeafs) Warm(targets []leafhttp.Target) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.warmed = append(s.warmed, targets[0].Incarnation)
 }
 
 func answered(status int, body string) *leafhttp.Response {
@@ -365,10 +371,27 @@
 	is := is.New(t)
 	leafs := &scriptedLeafs{}
 	g, _ := newGateway(t, leafs)
-	g.Warm()
-	is.Equal(len(leafs.warmed), shardCount)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		g.KeepWarm(ctx)
+		close(ended)
+	}()
+	for leafs.warmedCount() < shardCount {
+		time.Sleep(time.Millisecond)
+	}
+	put(t, g.catalog, catalog.LeafKey("new"), leafset.Record{ID: "new", Service: "new", Address: "127.0.0.1:1", State: leafset.Ready})
+	put(t, g.catalog, catalog.RoutesKey, routing.Configuration{Version: 2, Routes: []routing.Route{{
+		Host: "h", Prefix: "/pages/", Gathered: []string{"new"}, TopRecords: 1, Repeatability: routing.Repeatable,
+	}}})
+	for leafs.warmedCount() < shardCount+1 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-ended
+	is.Equal(leafs.warmed[shardCount], "new") // only what the new configuration gathers
 	services := map[string]bool{}
-	for _, id := range leafs.warmed {
+	for _, id := range leafs.warmed[:shardCount] {
 		services[id[:2]] = true
 	}
 	is.Equal(len(services), shardCount)
--- a/internal/gateway/warm.go
+++ b/internal/gateway/warm.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"slices"
+
 	"github.com/portgauge/portgauge/internal/leafhttp"
 )
 
@@ -33,14 +36,36 @@
 // warmOne opens a connection to the leaf that a first request would ask.
 func (g *Gateway) warmOne(service string, limit int) {
 	var targets []leafhttp.Target
-	candidates := g.partsOf(service, limit, &targets)
-	choice := g.balancer.Choose(candidates, nil)
+	choice := g.balancer.Choose(g.partsOf(service, limit, &targets), nil)
 	if choice.Leaf == nil {
 		return
 	}
-	for _, target := range targets {
-		if target.Incarnation == choice.Leaf.ID && target.Connections > 0 {
-			g.leafs.Warm(target)
+	first := slices.IndexFunc(targets, func(target leafhttp.Target) bool { return target.Incarnation == choice.Leaf.ID })
+	targets[0], targets[first] = targets[first], targets[0]
+	if targets[0].Connections > 0 {
+		g.leafs.Warm(targets)
+	}
+}
+
+// changeBacklog is how many changes of configuration may wait to be looked at.
+const changeBacklog = 16
+
+// KeepWarm opens connections for the services that the configuration gathers, and for those of each
+// new one, as when an index was cut into other shards, until the context ends.
+func (g *Gateway) KeepWarm(ctx context.Context) {
+	changes, stop := g.catalog.Subscribe(changeBacklog)
+	defer stop()
+	warmed := g.catalog.View().Routes
+	g.Warm()
+	for {
+		select {
+		case <-changes:
+			if routes := g.catalog.View().Routes; routes != warmed {
+				warmed = routes
+				g.Warm()
+			}
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/internal/leafhttp/leafhttp_test.go
+++ b/internal/leafhttp/leafhttp_test.go
@@ -299,11 +299,11 @@
 func TestWarmedConnectionIsUsed(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, DefaultConfig(), ok("hello"))
-	b.pool.Warm(b.target())
+	b.pool.Warm([]Target{b.target()})
 	for b.pool.resting() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	b.pool.Warm(b.target())
+	b.pool.Warm([]Target{b.target()})
 	_, err := b.do(t.Context(), b.request())
 	is.NoErr(err)
 	is.Equal(b.pool.Open(), 1)
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -66,16 +66,21 @@
 	return !found || time.Since(leaf.refusedAt) >= p.config.SparePause
 }
 
-// Warm opens a connection to a leaf that has none, and lets it rest. It does not block.
-func (p *Pool) Warm(target Target) {
+// Warm opens a connection to the first of some leafs of a service and lets it rest, unless there
+// is one to any of them. It does not block.
+func (p *Pool) Warm(targets []Target) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	leaf := p.leaf(target.Incarnation)
-	if p.closed || leaf.open > 0 {
+	if p.closed || len(targets) == 0 {
 		return
 	}
-	leaf.open++
-	go p.warm(target)
+	for _, target := range targets {
+		if known, found := p.leafs[target.Incarnation]; found && known.open > 0 {
+			return
+		}
+	}
+	p.leaf(targets[0].Incarnation).open++
+	go p.warm(targets[0])
 }
 
 // warm opens a connection that is counted in already, and reads it to its end.
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -129,6 +129,7 @@
 	if config.Listen.Ready != "" {
 		serve(lifecycle, config.Listen.Ready, api.NewServer(parts.Front.ReadinessHandler()), logger)
 	}
+	warming, stopWarming := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			if config.Listen.Front == "" {
@@ -140,12 +141,13 @@
 			}
 			go func() {
 				awaitRoutes(parts.Syncer.Ready())
-				parts.Gateway.Warm()
+				go parts.Gateway.KeepWarm(warming)
 				parts.Front.Serve(listener)
 			}()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			stopWarming()
 			parts.Members.Leave()
 			parts.Engine.Announce()
 			parts.Front.Announce()
