--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -22,6 +22,7 @@
 	Load       loadCommand       `cmd:"" help:"Send searches open-loop and print latency, coverage and extra load."`
 	Experiment experimentCommand `cmd:"" help:"Measure the node against a baseline in one run."`
 	Soak       soakCommand       `cmd:"" help:"Bring about random faults around real nodes and judge the promises."`
+	Variants   variantsCommand   `cmd:"" help:"Play deployments and days drawn from a seed on the users' bench."`
 	Replay     replayCommand     `cmd:"" help:"Replay traces over real processes and judge their outcomes."`
 }
 
