--- a/internal/balancer/observation.go
+++ b/internal/balancer/observation.go
@@ -55,9 +55,10 @@
 	}
 }
 
-// judged gives the belief that the newest sample changed; nil when it changed none.
+// judged gives the belief that the newest sample changed; nil when it changed none. A leaf between
+// slow and well stays what it was, so that one on the edge is not told of over and over.
 func (l *Leaf) judged(told bool) *Belief {
-	isSlow := l.slowness.middle >= slowNews
+	isSlow := l.slowness.middle >= slowNews || l.isSlow && l.slowness.middle > wellNews
 	if isSlow == l.isSlow {
 		return nil
 	}
