--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -67,6 +67,8 @@
 	// toldSilence is the silence that another node told of at toldAt; 0 once an answer came.
 	toldSilence time.Duration
 	toldAt      time.Time
+	// toldSlowAt is when another node's word last counted as a sample of slowness.
+	toldSlowAt time.Time
 	// isSlow is the condition last told of.
 	isSlow bool
 	// silenceTold is when this node last told others of the leaf's silence.
--- a/internal/balancer/observation.go
+++ b/internal/balancer/observation.go
@@ -129,10 +129,20 @@
 	if l.inFlight == 0 {
 		l.silentSince = time.Time{}
 	}
+	if seen.Slowness >= slowNews {
+		if now.Sub(l.toldSlowAt) < toldSpacing {
+			return nil
+		}
+		l.toldSlowAt = now
+	}
 	l.slowness.add(seen.Slowness, now)
 	return l.judged(true)
 }
 
+// toldSpacing is the least time between two samples of a leaf's slowness that others' words count
+// for. All that many nodes saw in one pause of the leaf is one thing, not many.
+const toldSpacing = 300 * time.Millisecond
+
 func (l *Leaf) hearSilence(silence time.Duration, now time.Time) *Belief {
 	if now.Sub(l.answeredAt) <= silence {
 		return nil
--- a/internal/balancer/observation_test.go
+++ b/internal/balancer/observation_test.go
@@ -55,6 +55,7 @@
 			there := New(DefaultConfig(), "z")
 			there.OnObserved(here.Hear)
 			seesSlow(there, "b")
+			time.Sleep(toldSpacing)
 		}
 		is.Equal(shares(here)["b"], 0)
 		is.Equal(believed, []Condition{Slow})
@@ -63,6 +64,7 @@
 		there.OnObserved(here.Hear)
 		for range leastRecent {
 			seesSlow(there, "b") // and is itself told of
+			time.Sleep(toldSpacing)
 		}
 		is.Equal(shares(here)["b"], 0)
 		leaf := there.leaf("b", "z", time.Now())
@@ -118,3 +120,21 @@
 	b.Hear(Observation{Leaf: KeyOf("unknown"), Slowness: 9}) // of a leaf that there isn't
 	is.Equal(len(b.leafs), 3)
 }
+
+// What many nodes see in one pause of a leaf makes it no slow one.
+func TestOnePauseSeenByManyIsNoSlowness(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		here := New(DefaultConfig(), "z")
+		here.OnBelief(func(changed Belief) { t.Errorf("believes %v", changed) })
+		knows(here)
+		time.Sleep(recentSpan + time.Second)
+		for range 8 {
+			there := New(DefaultConfig(), "z")
+			there.OnObserved(here.Hear)
+			seesSlow(there, "b")
+			time.Sleep(toldSpacing / 10)
+		}
+		is.True(shares(here)["b"] > 0)
+	})
+}
