--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -4,8 +4,6 @@
 import (
 	"os"
 
-	"github.com/alecthomas/kong"
-
 	"github.com/portgauge/portgauge/internal/cli"
 )
 
@@ -31,22 +29,5 @@
 }
 
 func run(arguments []string) int {
-	var commands commandLine
-	parser, err := kong.New(&commands,
-		kong.Name("portgauge-lab"),
-		kong.Description("Stand-ins, replays, load and experiments for portgauge."),
-		kong.UsageOnError(),
-	)
-	if err != nil {
-		return cli.Fail(os.Stderr, err)
-	}
-	command, err := parser.Parse(arguments)
-	if err != nil {
-		parser.Errorf("%s", err)
-		return cli.ExitUsage
-	}
-	if err := command.Run(); err != nil {
-		return cli.Fail(os.Stderr, err)
-	}
-	return cli.ExitOK
+	return cli.Run("portgauge-lab", "Stand-ins, replays, load and experiments for portgauge.", &commandLine{}, arguments)
 }
--- a/cmd/portgauge/main.go
+++ b/cmd/portgauge/main.go
@@ -29,24 +29,10 @@
 	os.Exit(run(os.Args[1:]))
 }
 
+// description is what the command line says of itself.
+const description = "A query tier over many shards. Exit codes: 0 done, 1 internal, 2 usage, 3 invalid input, 4 not found, 5 conflict, 6 unavailable (nothing ran), 7 outcome unknown, 8 incomplete coverage."
+
 func run(arguments []string) int {
-	var commands commandLine
-	parser, err := kong.New(&commands,
-		kong.Name("portgauge"),
-		kong.Description("A query tier over many shards. Exit codes: 0 done, 1 internal, 2 usage, 3 invalid input, 4 not found, 5 conflict, 6 unavailable (nothing ran), 7 outcome unknown, 8 incomplete coverage."),
-		kong.UsageOnError(),
-	)
-	if err != nil {
-		return cli.Fail(os.Stderr, err)
-	}
-	kongplete.Complete(parser)
-	command, err := parser.Parse(arguments)
-	if err != nil {
-		parser.Errorf("%s", err)
-		return cli.ExitUsage
-	}
-	if err := command.Run(); err != nil {
-		return cli.Fail(os.Stderr, err)
-	}
-	return cli.ExitOK
+	complete := func(parser *kong.Kong) { kongplete.Complete(parser) }
+	return cli.Run("portgauge", description, &commandLine{}, arguments, complete)
 }
--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"maps"
 	"strings"
-	"time"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
 	"github.com/portgauge/portgauge/internal/failure"
@@ -123,8 +122,7 @@
 	if err != nil {
 		return err
 	}
-	warm := time.Now().Add(time.Duration(record.WarmupMillis) * time.Millisecond)
-	d.leafs.Put(&leafset.Leaf{Record: record, Revision: entry.Revision, WarmUntil: warm})
+	d.leafs.Put(&leafset.Leaf{Record: record, Revision: entry.Revision})
 	return nil
 }
 
--- a/internal/lab/leaf/server.go
+++ b/internal/lab/leaf/server.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/gin-gonic/gin"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
@@ -16,18 +14,9 @@
 // Serve serves the leaf protocol, and on a second address the control calls of experiments,
 // until the context ends; attempts in flight are finished.
 func (l *Leaf) Serve(ctx context.Context, address, controlAddress string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
 	server := grpc.NewServer()
 	leafv1.RegisterLeafServiceServer(server, l)
-	var group errgroup.Group
-	group.Go(func() error { return server.Serve(listener) })
-	group.Go(func() error { return control.Serve(ctx, controlAddress, l.controlHandler()) })
-	<-ctx.Done()
-	server.GracefulStop()
-	return group.Wait()
+	return control.ServeBeside(ctx, server, address, controlAddress, l.controlHandler(), server.GracefulStop)
 }
 
 func (l *Leaf) controlHandler() http.Handler {
--- a/internal/lab/platform/server.go
+++ b/internal/lab/platform/server.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/gin-gonic/gin"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	platformv1 "github.com/portgauge/portgauge/gen/portgauge/platform/v1"
@@ -16,19 +14,10 @@
 // Serve serves the platform's protocol, and on a second address the control calls of
 // experiments, until the context ends.
 func (p *Platform) Serve(ctx context.Context, address, controlAddress string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
 	server := grpc.NewServer()
 	platformv1.RegisterStoreServiceServer(server, p)
 	platformv1.RegisterMachineListServiceServer(server, p)
-	var group errgroup.Group
-	group.Go(func() error { return server.Serve(listener) })
-	group.Go(func() error { return control.Serve(ctx, controlAddress, p.controlHandler()) })
-	<-ctx.Done()
-	server.Stop()
-	return group.Wait()
+	return control.ServeBeside(ctx, server, address, controlAddress, p.controlHandler(), server.Stop)
 }
 
 func (p *Platform) controlHandler() http.Handler {
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -5,18 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/portgauge/portgauge/internal/httpdialect"
-	"github.com/portgauge/portgauge/internal/lab/forwarder"
 	"github.com/portgauge/portgauge/internal/lab/httpleaf"
 	"github.com/portgauge/portgauge/internal/lab/kvstore"
-	"github.com/portgauge/portgauge/internal/lab/process"
 	"github.com/portgauge/portgauge/platform"
 )
 
@@ -80,33 +76,6 @@
 	disturbed time.Time
 }
 
-// nodeState is one node with its links; the process may be replaced.
-type nodeState struct {
-	name      string
-	zone      string
-	front     string
-	peers     string
-	settings  string
-	storeLink *Link
-	peerLink  *forwarder.Forwarder
-
-	mu      sync.Mutex
-	process *process.Process
-	life    int
-	cut     bool
-	// troubles are when faults held on the node, with the time that it has to recover.
-	troubles []trouble
-	// stops are when it was asked to stop.
-	stops []time.Time
-}
-
-// trouble is a span in which a node is not held to promises with a time bound.
-type trouble struct {
-	from, until time.Time
-	// planned says that it is a planned stop.
-	planned bool
-}
-
 // runs are the requests that a leaf ran.
 func (w *world) runs() map[string][]string {
 	w.mu.Lock()
@@ -216,106 +185,6 @@
 
 func zoneName(index int) string { return fmt.Sprintf("zone-%d", index) }
 
-// addNode starts a node with links of its own to the store and from other nodes.
-func (w *world) addNode(index int) error {
-	addresses, err := process.FreeAddresses(6)
-	if err != nil {
-		return err
-	}
-	node := &nodeState{name: fmt.Sprintf("node-%d", index), zone: zoneName(index % zoneCount), front: addresses[3], peers: addresses[5]}
-	if node.storeLink, err = NewLink(w.address); err != nil {
-		return err
-	}
-	node.peerLink, err = forwarder.NewPeer(addresses[5], addresses[2], func(string) bool { return !node.isCut() })
-	if err != nil {
-		return err
-	}
-	node.settings = filepath.Join(w.folder, node.name+".yaml")
-	content := fmt.Sprintf(settingsText, node.name, node.zone, addresses[0], addresses[1], addresses[2], addresses[5],
-		addresses[3], addresses[4], node.storeLink.Address(), platform.Name)
-	if err := os.WriteFile(node.settings, []byte(content), 0o600); err != nil {
-		return err
-	}
-	w.nodes = append(w.nodes, node)
-	return w.startNode(node)
-}
-
-// settingsText is a node's settings file.
-const settingsText = `node: {id: %s, zone: %s}
-listen: {callers: "%s", operators: "%s", peers: "%s", advertise_peers: "%s", front: "%s", ready: "%s"}
-platform: {address: "%s", dialect: %s, watch_wait: 1500ms}
-stop: {announce_delay: 500ms, drain_timeout: 2800ms}
-config_sync: {first_read_delay: 8ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
-retry_budget: {ratio: 0.2, window: 10s, allowance: 56}
-`
-
-// startNode starts the process of a node.
-func (w *world) startNode(node *nodeState) error {
-	started, err := process.Start(node.name, w.program, "node", "--settings", node.settings)
-	if err != nil {
-		return err
-	}
-	node.mu.Lock()
-	defer node.mu.Unlock()
-	node.process = started
-	node.life++
-	return nil
-}
-
-func (n *nodeState) isCut() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cut
-}
-
-func (n *nodeState) setCut(cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut = cut
-}
-
-// touch notes that a fault holds on the node for a span.
-func (n *nodeState) touch(span time.Duration, planned bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	n.troubles = append(n.troubles, trouble{from: now, until: now.Add(span), planned: planned})
-}
-
-// stop notes that the node is asked to stop, as planned work.
-func (n *nodeState) stop(span time.Duration) {
-	n.touch(span, true)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.stops = append(n.stops, time.Now())
-}
-
-// isTroubled reports whether a fault held on the node in a span; planned stops count if asked for.
-func (n *nodeState) isTroubled(from, until time.Time, withPlanned bool) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, t := range n.troubles {
-		if (withPlanned || !t.planned) && t.from.Before(until) && t.until.After(from) {
-			return true
-		}
-	}
-	return false
-}
-
-// lifeNow gives the number of the node's process.
-func (n *nodeState) lifeNow() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.life
-}
-
-// stopTimes gives when the node was asked to stop.
-func (n *nodeState) stopTimes() []time.Time {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return append([]time.Time(nil), n.stops...)
-}
-
 // serviceOf gives the service of a leaf; empty when there is none of that id.
 func (w *world) serviceOf(leafID string) string {
 	w.mu.Lock()
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -5,18 +5,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
-	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/portgauge/portgauge/internal/httpdialect"
 )
 
 // readBuffer is the size in bytes of a connection's read buffer.
@@ -26,9 +20,6 @@
 // longer one is written beside, since the leaf may answer before it has read all of it.
 const inlineBody = 4 << 10
 
-// maximumForeignAnswers is how many answers to other requests are skipped on a connection.
-const maximumForeignAnswers = 2
-
 // spareRest is how long a spare connection may rest.
 const spareRest = 2 * time.Second
 
@@ -288,106 +279,3 @@
 		e.end(nil, &BrokenAnswerError{Cause: cause})
 	}
 }
-
-// receive reads answers until the one to the request; those to other requests are skipped,
-// and then the connection is not used again.
-func (c *connection) receive(request *Request) (*Response, bool, error) {
-	dialect := c.pool.dialect
-	for foreign := 0; ; foreign++ {
-		raw, err := c.readHead(request.Method)
-		if err != nil {
-			return nil, false, err
-		}
-		body, err := readBody(raw, c.pool.config.MaximumAnswerBytes)
-		if err != nil {
-			return nil, false, err
-		}
-		id := raw.Header.Get(dialect.RequestID)
-		// A leaf that names requests names them all.
-		if id != request.ID && (id != "" || c.namesRequests) {
-			if foreign >= maximumForeignAnswers || raw.Close {
-				return nil, false, &ForeignAnswerError{RequestID: id}
-			}
-			continue
-		}
-		c.namesRequests = c.namesRequests || id != ""
-		c.idleLimit = idleLimit(raw.Header, c.pool.config.IdleTimeout)
-		return newResponse(dialect, raw, body), foreign == 0 && !raw.Close, nil
-	}
-}
-
-// readHead reads the status line and headers of a final answer.
-func (c *connection) readHead(method string) (*http.Response, error) {
-	for {
-		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		switch {
-		case raw.StatusCode == http.StatusSwitchingProtocols:
-			return nil, &UnexpectedStatusError{Status: raw.StatusCode}
-		case raw.StatusCode >= http.StatusOK:
-			return raw, nil
-		}
-	}
-}
-
-func readBody(raw *http.Response, limit int64) ([]byte, error) {
-	if raw.ContentLength > limit {
-		return nil, &AnswerTooLargeError{Limit: limit}
-	}
-	if raw.ContentLength > 0 && raw.Body != http.NoBody {
-		body := make([]byte, raw.ContentLength)
-		_, err := io.ReadFull(raw.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(raw.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, &AnswerTooLargeError{Limit: limit}
-	}
-	return body, nil
-}
-
-func newResponse(dialect httpdialect.Dialect, raw *http.Response, body []byte) *Response {
-	return &Response{
-		Status:      raw.StatusCode,
-		Header:      raw.Header,
-		Body:        body,
-		NotExecuted: raw.Header.Get(dialect.NotExecuted) != "" || raw.StatusCode == http.StatusMisdirectedRequest,
-		Load:        parseLoad(raw.Header.Get(dialect.ServerLoad)),
-		Leaving:     raw.Close,
-	}
-}
-
-// loadFields is the number of figures in a leaf's word on its load.
-const loadFields = 3
-
-func parseLoad(text string) *Load {
-	var figures [loadFields]int
-	for index := range figures {
-		field, rest, more := strings.Cut(text, ",")
-		figure, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || figure < 0 || more != (index < loadFields-1) {
-			return nil
-		}
-		figures[index], text = figure, rest
-	}
-	return &Load{Running: figures[0], Waiting: figures[1], Slots: figures[2]}
-}
-
-// idleLimit reads how long the leaf lets a connection rest from its Keep-Alive header.
-func idleLimit(header http.Header, otherwise time.Duration) time.Duration {
-	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second
-		}
-	}
-	return otherwise
-}
--- a/internal/leafhttp/leafhttp_test.go
+++ b/internal/leafhttp/leafhttp_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -213,31 +212,6 @@
 	}
 }
 
-// However many attempts there are, the connections stay within this node's share.
-func TestConnectionsStayWithinTheShare(t *testing.T) {
-	is := is.New(t)
-	b := newBench(t, DefaultConfig(), func(httpleaf.Request) httpleaf.Answer {
-		return httpleaf.Answer{Delay: 10 * time.Millisecond, Body: []byte("x")}
-	})
-	target := b.target()
-	target.Connections = 2
-	var running sync.WaitGroup
-	for range 40 {
-		request := b.request()
-		running.Go(func() {
-			if _, err := b.ask(t.Context(), target, request, time.Now().Add(5*time.Second)); err != nil {
-				t.Error(err)
-			}
-		})
-	}
-	running.Wait()
-	opened, _ := b.leaf.Connections()
-	is.Equal(opened, 2)
-	is.Equal(b.pool.Open(), 2)
-	b.pool.Keep(func(string) bool { return false })
-	is.Equal(b.pool.Open(), 0)
-}
-
 // A leaf may answer before it has read a long body: the rest has no place on the connection.
 func TestEarlyAnswerToALongBody(t *testing.T) {
 	is := is.New(t)
@@ -295,92 +269,6 @@
 	})
 }
 
-// A warmed connection carries the first request; a leaf that has one is left alone.
-func TestWarmedConnectionIsUsed(t *testing.T) {
-	is := is.New(t)
-	b := newBench(t, DefaultConfig(), ok("hello"))
-	b.pool.Warm([]Target{b.target()})
-	for b.pool.resting() == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	b.pool.Warm([]Target{b.target()})
-	_, err := b.do(t.Context(), b.request())
-	is.NoErr(err)
-	is.Equal(b.pool.Open(), 1)
-	opened, _ := b.leaf.Connections()
-	is.Equal(opened, 1)
-}
-
-// resting gives the number of connections that rest.
-func (p *Pool) resting() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	count := 0
-	for _, leaf := range p.leafs {
-		count += len(leaf.idle)
-	}
-	return count
-}
-
-// A leaf that resets a new connection is not tried on spare ones for a while; one that resets a
-// connection on which it answered before is.
-func TestRefusedSpareConnectionStopsThem(t *testing.T) {
-	is := is.New(t)
-	config := DefaultConfig()
-	config.SparePause = 200 * time.Millisecond
-	b := newBench(t, config, ok("hello"))
-	target := Target{Incarnation: b.leaf.ID, Address: b.leaf.Address(), Spare: 1}
-	is.True(b.pool.CanSpare(target.Incarnation))
-	_, err := b.ask(t.Context(), target, b.request(), time.Now().Add(time.Second))
-	is.NoErr(err)
-	is.True(b.pool.CanSpare(target.Incarnation))
-
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = listener.Close() }()
-	go resetAll(listener)
-	refusing := Target{Incarnation: "leaf-2", Address: listener.Addr().String(), Spare: 1}
-	_, err = b.ask(t.Context(), refusing, b.request(), time.Now().Add(time.Second))
-	var refused *RefusedConnectionError
-	is.True(errors.As(err, &refused))
-	is.True(!b.pool.CanSpare(refusing.Incarnation))
-	time.Sleep(config.SparePause)
-	is.True(b.pool.CanSpare(refusing.Incarnation))
-}
-
-// resetAll resets every connection of a listener once a request is on it.
-func resetAll(listener net.Listener) {
-	for {
-		connection, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = connection.Read(make([]byte, 1))
-		_ = connection.(*net.TCPConn).SetLinger(0)
-		_ = connection.Close()
-	}
-}
-
-// A cancelled attempt that waits for a connection, or opens one, ends at once as never sent.
-func TestCancelledWaitIsNeverSent(t *testing.T) {
-	is := is.New(t)
-	b := newBench(t, DefaultConfig(), func(httpleaf.Request) httpleaf.Answer { return httpleaf.Answer{Silent: true} })
-	target := b.target()
-	target.Connections = 1
-	ended := make(chan error, 2)
-	first := b.pool.Start(target, b.request(), time.Now().Add(time.Minute), func(_ *Response, err error) { ended <- err })
-	second := b.pool.Start(target, b.request(), time.Now().Add(time.Minute), func(_ *Response, err error) { ended <- err })
-	second(context.Canceled)
-	var neverSent *NeverSentError
-	is.True(errors.As(<-ended, &neverSent))
-	for len(b.leaf.Asked()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	first(context.Canceled)
-	var broken *BrokenAnswerError
-	is.True(errors.As(<-ended, &broken))
-}
-
 // Once a leaf named a request, an answer that names none belongs to nobody.
 func TestUnnamedAnswerAfterNamedOnesIsForeign(t *testing.T) {
 	is := is.New(t)
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -8,7 +8,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/portgauge/portgauge/internal/failure"
 )
@@ -42,8 +41,6 @@
 	Record
 	// Revision is the store's revision that wrote the record.
 	Revision int64
-	// WarmUntil is until when the leaf is slow from its start, by its own word.
-	WarmUntil time.Time
 }
 
 // List is many records, as they are written down together.
