Never reuse a connection whose request is not all written; gossip within 500 B a second

Found by reading the new transport: between the head and the body of a long request, an early answer gave the connection back, and the next request could go out before the old body.

--- a/internal/leafgossip/config.go
+++ b/internal/leafgossip/config.go
@@ -20,9 +20,10 @@
 	BurstBytes int `yaml:"burst_bytes"`
 }
 
-// DefaultConfig stays within half of what a node may spend for control.
+// DefaultConfig leaves membership and configuration three quarters of the 2 KB a second that a node
+// may spend for control.
 func DefaultConfig() Config {
-	return Config{Fanout: 8, BatchDelay: 15 * time.Millisecond, BytesPerSecond: 1000, BurstBytes: 16000}
+	return Config{Fanout: 8, BatchDelay: 15 * time.Millisecond, BytesPerSecond: 500, BurstBytes: 16000}
 }
 
 // Validate names every field at fault.
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -50,8 +50,8 @@
 	answered bool
 	// dropped says that it is counted out.
 	dropped bool
-	// bodies counts the bodies that are still being written.
-	bodies int
+	// writing says that the request under way is not all written.
+	writing bool
 }
 
 // dial opens a connection to an address given by IP number.
@@ -104,6 +104,7 @@
 	remaining := time.Until(e.deadline)
 	if remaining <= 0 {
 		// Nothing was sent, so the connection stays good.
+		c.wrote()
 		c.giveBack(e, true)
 		e.end(nil, &NeverSentError{Cause: errDeadlinePassed})
 		return
@@ -125,11 +126,26 @@
 		c.fail(err)
 	case err != nil:
 		c.fail(err)
-	case !isInline:
-		c.sendBody(e.request.Body)
+	case isInline:
+		c.wrote()
+	default:
+		go c.sendBody(e.request.Body)
 	}
 }
 
+// assign gives the connection to an exchange, whose request is from then on being written. The
+// pool's mutex must be held.
+func (c *connection) assign(e *Exchange) {
+	c.current, e.conn, c.writing = e, c, true
+}
+
+// wrote notes that the request under way is all written.
+func (c *connection) wrote() {
+	c.pool.mutex.Lock()
+	defer c.pool.mutex.Unlock()
+	c.writing = false
+}
+
 // quiet reports whether the connection is open and holds no bytes. What its reading goroutine
 // was not yet told of is of no matter for a request that may be repeated; for another it would
 // leave open whether the request ran.
@@ -150,18 +166,11 @@
 // sendBody writes a long body beside the reading, since the leaf may answer before it has read
 // all of it.
 func (c *connection) sendBody(body []byte) {
-	c.pool.mutex.Lock()
-	c.bodies++
-	c.pool.mutex.Unlock()
-	go func() {
-		_, err := c.socket.Write(body)
-		c.pool.mutex.Lock()
-		c.bodies--
-		c.pool.mutex.Unlock()
-		if err != nil {
-			c.fail(err)
-		}
-	}()
+	if _, err := c.socket.Write(body); err != nil {
+		c.fail(err)
+		return
+	}
+	c.wrote()
 }
 
 // read takes what the leaf sends until the connection ends.
@@ -207,8 +216,8 @@
 	}
 	c.current, e.conn, e.finished, c.answered = nil, nil, true, true
 	leaf := p.leafs[c.incarnation]
-	// A leaf that answered before the body was all written has no place for the rest any more.
-	reusable = reusable && c.bodies == 0 && !p.closed && !leaf.forgotten
+	// A leaf that answered before the request was all written has no place for the rest any more.
+	reusable = reusable && !c.writing && !p.closed && !leaf.forgotten
 	if e.lingering {
 		reusable = c.socket.SetReadDeadline(time.Time{}) == nil && reusable
 	}
@@ -248,7 +257,7 @@
 // held.
 func (c *connection) restOrTake(leaf *leafConnections, target Target) *Exchange {
 	if next := leaf.next(); next != nil {
-		c.current, next.conn = next, c
+		c.assign(next)
 		return next
 	}
 	c.idleSince = time.Now()
--- a/internal/leafhttp/exchange.go
+++ b/internal/leafhttp/exchange.go
@@ -103,7 +103,7 @@
 	e.stopDial = nil
 	taken := !e.ended
 	if taken {
-		held.current, e.conn = e, held
+		held.assign(e)
 	}
 	p.mutex.Unlock()
 	if taken {
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -115,7 +115,7 @@
 		held := leaf.idle[last]
 		leaf.idle = leaf.idle[:last]
 		if !held.rested(now) {
-			held.current, e.conn = e, held
+			held.assign(e)
 			return held, false
 		}
 		held.dropped = true
