Keep a connection whose answer is faster than the note that its request is written

The writer had not yet noted the end of its write when the answer was in, and the connection was dropped: a new one each time, no wrong answer.

--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -50,8 +50,13 @@
 	answered bool
 	// dropped says that it is counted out.
 	dropped bool
-	// writing says that the request under way is not all written.
+	// writing says that the request under way is not all written, and isLong that its body is
+	// written beside the reading.
 	writing bool
+	isLong  bool
+	// answeredFor is set when the answer came before the write was noted as done: the connection
+	// is given back then.
+	answeredFor *Target
 }
 
 // dial opens a connection to an address given by IP number.
@@ -137,13 +142,20 @@
 // pool's mutex must be held.
 func (c *connection) assign(e *Exchange) {
 	c.current, e.conn, c.writing = e, c, true
+	c.isLong = len(e.request.Body) > inlineBody
 }
 
-// wrote notes that the request under way is all written.
+// wrote notes that the request under way is all written. If its answer was faster than that, the
+// connection is given back now.
 func (c *connection) wrote() {
 	c.pool.mutex.Lock()
-	defer c.pool.mutex.Unlock()
 	c.writing = false
+	target := c.answeredFor
+	c.answeredFor = nil
+	c.pool.mutex.Unlock()
+	if target != nil {
+		c.rest(*target)
+	}
 }
 
 // quiet reports whether the connection is open and holds no bytes. What its reading goroutine
@@ -216,8 +228,8 @@
 	}
 	c.current, e.conn, e.finished, c.answered = nil, nil, true, true
 	leaf := p.leafs[c.incarnation]
-	// A leaf that answered before the request was all written has no place for the rest any more.
-	reusable = reusable && !c.writing && !p.closed && !leaf.forgotten
+	// A leaf that answered before a long body was all written has no place for the rest any more.
+	reusable = reusable && !(c.writing && c.isLong) && !p.closed && !leaf.forgotten
 	if e.lingering {
 		reusable = c.socket.SetReadDeadline(time.Time{}) == nil && reusable
 	}
@@ -228,6 +240,11 @@
 		c.close()
 		return false
 	}
+	if c.writing {
+		c.answeredFor = &e.target
+		p.mutex.Unlock()
+		return true
+	}
 	next := c.restOrTake(leaf, e.target)
 	p.mutex.Unlock()
 	if next != nil {
@@ -240,6 +257,10 @@
 func (c *connection) rest(target Target) {
 	p := c.pool
 	p.mutex.Lock()
+	if c.dropped {
+		p.mutex.Unlock()
+		return
+	}
 	leaf := p.leafs[c.incarnation]
 	if p.closed || leaf.forgotten {
 		p.mutex.Unlock()
--- a/internal/leafhttp/connections_test.go
+++ b/internal/leafhttp/connections_test.go
@@ -123,3 +123,25 @@
 	var broken *BrokenAnswerError
 	is.True(errors.As(<-ended, &broken))
 }
+
+// An answer that is faster than the writer notes the end of its write keeps the connection; it is
+// given back once the write is done.
+func TestAnswerBeforeTheWriteIsDoneKeepsTheConnection(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, DefaultConfig(), ok("hello"))
+	_, err := b.do(t.Context(), b.request())
+	is.NoErr(err)
+	for b.pool.resting() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e := &Exchange{pool: b.pool, target: b.target(), request: b.request(), done: func(*Response, error) {}}
+	b.pool.mutex.Lock()
+	held, _ := b.pool.reserve(e)
+	b.pool.mutex.Unlock()
+	is.True(held != nil)
+	is.True(held.giveBack(e, true)) // the answer
+	is.Equal(b.pool.resting(), 0)
+	held.wrote()
+	is.Equal(b.pool.resting(), 1)
+	is.Equal(b.pool.Open(), 1)
+}
