--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -140,7 +140,8 @@
 	return complete
 }
 
-// Replace takes a whole state if it is newer than the one in force, and reports whether.
+// Replace takes a whole state if it is newer than the one in force, and reports whether. What it
+// changed is kept as one change, so that other nodes can be given just that.
 func (c *Catalog) Replace(snapshot Snapshot) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -148,8 +149,8 @@
 	if snapshot.Revision <= current.Revision {
 		return false
 	}
+	difference := difference(c.entries, current.Revision, snapshot)
 	c.entries = make(map[string]Entry, len(snapshot.Entries))
-	c.recent, c.recentSize = nil, 0
 	draft := newDraft(emptyView(snapshot.Revision), snapshot.Revision)
 	// Routes that can't be read must not leave the node without any.
 	draft.view.Routes = current.Routes
@@ -161,9 +162,38 @@
 		}
 	}
 	c.view.Store(draft.done())
+	c.rememberReplaced(current.Revision, difference)
 	return true
 }
 
+// rememberReplaced keeps what a whole state changed, unless there was nothing before it or it is
+// too large; then earlier changes don't reach the revision in force any more.
+func (c *Catalog) rememberReplaced(before int64, difference Change) {
+	if before == 0 || difference.size() > recentBytes {
+		c.recent, c.recentSize = nil, 0
+		return
+	}
+	c.remember(difference)
+}
+
+// difference gives what a newer whole state changes, as one change.
+func difference(known map[string]Entry, revision int64, newer Snapshot) Change {
+	change := Change{Entry: Entry{Key: MarkerKey, Revision: newer.Revision, Deleted: true}, Previous: revision}
+	present := make(map[string]bool, len(newer.Entries))
+	for _, entry := range newer.Entries {
+		present[entry.Key] = true
+		if before, found := known[entry.Key]; !found || before.Revision != entry.Revision {
+			change.More = append(change.More, entry)
+		}
+	}
+	for key := range known {
+		if isTransient(key) && !present[key] {
+			change.More = append(change.More, Entry{Key: key, Revision: newer.Revision, Deleted: true})
+		}
+	}
+	return change
+}
+
 func (c Change) size() int {
 	size := 0
 	for _, entry := range c.Entries() {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -91,6 +92,44 @@
 	is.Equal(len(missed), 5)
 }
 
+// A whole state is passed on as what it changed, records that went included, and a node that is
+// between the two revisions takes it too.
+func TestReplacedStateIsGivenAsOneChange(t *testing.T) {
+	is := is.New(t)
+	first, between := New(nil), New(nil)
+	log := []Change{serviceChange(t, 1, "a", 1, false), serviceChange(t, 2, "b", 2, false)}
+	gone := Change{Entry: Entry{Key: LeafKey("i-1"), Value: leafValue(t), Revision: 3}, Previous: 2}
+	log = append(log, gone, serviceChange(t, 4, "c", 4, false), serviceChange(t, 5, "a", 5, false))
+	first.ApplyAll(log[:3])
+	between.ApplyAll(log[:4])
+	state := stateAt(log, 5)
+	state.Entries = slices.DeleteFunc(state.Entries, func(entry Entry) bool { return entry.Key == LeafKey("i-1") })
+	state.Revision = 6
+	is.True(first.Replace(state))
+	changes, kept := first.Since(3)
+	is.True(kept)
+	is.Equal(len(changes), 1)
+	is.Equal(len(changes[0].More), 3) // a, c and the leaf that went
+	is.True(between.ApplyAll(changes))
+	for _, node := range []*Catalog{first, between} {
+		is.Equal(node.Revision(), int64(6))
+		is.Equal(node.View().Services["a"].Revision, int64(5))
+		is.Equal(node.View().Services["c"].Revision, int64(4))
+		is.Equal(len(node.View().Leafs.IDs()), 0)
+	}
+	_, kept = first.Since(2)
+	is.True(kept) // what came before is still known
+}
+
+func leafValue(t *testing.T) []byte {
+	t.Helper()
+	value, err := NewDocument("c", []byte(`{"id":"i-1","service":"a","address":"10.0.0.1:80","zone":"z","state":"ready"}`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
 func TestUndecodableValueKeepsTheLastGoodOne(t *testing.T) {
 	is := is.New(t)
 	rejected := ""
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -24,6 +24,8 @@
 	RoutesKey = "routes"
 	// RememberedKey is the store key of the list of leafs that the fleet wrote down.
 	RememberedKey = "remembered-leafs"
+	// MarkerKey is under no value: a change of it only moves the revision on.
+	MarkerKey = "marker"
 )
 
 // ServiceKey is the store key of a service's settings.
@@ -50,7 +52,8 @@
 type Change struct {
 	Entry    Entry `json:"entry"`
 	Previous int64 `json:"previous"`
-	// More are the other entries that the same revision wrote.
+	// More are the other entries that the same revision wrote, or, with MarkerKey as the entry, all
+	// that differ between the two revisions.
 	More []Entry `json:"more,omitempty"`
 }
 
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -33,6 +33,8 @@
 	watches  int
 	// cutOff holds the nodes that don't reach the platform.
 	cutOff map[string]bool
+	// forgetful says that watches tell where the store is, and not of changes.
+	forgetful bool
 }
 
 // platformView is the platform as one node reaches it.
@@ -81,10 +83,17 @@
 	for {
 		p.mutex.Lock()
 		missed, changed, down := p.log[after:], p.changed, p.cutOff[p.node]
+		newest, forgetful := int64(len(p.log)), p.forgetful
 		p.mutex.Unlock()
 		if down {
 			return errDown
 		}
+		if forgetful && after < newest {
+			missed, after = nil, newest
+			if err := receive(store.Event{Current: newest}); err != nil {
+				return err
+			}
+		}
 		for _, change := range missed {
 			if err := receive(store.Event{Change: &change, Current: change.Entry.Revision}); err != nil {
 				return err
@@ -219,6 +228,30 @@
 	})
 }
 
+// The store forgot a change before it told of it, so that watchers read its whole state: what that
+// changed is pushed like any other change, and costs other nodes no more than the change.
+func TestForgottenChangeIsPushed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 3, 20)
+		defer f.stopAll()
+		for number := range 30 {
+			f.platform.write(t, fmt.Sprintf("service-%d", number), 1)
+		}
+		time.Sleep(15 * time.Second)
+		f.platform.mutex.Lock()
+		f.platform.forgetful = true
+		f.platform.mutex.Unlock()
+		revision := f.platform.write(t, "a", 1)
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(len(f.lagging(revision)), 0)
+		for _, node := range f.nodes {
+			is.Equal(node.catalog.View().Services["a"].Revision, revision)
+			is.Equal(len(node.catalog.View().Services), 31)
+		}
+	})
+}
+
 // The first watcher of each zone is frozen just before a change: the next one pushes it.
 func TestFrozenWatcherDoesNotHoldChangesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -169,6 +169,7 @@
 	}
 }
 
+// readStore takes the store's whole state, and has what it changed pushed like any change.
 func (s *Syncer) readStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSilence)
 	defer cancel()
@@ -176,13 +177,26 @@
 	if err != nil {
 		return err
 	}
+	before := s.catalog.Revision()
 	s.catalog.Replace(snapshot)
 	s.catalog.Confirm(time.Now())
 	s.markInitialised()
 	s.storeRegained()
+	s.enqueueSince(before)
 	return nil
 }
 
+// enqueueSince has the changes after a revision pushed, unless the node had nothing before.
+func (s *Syncer) enqueueSince(revision int64) {
+	changes, kept := s.catalog.Since(revision)
+	if revision == 0 || !kept {
+		return
+	}
+	for _, change := range changes {
+		s.enqueue(change)
+	}
+}
+
 // storeLost notes, and tells once, that the store can't be followed.
 func (s *Syncer) storeLost(err error) {
 	if s.storeDownAt.CompareAndSwap(0, time.Now().UnixNano()) {
--- a/internal/lab/kvstore/kvstore.go
+++ b/internal/lab/kvstore/kvstore.go
@@ -32,6 +32,8 @@
 type Faults struct {
 	// Refuse answers every call with this status, if it is not 0.
 	Refuse int
+	// Silent answers nothing until the caller gives up.
+	Silent bool
 	// LoseAnswers makes changes without answering.
 	LoseAnswers bool
 	// HushWatches keeps changes from watches, which answer nothing until they are cut.
@@ -155,6 +157,11 @@
 
 // admit counts the call, lets leases run out and refuses where it is asked to.
 func (s *Store) admit(c *gin.Context) {
+	if s.isSilent() {
+		<-c.Request.Context().Done()
+		c.Abort()
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.calls[strings.Split(strings.TrimPrefix(c.Request.URL.Path, "/portgauge/"), "/")[0]]++
@@ -164,6 +171,12 @@
 	}
 }
 
+func (s *Store) isSilent() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults.Silent
+}
+
 func (s *Store) expire(now time.Time) {
 	for id, held := range s.leases {
 		if now.After(held.ends) {
