Deal connections to the leafs of a node's own zone first

Change: quotas of zones: each zone's nodes get its leafs as far as the share of the limit goes, the rest goes to the leafs with the fewest connections, in turn. The dealt parts are kept until nodes, leafs, limits or the node's age change (they were made anew for every shard of every request).

--- a/internal/connshare/connshare.go
+++ b/internal/connshare/connshare.go
@@ -2,7 +2,7 @@
 //
 // A leaf accepts so many connections from all nodes together and resets any beyond. Each node
 // takes an equal part. Where that is less than one connection a leaf, each node keeps to some of
-// a service's leafs, dealt so that every leaf has as many nodes as the others. Parts are made for
+// a service's leafs, those of its own zone first. Parts are made for
 // the worst moment: most of the time others leave theirs unused, so that a node may try spare
 // connections, and stops for a while when a leaf refuses one (see package leafhttp).
 //
@@ -12,11 +12,13 @@
 package connshare
 
 import (
-	"slices"
+	"sync"
 	"time"
+	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
 )
@@ -51,23 +53,36 @@
 	return checks.Err()
 }
 
-// Fleet gives the ids of the nodes that share the leafs, sorted; empty while none is known.
+// Fleet gives the nodes that share the leafs, sorted by id; empty while none is known. A slice is
+// never changed once it was given.
 type Fleet interface {
-	IDs() []string
+	Nodes() []catalog.NodeRecord
 }
 
 // Dealer gives one node its part; safe for concurrent use.
 type Dealer struct {
 	config  Config
 	fleet   Fleet
-	self    string
+	self    catalog.NodeRecord
 	now     func() time.Time
 	started time.Time
+
+	mu    sync.Mutex
+	dealt map[string]deal // by service
+}
+
+// deal is what a service's leafs were dealt by, and how.
+type deal struct {
+	nodes []catalog.NodeRecord
+	leafs []*leafset.Leaf
+	limit int
+	isNew bool
+	dealt []Dealt
 }
 
-// New makes the dealer of the node of an id, which starts now.
-func New(config Config, fleet Fleet, self string) *Dealer {
-	return &Dealer{config: config, fleet: fleet, self: self, now: time.Now, started: time.Now()}
+// New makes the dealer of a node that starts now.
+func New(config Config, fleet Fleet, self catalog.NodeRecord) *Dealer {
+	return &Dealer{config: config, fleet: fleet, self: self, now: time.Now, started: time.Now(), dealt: map[string]deal{}}
 }
 
 // Dealt is a leaf with this node's part of its connections.
@@ -83,41 +98,69 @@
 }
 
 // Deal gives the leafs of a service with this node's parts. The limit is the leaf's own, 0
-// meaning none.
+// meaning none. The slice is shared: callers must not change it.
 func (d *Dealer) Deal(service string, leafs []*leafset.Leaf, limit int) []Dealt {
-	dealt := make([]Dealt, len(leafs))
-	for index, leaf := range leafs {
+	if len(leafs) == 0 {
+		return nil
+	}
+	wanted := deal{nodes: d.fleet.Nodes(), leafs: leafs, limit: limit, isNew: d.isNew()}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known, found := d.dealt[service]; found && known.equals(wanted) {
+		return known.dealt
+	}
+	if len(d.dealt) >= mostKept {
+		clear(d.dealt)
+	}
+	wanted.dealt = d.deal(service, wanted)
+	d.dealt[service] = wanted
+	return wanted.dealt
+}
+
+// mostKept bounds the services whose parts are kept.
+const mostKept = 4096
+
+// equals reports whether two deals are by the same nodes and leafs, told by their shared slices.
+func (d deal) equals(other deal) bool {
+	return isSame(d.nodes, other.nodes) && isSame(d.leafs, other.leafs) && d.limit == other.limit && d.isNew == other.isNew
+}
+
+// isSame reports whether two slices are one.
+func isSame[T any](a, b []T) bool {
+	return len(a) == len(b) && unsafe.SliceData(a) == unsafe.SliceData(b)
+}
+
+func (d *Dealer) deal(service string, by deal) []Dealt {
+	dealt := make([]Dealt, len(by.leafs))
+	for index, leaf := range by.leafs {
 		dealt[index] = Dealt{Leaf: leaf, Connections: d.config.Unlimited}
 	}
-	if limit <= 0 || len(leafs) == 0 {
+	if by.limit <= 0 {
 		return dealt
 	}
-	ids := d.fleet.IDs()
-	each := d.each(len(ids), limit)
+	each := d.each(len(by.nodes), by.limit, by.isNew)
 	if each >= 1 {
 		for index := range dealt {
 			dealt[index].Connections = min(int(each), d.config.Unlimited)
-			dealt[index].Spare = d.spare()
+			dealt[index].Spare = d.spare(by.isNew)
 		}
 		return dealt
 	}
-	count := max(1, int(each*float64(len(leafs))))
-	first := d.first(service, ids, count, len(leafs))
 	for index := range dealt {
 		dealt[index].Connections, dealt[index].Spare = 0, d.config.Spare
-		dealt[index].LastResort = d.isNew()
+		dealt[index].LastResort = by.isNew
 	}
-	for offset := range min(count, len(leafs)) {
-		own := &dealt[(first+offset)%len(leafs)]
-		own.Connections, own.Spare, own.LastResort = 1, d.spare(), false
+	for _, index := range d.own(service, by, each) {
+		own := &dealt[index]
+		own.Connections, own.Spare, own.LastResort = 1, d.spare(by.isNew), false
 	}
 	return dealt
 }
 
 // spare gives how many connections to an own leaf may be tried beyond the part: none for a new
 // node, since what looks unused may be counted for a dead process.
-func (d *Dealer) spare() int {
-	if d.isNew() {
+func (d *Dealer) spare(isNew bool) int {
+	if isNew {
 		return 0
 	}
 	return d.config.Spare
@@ -126,27 +169,54 @@
 // isNew reports whether the node started a short while ago.
 func (d *Dealer) isNew() bool { return d.now().Sub(d.started) < d.config.StartSpan }
 
+// share gives the part of a leaf's limit that all nodes together use.
+func (d *Dealer) share(isNew bool) float64 {
+	if isNew {
+		return d.config.ShareAfterStart
+	}
+	return d.config.Share
+}
+
 // each gives a node's part of a leaf's limit, which may be less than one connection.
-func (d *Dealer) each(nodes, limit int) float64 {
+func (d *Dealer) each(nodes, limit int, isNew bool) float64 {
 	nodes = max(1, nodes)
-	if d.isNew() {
-		return d.config.ShareAfterStart * float64(limit) / float64(nodes)
-	}
-	each := d.config.Share * float64(limit) / float64(nodes)
-	if nodes < limit {
+	each := d.share(isNew) * float64(limit) / float64(nodes)
+	if nodes < limit && !isNew {
 		// A single connection for each node fits, if hardly.
 		return max(1, each)
 	}
 	return each
 }
 
-// first gives the index of the first of a node's leafs. Nodes are dealt in order of their ids, so
-// that the leafs have equally many; services start at different leafs, so that no node has all
-// first ones.
-func (d *Dealer) first(service string, ids []string, count, leafs int) int {
-	index, found := slices.BinarySearch(ids, d.self)
-	if !found {
-		index = int(xxhash.Sum64String(d.self) % uint64(len(ids)+1))
+// own gives the indices of the leafs that the node has one connection to, where there is less than
+// one for each node.
+func (d *Dealer) own(service string, by deal, each float64) []int {
+	count := min(max(1, int(each*float64(len(by.leafs)))), len(by.leafs))
+	capacity := int(d.share(by.isNew) * float64(by.limit))
+	turn := xxhash.Sum64String(service)
+	zones, rank := d.zones(by.nodes)
+	quotas := dealQuotas(zones, by.leafs, count, capacity, int(turn%uint64(len(by.leafs))))
+	own := zones[d.self.Zone]
+	// Nodes take turns, so that none has the same place at all services.
+	return quotas[d.self.Zone].of((rank+int(turn%uint64(own)))%own, own)
+}
+
+// zones gives the number of nodes of each zone, and this node's place among those of its own. A
+// node that others don't know of yet counts itself in.
+func (d *Dealer) zones(nodes []catalog.NodeRecord) (zones map[string]int, rank int) {
+	zones = map[string]int{}
+	isKnown := false
+	for _, node := range nodes {
+		zones[node.Zone]++
+		switch {
+		case node.ID == d.self.ID:
+			isKnown = true
+		case node.Zone == d.self.Zone && node.ID < d.self.ID:
+			rank++
+		}
+	}
+	if !isKnown {
+		zones[d.self.Zone]++
 	}
-	return int((uint64(index)*uint64(count) + xxhash.Sum64String(service)) % uint64(leafs))
+	return zones, rank
 }
--- a/internal/connshare/connshare_test.go
+++ b/internal/connshare/connshare_test.go
@@ -8,18 +8,31 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
 )
 
-type fixedFleet []string
+type fixedFleet []catalog.NodeRecord
 
-func (f fixedFleet) IDs() []string { return f }
+func (f fixedFleet) Nodes() []catalog.NodeRecord { return f }
 
-func leafs(count int) []*leafset.Leaf {
+// fleetOf makes so many nodes, in turn in each of some zones.
+func fleetOf(nodes, zones int) fixedFleet {
+	fleet := make(fixedFleet, nodes)
+	for index := range fleet {
+		fleet[index] = catalog.NodeRecord{ID: fmt.Sprintf("node-%03d", index), Zone: zoneName(index % zones)}
+	}
+	return fleet
+}
+
+func zoneName(index int) string { return fmt.Sprintf("zone-%d", index) }
+
+// leafs makes so many leafs, in turn in each of some zones.
+func leafs(count, zones int) []*leafset.Leaf {
 	list := make([]*leafset.Leaf, count)
 	for index := range list {
-		list[index] = &leafset.Leaf{Record: leafset.Record{ID: fmt.Sprintf("leaf-%02d", index)}}
+		list[index] = &leafset.Leaf{Record: leafset.Record{ID: fmt.Sprintf("leaf-%02d", index), Zone: zoneName(index % zones)}}
 	}
 	return list
 }
@@ -32,21 +45,20 @@
 		nodes := rapid.IntRange(1, 120).Draw(t, "nodes")
 		count := rapid.IntRange(1, 20).Draw(t, "leafs")
 		limit := rapid.IntRange(8, 120).Draw(t, "limit")
+		nodeZones := rapid.IntRange(1, 6).Draw(t, "zones of nodes")
+		leafZones := rapid.IntRange(1, 6).Draw(t, "zones of leafs")
 		config := DefaultConfig()
 		if float64(nodes) > config.ShareAfterStart*float64(limit*count) {
 			t.Skip("too few connections for one a node")
 		}
-		var fleet fixedFleet
-		for index := range nodes {
-			fleet = append(fleet, fmt.Sprintf("node-%03d", index))
-		}
+		fleet := fleetOf(nodes, nodeZones)
 		for _, span := range []time.Duration{0, config.StartSpan} {
 			open := map[string]int{}
-			for _, id := range fleet {
-				dealer := New(config, fleet, id)
+			for _, node := range fleet {
+				dealer := New(config, fleet, node)
 				dealer.now = func() time.Time { return dealer.started.Add(span) }
 				own := 0
-				for _, dealt := range dealer.Deal("s", leafs(count), limit) {
+				for _, dealt := range dealer.Deal("s", leafs(count, leafZones), limit) {
 					own += dealt.Connections
 					open[dealt.Leaf.ID] += dealt.Connections
 				}
@@ -70,29 +82,26 @@
 
 func TestWithoutALimitEveryLeafIsUsed(t *testing.T) {
 	is := is.New(t)
-	used := New(DefaultConfig(), fixedFleet{"a", "b"}, "a").Deal("s", leafs(3), 0)
+	used := New(DefaultConfig(), fleetOf(2, 1), fleetOf(2, 1)[0]).Deal("s", leafs(3, 1), 0)
 	is.Equal(len(used), 3)
 	for _, dealt := range used {
 		is.Equal(dealt.Connections, DefaultConfig().Unlimited)
 	}
-	is.Equal(len(New(DefaultConfig(), fixedFleet{}, "a").Deal("s", nil, 5)), 0)
+	is.Equal(len(New(DefaultConfig(), fixedFleet{}, catalog.NodeRecord{ID: "a"}).Deal("s", nil, 5)), 0)
 }
 
 // Where a node has no part of a leaf, it may still try a spare connection there.
 func TestEveryLeafMayBeTried(t *testing.T) {
 	is := is.New(t)
-	var fleet fixedFleet
-	for index := range 64 {
-		fleet = append(fleet, fmt.Sprintf("node-%03d", index))
-	}
+	fleet := fleetOf(64, 1)
 	dealer := New(DefaultConfig(), fleet, fleet[7])
-	for _, dealt := range dealer.Deal("s", leafs(3), 54) { // a new node keeps to its part
+	for _, dealt := range dealer.Deal("s", leafs(3, 1), 54) { // a new node keeps to its part
 		is.Equal(dealt.LastResort, dealt.Connections == 0)
 		is.Equal(dealt.Connections+dealt.Spare, 1)
 	}
 	dealer.now = func() time.Time { return dealer.started.Add(DefaultConfig().StartSpan) }
 	own, tried := 0, 0
-	for _, dealt := range dealer.Deal("s", leafs(3), 54) {
+	for _, dealt := range dealer.Deal("s", leafs(3, 1), 54) {
 		own += dealt.Connections
 		tried += dealt.Connections + dealt.Spare
 	}
@@ -100,6 +109,68 @@
 	is.Equal(tried, 5)
 }
 
+// Where a leaf can't have a connection of every node, the nodes of its own zone have theirs, and
+// those of other zones share what is left evenly.
+func TestTheLeafsOfTheOwnZoneComeFirst(t *testing.T) {
+	is := is.New(t)
+	const nodes, zones, limit = 60, 3, 52
+	fleet := fleetOf(nodes, zones)
+	open := map[string]int{}
+	for _, node := range fleet {
+		dealer := New(DefaultConfig(), fleet, node)
+		dealer.now = func() time.Time { return dealer.started.Add(DefaultConfig().StartSpan) }
+		for _, dealt := range dealer.Deal("s", leafs(3, zones), limit) {
+			open[dealt.Leaf.ID] += dealt.Connections
+			is.True(dealt.Leaf.Zone != node.Zone || dealt.Connections == 1)
+		}
+	}
+	is.Equal(open, map[string]int{"leaf-00": 40, "leaf-01": 40, "leaf-02": 40})
+}
+
+// Nodes of a zone without leafs, and one that nobody knows of yet, are dealt some all the same.
+func TestEveryNodeIsDealtLeafs(t *testing.T) {
+	is := is.New(t)
+	fleet := fleetOf(64, 4)
+	unknown := catalog.NodeRecord{ID: "node-new", Zone: zoneName(3)}
+	open := map[string]int{}
+	for _, node := range append(fleetOf(64, 4), unknown) {
+		dealer := New(DefaultConfig(), fleet, node)
+		dealer.now = func() time.Time { return dealer.started.Add(DefaultConfig().StartSpan) }
+		own := 0
+		for _, dealt := range dealer.Deal("s", leafs(3, 3), 54) {
+			own += dealt.Connections
+			open[dealt.Leaf.ID] += dealt.Connections
+		}
+		is.Equal(own, 2)
+	}
+	for _, sum := range open {
+		is.True(sum <= 54)
+	}
+}
+
+// What was dealt is kept until nodes, leafs, the limit or the node's age change.
+func TestDealFollowsWhatItDependsOn(t *testing.T) {
+	is := is.New(t)
+	dealer := New(DefaultConfig(), fleetOf(60, 3), fleetOf(60, 3)[0])
+	now := dealer.started
+	dealer.now = func() time.Time { return now }
+	shards := leafs(3, 3)
+	parts := func(leafs []*leafset.Leaf, limit int) int {
+		sum := 0
+		for _, dealt := range dealer.Deal("s", leafs, limit) {
+			sum += dealt.Connections
+		}
+		return sum
+	}
+	is.Equal(parts(shards, 52), 1)
+	now = now.Add(DefaultConfig().StartSpan)
+	is.Equal(parts(shards, 52), 2)
+	is.Equal(parts(shards, 200), 9)
+	is.Equal(parts(leafs(1, 1), 52), 1)
+	dealer.fleet = fleetOf(6, 3)
+	is.Equal(parts(shards, 52), 21)
+}
+
 func TestConfigNamesEveryFault(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(DefaultConfig().Validate())
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -94,7 +94,7 @@
 	defer pool.Close()
 	g := New(Parts{
 		Config: DefaultConfig(), Dialect: dialect, Catalog: known, Memory: leafmemory.New(leafmemory.DefaultConfig(), known),
-		Dealer: connshare.New(connshare.DefaultConfig(), alone{}, "n"), Balancer: balancer.New(balancer.DefaultConfig(), "z"),
+		Dealer: connshare.New(connshare.DefaultConfig(), alone{}, catalog.NodeRecord{ID: "n"}), Balancer: balancer.New(balancer.DefaultConfig(), "z"),
 		Budgets: retrybudget.New(retrybudget.DefaultConfig(), func() int { return 1 }), Leafs: pool, Journal: &discardingJournal{},
 	})
 	b.ReportAllocs()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,7 +109,7 @@
 // alone is a fleet of one node.
 type alone struct{}
 
-func (alone) IDs() []string { return []string{"n"} }
+func (alone) Nodes() []catalog.NodeRecord { return []catalog.NodeRecord{{ID: "n"}} }
 
 const shardCount = 10
 
@@ -137,7 +137,7 @@
 	budget := retrybudget.Config{Ratio: 1, Window: 10 * time.Second, Share: 1}
 	return New(Parts{
 		Config: DefaultConfig(), Dialect: dialect, Catalog: known, Memory: leafmemory.New(leafmemory.DefaultConfig(), known),
-		Dealer:   connshare.New(connshare.DefaultConfig(), alone{}, "n"),
+		Dealer:   connshare.New(connshare.DefaultConfig(), alone{}, catalog.NodeRecord{ID: "n"}),
 		Balancer: balancer.New(balancer.DefaultConfig(), "z"), Budgets: retrybudget.New(budget, func() int { return 1 }),
 		Leafs: leafs, Journal: journal,
 	}), journal
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -121,7 +121,7 @@
 }
 
 func newDealer(config settings.Settings, census *registry.Census, self catalog.NodeRecord) *connshare.Dealer {
-	return connshare.New(config.ConnectionShare, census, self.ID)
+	return connshare.New(config.ConnectionShare, census, self)
 }
 
 func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
--- a/internal/registry/census.go
+++ b/internal/registry/census.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,7 +21,7 @@
 	mutex sync.Mutex
 	view  *catalog.View // the last one looked at
 	gone  map[string]time.Time
-	ids   []string // sorted
+	nodes []catalog.NodeRecord // sorted by id
 	until time.Time
 }
 
@@ -29,50 +30,63 @@
 	return &Census{catalog: known, memory: memory, self: self, now: time.Now, gone: map[string]time.Time{}}
 }
 
-// IDs gives the ids of the nodes that are registered or were a moment ago, sorted. The slice is
-// shared: callers must not change it.
-func (c *Census) IDs() []string {
+// Nodes gives the nodes that are registered or were a moment ago, sorted by id. The slice is shared
+// and never changed: callers must not change it either.
+func (c *Census) Nodes() []catalog.NodeRecord {
 	view := c.catalog.View()
 	now := c.now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if view == c.view && (c.until.IsZero() || now.Before(c.until)) {
-		return c.ids
+		return c.nodes
 	}
-	for _, id := range c.ids {
-		if _, registered := view.Nodes[id]; !registered && c.gone[id].IsZero() {
-			c.gone[id] = now.Add(c.memory)
-		}
-	}
-	c.view, c.ids, c.until = view, nil, time.Time{}
-	for id := range view.Nodes {
-		delete(c.gone, id)
-		c.ids = append(c.ids, id)
+	nodes := c.current(view, now)
+	c.view = view
+	if !slices.Equal(nodes, c.nodes) {
+		c.nodes = nodes
 	}
-	for id, until := range c.gone {
+	return c.nodes
+}
+
+// current finds the nodes that count, and until when that holds. The mutex must be held.
+func (c *Census) current(view *catalog.View, now time.Time) []catalog.NodeRecord {
+	nodes := make([]catalog.NodeRecord, 0, len(view.Nodes))
+	c.until = time.Time{}
+	for _, node := range c.nodes {
+		if _, registered := view.Nodes[node.ID]; registered {
+			continue
+		}
+		if c.gone[node.ID].IsZero() {
+			c.gone[node.ID] = now.Add(c.memory)
+		}
+		until := c.gone[node.ID]
 		if !now.Before(until) {
-			delete(c.gone, id)
+			delete(c.gone, node.ID)
 			continue
 		}
-		c.ids = append(c.ids, id)
+		nodes = append(nodes, node)
 		if c.until.IsZero() || until.Before(c.until) {
 			c.until = until
 		}
 	}
-	slices.Sort(c.ids)
-	return c.ids
+	for id, node := range view.Nodes {
+		delete(c.gone, id)
+		nodes = append(nodes, node)
+	}
+	slices.SortFunc(nodes, func(a, b catalog.NodeRecord) int { return strings.Compare(a.ID, b.ID) })
+	return nodes
 }
 
 // Others gives the peer addresses of up to n random nodes that are registered, this one left out.
 func (c *Census) Others(n int) []string {
-	ids := c.IDs()
+	nodes := c.Nodes()
 	view := c.catalog.View()
 	addresses := make([]string, 0, n)
-	for _, index := range rand.Perm(len(ids)) {
+	for _, index := range rand.Perm(len(nodes)) {
 		if len(addresses) >= n {
 			break
 		}
-		if node, registered := view.Nodes[ids[index]]; registered && ids[index] != c.self {
+		if node, registered := view.Nodes[nodes[index].ID]; registered && node.ID != c.self {
 			addresses = append(addresses, node.Address)
 		}
 	}
@@ -82,9 +96,9 @@
 // Sharing gives the number of nodes that share a bound, 0 unless this node is one of those
 // that the others know of.
 func (c *Census) Sharing() int {
-	ids := c.IDs()
+	nodes := c.Nodes()
 	if _, registered := c.catalog.View().Nodes[c.self]; !registered {
 		return 0
 	}
-	return len(ids)
+	return len(nodes)
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -134,19 +134,19 @@
 		is := is.New(t)
 		known := catalog.New(nil)
 		census := NewCensus(known, "n1", time.Second)
-		is.Equal(len(census.IDs()), 0)
+		is.Equal(len(ids(census)), 0)
 		register(known, "n2", false)
 		register(known, "n3", false)
-		is.Equal(census.IDs(), []string{"n2", "n3"})
+		is.Equal(ids(census), []string{"n2", "n3"})
 		is.Equal(census.Sharing(), 0)
 		register(known, "n1", false)
 		is.Equal(census.Sharing(), 3)
 		register(known, "n3", true)
-		is.Equal(census.IDs(), []string{"n1", "n2", "n3"})
+		is.Equal(ids(census), []string{"n1", "n2", "n3"})
 		time.Sleep(900 * time.Millisecond)
 		is.Equal(census.Sharing(), 3)
 		time.Sleep(200 * time.Millisecond)
-		is.Equal(census.IDs(), []string{"n1", "n2"})
+		is.Equal(ids(census), []string{"n1", "n2"})
 	})
 }
 
@@ -155,3 +155,12 @@
 	is.NoErr(DefaultConfig().Validate())
 	is.Equal(len(failure.Faults(Config{}.Validate())), 4)
 }
+
+// ids gives the ids of the nodes that a census counts.
+func ids(census *Census) []string {
+	var ids []string
+	for _, node := range census.Nodes() {
+		ids = append(ids, node.ID)
+	}
+	return ids
+}
