--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -18,6 +18,10 @@
 	Zone string `json:"zone"`
 	// Address is the node's peer address.
 	Address string `json:"address"`
+	// Tree is where the node gathers for others; empty when it does not.
+	Tree string `json:"tree,omitempty"`
+	// Processors is the node's part of processors, in cores; 0 when it does not say.
+	Processors float64 `json:"processors,omitempty"`
 }
 
 // isTransient reports whether a key holds the record of a process, which ends with it.
--- a/internal/connshare/connshare.go
+++ b/internal/connshare/connshare.go
@@ -12,6 +12,7 @@
 package connshare
 
 import (
+	"slices"
 	"sync"
 	"time"
 	"unsafe"
@@ -57,6 +58,8 @@
 // never changed once it was given.
 type Fleet interface {
 	Nodes() []catalog.NodeRecord
+	// Gatherers are those of the nodes that ask the leafs of gathered services.
+	Gatherers() []catalog.NodeRecord
 }
 
 // Dealer gives one node its part; safe for concurrent use.
@@ -68,7 +71,13 @@
 	started time.Time
 
 	mu    sync.Mutex
-	dealt map[string]deal // by service
+	dealt map[dealtService]deal
+}
+
+// dealtService is a service, and whether it is asked for gathered requests.
+type dealtService struct {
+	name     string
+	gathered bool
 }
 
 // deal is what a service's leafs were dealt by, and how.
@@ -82,7 +91,7 @@
 
 // New makes the dealer of a node that starts now.
 func New(config Config, fleet Fleet, self catalog.NodeRecord) *Dealer {
-	return &Dealer{config: config, fleet: fleet, self: self, now: time.Now, started: time.Now(), dealt: map[string]deal{}}
+	return &Dealer{config: config, fleet: fleet, self: self, now: time.Now, started: time.Now(), dealt: map[dealtService]deal{}}
 }
 
 // Dealt is a leaf with this node's part of its connections.
@@ -98,12 +107,17 @@
 }
 
 // Deal gives the leafs of a service with this node's parts. The limit is the leaf's own, 0
-// meaning none. The slice is shared: callers must not change it.
-func (d *Dealer) Deal(service string, leafs []*leafset.Leaf, limit int) []Dealt {
+// meaning none. Leafs of gathered services are shared by the nodes that gather; another node has no
+// part of them, only spare connections. The slice is shared: callers must not change it.
+func (d *Dealer) Deal(name string, gathered bool, leafs []*leafset.Leaf, limit int) []Dealt {
 	if len(leafs) == 0 {
 		return nil
 	}
+	service := dealtService{name, gathered}
 	wanted := deal{nodes: d.fleet.Nodes(), leafs: leafs, limit: limit, isNew: d.isNew()}
+	if gathered {
+		wanted.nodes = d.fleet.Gatherers()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if known, found := d.dealt[service]; found && known.equals(wanted) {
@@ -112,7 +126,7 @@
 	if len(d.dealt) >= mostKept {
 		clear(d.dealt)
 	}
-	wanted.dealt = d.deal(service, wanted)
+	wanted.dealt = d.deal(name, wanted)
 	d.dealt[service] = wanted
 	return wanted.dealt
 }
@@ -139,7 +153,8 @@
 		return dealt
 	}
 	each := d.each(len(by.nodes), by.limit, by.isNew)
-	if each >= 1 {
+	isLeftOut := d.isLeftOut(by.nodes)
+	if each >= 1 && !isLeftOut {
 		for index := range dealt {
 			dealt[index].Connections = min(int(each), d.config.Unlimited)
 			dealt[index].Spare = d.spare(by.isNew)
@@ -150,6 +165,9 @@
 		dealt[index].Connections, dealt[index].Spare = 0, d.config.Spare
 		dealt[index].LastResort = by.isNew
 	}
+	if isLeftOut {
+		return dealt
+	}
 	for _, index := range d.own(service, by, each) {
 		own := &dealt[index]
 		own.Connections, own.Spare, own.LastResort = 1, d.spare(by.isNew), false
@@ -169,6 +187,12 @@
 // isNew reports whether the node started a short while ago.
 func (d *Dealer) isNew() bool { return d.now().Sub(d.started) < d.config.StartSpan }
 
+// isLeftOut reports whether the node is known, and not one of those that share some leafs.
+func (d *Dealer) isLeftOut(nodes []catalog.NodeRecord) bool {
+	isSelf := func(node catalog.NodeRecord) bool { return node.ID == d.self.ID }
+	return !slices.ContainsFunc(nodes, isSelf) && slices.ContainsFunc(d.fleet.Nodes(), isSelf)
+}
+
 // share gives the part of a leaf's limit that all nodes together use.
 func (d *Dealer) share(isNew bool) float64 {
 	if isNew {
--- a/internal/connshare/connshare_test.go
+++ b/internal/connshare/connshare_test.go
@@ -15,7 +15,8 @@
 
 type fixedFleet []catalog.NodeRecord
 
-func (f fixedFleet) Nodes() []catalog.NodeRecord { return f }
+func (f fixedFleet) Nodes() []catalog.NodeRecord     { return f }
+func (f fixedFleet) Gatherers() []catalog.NodeRecord { return f }
 
 // fleetOf makes so many nodes, in turn in each of some zones.
 func fleetOf(nodes, zones int) fixedFleet {
@@ -58,7 +59,7 @@
 				dealer := New(config, fleet, node)
 				dealer.now = func() time.Time { return dealer.started.Add(span) }
 				own := 0
-				for _, dealt := range dealer.Deal("s", leafs(count, leafZones), limit) {
+				for _, dealt := range dealer.Deal("s", true, leafs(count, leafZones), limit) {
 					own += dealt.Connections
 					open[dealt.Leaf.ID] += dealt.Connections
 				}
@@ -82,12 +83,12 @@
 
 func TestWithoutALimitEveryLeafIsUsed(t *testing.T) {
 	is := is.New(t)
-	used := New(DefaultConfig(), fleetOf(2, 1), fleetOf(2, 1)[0]).Deal("s", leafs(3, 1), 0)
+	used := New(DefaultConfig(), fleetOf(2, 1), fleetOf(2, 1)[0]).Deal("s", true, leafs(3, 1), 0)
 	is.Equal(len(used), 3)
 	for _, dealt := range used {
 		is.Equal(dealt.Connections, DefaultConfig().Unlimited)
 	}
-	is.Equal(len(New(DefaultConfig(), fixedFleet{}, catalog.NodeRecord{ID: "a"}).Deal("s", nil, 5)), 0)
+	is.Equal(len(New(DefaultConfig(), fixedFleet{}, catalog.NodeRecord{ID: "a"}).Deal("s", true, nil, 5)), 0)
 }
 
 // Where a node has no part of a leaf, it may still try a spare connection there.
@@ -95,13 +96,13 @@
 	is := is.New(t)
 	fleet := fleetOf(64, 1)
 	dealer := New(DefaultConfig(), fleet, fleet[7])
-	for _, dealt := range dealer.Deal("s", leafs(3, 1), 54) { // a new node keeps to its part
+	for _, dealt := range dealer.Deal("s", true, leafs(3, 1), 54) { // a new node keeps to its part
 		is.Equal(dealt.LastResort, dealt.Connections == 0)
 		is.Equal(dealt.Connections+dealt.Spare, 1)
 	}
 	dealer.now = func() time.Time { return dealer.started.Add(DefaultConfig().StartSpan) }
 	own, tried := 0, 0
-	for _, dealt := range dealer.Deal("s", leafs(3, 1), 54) {
+	for _, dealt := range dealer.Deal("s", true, leafs(3, 1), 54) {
 		own += dealt.Connections
 		tried += dealt.Connections + dealt.Spare
 	}
@@ -119,7 +120,7 @@
 	for _, node := range fleet {
 		dealer := New(DefaultConfig(), fleet, node)
 		dealer.now = func() time.Time { return dealer.started.Add(DefaultConfig().StartSpan) }
-		for _, dealt := range dealer.Deal("s", leafs(3, zones), limit) {
+		for _, dealt := range dealer.Deal("s", true, leafs(3, zones), limit) {
 			open[dealt.Leaf.ID] += dealt.Connections
 			is.True(dealt.Leaf.Zone != node.Zone || dealt.Connections == 1)
 		}
@@ -137,7 +138,7 @@
 		dealer := New(DefaultConfig(), fleet, node)
 		dealer.now = func() time.Time { return dealer.started.Add(DefaultConfig().StartSpan) }
 		own := 0
-		for _, dealt := range dealer.Deal("s", leafs(3, 3), 54) {
+		for _, dealt := range dealer.Deal("s", true, leafs(3, 3), 54) {
 			own += dealt.Connections
 			open[dealt.Leaf.ID] += dealt.Connections
 		}
@@ -157,7 +158,7 @@
 	shards := leafs(3, 3)
 	parts := func(leafs []*leafset.Leaf, limit int) int {
 		sum := 0
-		for _, dealt := range dealer.Deal("s", leafs, limit) {
+		for _, dealt := range dealer.Deal("s", true, leafs, limit) {
 			sum += dealt.Connections
 		}
 		return sum
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -114,3 +114,4 @@
 type discardingJournal struct{ silentJournal }
 
 func (j *discardingJournal) Served(RequestRecord) {}
+func (j *discardingJournal) Passed(GroupRecord)   {}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -39,6 +39,11 @@
 	// OverloadRetryAfter is about when callers are told to come back that are refused for the
 	// work that waits at most shards.
 	OverloadRetryAfter time.Duration `yaml:"overload_retry_after"`
+	// ServingTree lets another node gather for this one, where that one is in a zone with the leafs
+	// or has far more processors.
+	ServingTree bool `yaml:"serving_tree"`
+	// MaximumGathered bounds the requests that this node gathers for others at once.
+	MaximumGathered int64 `yaml:"maximum_gathered"`
 }
 
 // DefaultConfig suits objectives of tens of milliseconds and more.
@@ -54,6 +59,8 @@
 		MaximumRefusals:    3,
 		RetryAfter:         50 * time.Millisecond,
 		OverloadRetryAfter: 500 * time.Millisecond,
+		ServingTree:        true,
+		MaximumGathered:    64,
 	}
 }
 
@@ -70,5 +77,6 @@
 	checks.Refuse(c.MaximumRefusals < 0, "maximum_refusals", "must not be negative")
 	checks.Refuse(c.RetryAfter <= 0, "retry_after", "must be positive")
 	checks.Refuse(c.OverloadRetryAfter <= 0, "overload_retry_after", "must be positive")
+	checks.Refuse(c.MaximumGathered < 1, "maximum_gathered", "must be at least 1")
 	return checks.Err()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/balancer"
@@ -43,6 +44,11 @@
 	Budgets  *retrybudget.Budgets
 	Leafs    LeafCaller
 	Journal  Journal
+	// Self is this node's own record.
+	Self catalog.NodeRecord
+	// Fleet and Intermediates let other nodes gather; nil means that this one does it all itself.
+	Fleet         Fleet
+	Intermediates Intermediates
 }
 
 // Gateway serves requests by the routing table; safe for concurrent use.
@@ -61,15 +67,22 @@
 	patience  *patienceBook
 	shares    *routing.Shares
 	lag       lagTracker
+	root      *root // nil where no other node is asked to gather
+	// gathered counts the groups that are being gathered for other nodes.
+	gathered atomic.Int64
 }
 
 // New makes a gateway.
 func New(parts Parts) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, dealer: parts.Dealer, balancer: parts.Balancer,
 		budgets: parts.Budgets, leafs: parts.Leafs, journal: parts.Journal,
 		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
 	}
+	if parts.Config.ServingTree && parts.Fleet != nil && parts.Intermediates != nil {
+		g.root = newRoot(parts)
+	}
+	return g
 }
 
 // Ready reports whether there are routes to serve by.
@@ -91,8 +104,8 @@
 		return nil, err
 	}
 	work := &gathering{gateway: g, query: pinned, services: g.servicesOf(pinned)}
-	for _, service := range work.services {
-		g.budgets.Request(service)
+	if g.root != nil && work.isGathered() {
+		work.groups = g.root.groups(pinned.entry)
 	}
 	answer, err := work.serve(ctx)
 	work.learnLag()
@@ -121,6 +134,8 @@
 	gateway  *Gateway
 	query    *query
 	services []string
+	// groups are the services that other nodes gather.
+	groups []group
 	// targets are the leafs that may be asked, by shard.
 	targets [][]leafhttp.Target
 	// gatheredLatency is that of all shards of a gathered request; nil until it is looked up.
@@ -128,9 +143,10 @@
 	summary         scatter.Summary
 	outcomes        []scatter.Outcome[leafhttp.Response]
 
-	// mutex guards lastFailure, which attempts set as they end.
+	// mutex guards the rest, which attempts and groups set as they end.
 	mutex       sync.Mutex
 	lastFailure *leafhttp.Response
+	groupsEnded []GroupRecord
 }
 
 // learnLag compares when an answer was made with when it was planned, where only the plan decided
@@ -145,12 +161,14 @@
 func (w *gathering) isGathered() bool { return len(w.query.entry.Gathered) > 0 }
 
 func (w *gathering) serve(ctx context.Context) (*Answer, error) {
+	w.countRequests()
 	plan := w.plan()
 	if err := w.refuse(plan); err != nil {
 		return nil, err
 	}
 	work := scatter.New(plan, scatter.Parts[leafhttp.Response]{
 		Balancer: w.gateway.balancer, Start: w.startAttempt, Observer: w, Superseded: leafhttp.ErrSuperseded,
+		StartGroup: w.startGroup,
 	})
 	w.outcomes, w.summary = work.Run(ctx)
 	if ctx.Err() != nil {
@@ -162,13 +180,23 @@
 	return w.singleAnswer()
 }
 
+// countRequests counts the request for the services whose leafs are asked from here.
+func (w *gathering) countRequests() {
+	for index, service := range w.services {
+		if !w.isPassedOn(index) {
+			w.gateway.budgets.Request(service)
+		}
+	}
+}
+
 func (w *gathering) plan() scatter.Plan {
 	entry := w.query.entry
 	w.query.Leaf.AtMostOnce = entry.Repeatability == routing.AtMostOnce
 	plan := scatter.Plan{
 		Shards:          make([]scatter.Shard, len(w.services)),
 		Deadline:        w.query.deadline,
-		Sufficient:      max(1, entry.RequiredParts),
+		Groups:          scatterGroups(w.groups),
+		Sufficient:      max(1, w.query.required),
 		AtMostOnce:      entry.Repeatability == routing.AtMostOnce,
 		MaximumAttempts: entry.Attempts,
 		MaximumRefusals: w.gateway.config.MaximumRefusals,
@@ -214,14 +242,14 @@
 // candidates gives the leafs of a shard that may be asked, and keeps how.
 func (w *gathering) candidates(shard int) []balancer.Candidate {
 	service := w.services[shard]
-	return w.gateway.partsOf(service, w.query.service(service).MaximumConnections, &w.targets[shard])
+	return w.gateway.partsOf(service, w.isGathered(), w.query.service(service).MaximumConnections, &w.targets[shard])
 }
 
 // partsOf gives the leafs of a service that this node may ask, and adds to targets how. The limit
 // is that of the connections of one leaf.
-func (g *Gateway) partsOf(service string, limit int, targets *[]leafhttp.Target) []balancer.Candidate {
+func (g *Gateway) partsOf(service string, gathered bool, limit int, targets *[]leafhttp.Target) []balancer.Candidate {
 	leafs, _ := g.memory.Candidates(service)
-	dealt := g.dealer.Deal(service, leafs, limit)
+	dealt := g.dealer.Deal(service, gathered, leafs, limit)
 	candidates := make([]balancer.Candidate, 0, len(dealt))
 	*targets = make([]leafhttp.Target, 0, len(dealt))
 	for _, part := range dealt {
@@ -269,7 +297,7 @@
 		answer.Stamps = append(answer.Stamps, outcome.Reply.Header.Get(w.gateway.dialect.ResponseStamp))
 		bodies = append(bodies, outcome.Reply.Body)
 	}
-	if len(answer.Stamps) < max(1, w.query.entry.RequiredParts) {
+	if len(answer.Stamps) < max(1, w.query.required) {
 		return nil, w.failed()
 	}
 	answer.Body = topRecords(bodies, w.query.entry.TopRecords)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,7 @@
 type silentJournal struct {
 	mutex   sync.Mutex
 	records []RequestRecord
+	passes  []GroupRecord
 }
 
 func (j *silentJournal) Refused(*Request, error)        {}
@@ -46,6 +47,12 @@
 	j.records = append(j.records, record)
 }
 
+func (j *silentJournal) Passed(record GroupRecord) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.passes = append(j.passes, record)
+}
+
 // scriptedLeafs answers attempts by a function of the leaf, in virtual time.
 type scriptedLeafs struct {
 	answer func(leaf string) (time.Duration, *leafhttp.Response, error)
@@ -109,7 +116,8 @@
 // alone is a fleet of one node.
 type alone struct{}
 
-func (alone) Nodes() []catalog.NodeRecord { return []catalog.NodeRecord{{ID: "n"}} }
+func (alone) Nodes() []catalog.NodeRecord     { return []catalog.NodeRecord{{ID: "n"}} }
+func (alone) Gatherers() []catalog.NodeRecord { return []catalog.NodeRecord{{ID: "n"}} }
 
 const shardCount = 10
 
@@ -362,7 +370,7 @@
 	is := is.New(t)
 	is.NoErr(DefaultConfig().Validate())
 	bad := Config{HedgeReserve: 1, AnswerReserve: -1, ObjectiveReserve: -1, MaximumRefusals: -1}
-	is.Equal(len(failure.Faults(bad.Validate())), 9)
+	is.Equal(len(failure.Faults(bad.Validate())), 10)
 }
 
 // A node opens a connection for each gathered service before its first request, and none for
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -17,6 +17,8 @@
 	AttemptEnded(record AttemptRecord)
 	// Served tells of the end of a request.
 	Served(record RequestRecord)
+	// Passed tells of the end of a group that another node was asked to gather.
+	Passed(record GroupRecord)
 }
 
 // AttemptRecord is one attempt at one leaf.
@@ -51,6 +53,10 @@
 	MissingServices []MissingPart
 	Summary         scatter.Summary
 	Status          int
+	// Groups are the services that other nodes gathered.
+	Groups []GroupRecord
+	// For is the node that this one gathered for; empty when the request is its own.
+	For string
 	// Failure is nil for answers, leafs' own failures included.
 	Failure *failure.Failure
 }
@@ -66,7 +72,7 @@
 func (q *query) record(work *gathering, answer *Answer, err error) RequestRecord {
 	record := RequestRecord{
 		RequestID: q.Leaf.ID, Route: q.entry.Name, Version: q.table.Version, Revision: q.table.Revision,
-		ConfigAge: time.Since(work.gateway.catalog.ConfirmedAt()), Took: time.Since(q.Arrived),
+		For: q.root, Groups: work.groupRecords(), ConfigAge: time.Since(work.gateway.catalog.ConfirmedAt()), Took: time.Since(q.Arrived),
 		InTime: time.Now().Before(q.late), Parts: len(work.outcomes), Summary: work.summary,
 	}
 	for index, outcome := range work.outcomes {
--- /dev/null
+++ b/internal/gateway/placement.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/routing"
+)
+
+// placement knows in which zones the leafs of gathered routes are; safe for concurrent use.
+type placement struct {
+	catalog *catalog.Catalog
+	zone    string // this node's own
+
+	mu    sync.Mutex
+	leafs *leafset.Set // those that parts were found by
+	parts map[*routing.Entry][]routePart
+}
+
+// routePart is some services of a route that are best gathered in the same zones.
+type routePart struct {
+	// zones are equally good.
+	zones map[string]bool
+	// shards are indices into the route's services.
+	shards []int
+}
+
+func newPlacement(known *catalog.Catalog, zone string) *placement {
+	return &placement{catalog: known, zone: zone, parts: map[*routing.Entry][]routePart{}}
+}
+
+// mostPlaced bounds the routes whose parts are kept.
+const mostPlaced = 1024
+
+// of gives the parts of a gathered route: the services with a leaf in the own zone, and the others,
+// by the zones that have most of them. The slices are shared: callers must not change them.
+func (p *placement) of(entry *routing.Entry) []routePart {
+	leafs := p.catalog.View().Leafs
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if leafs != p.leafs || len(p.parts) >= mostPlaced {
+		p.leafs = leafs
+		clear(p.parts)
+	}
+	parts, found := p.parts[entry]
+	if !found {
+		parts = p.find(entry, leafs)
+		p.parts[entry] = parts
+	}
+	return parts
+}
+
+func (p *placement) find(entry *routing.Entry, leafs *leafset.Set) []routePart {
+	zones := make([]map[string]bool, len(entry.Gathered))
+	own := routePart{zones: map[string]bool{p.zone: true}}
+	var rest []int
+	for index, service := range entry.Gathered {
+		zones[index] = map[string]bool{}
+		for _, leaf := range leafs.Ready(service) {
+			zones[index][leaf.Zone] = true
+		}
+		if zones[index][p.zone] {
+			own.shards = append(own.shards, index)
+		} else {
+			rest = append(rest, index)
+		}
+	}
+	parts := []routePart{own}
+	for len(rest) > 0 {
+		part := largestPart(rest, zones)
+		if len(part.shards) == 0 {
+			break
+		}
+		parts = append(parts, part)
+		rest = slices.DeleteFunc(rest, func(index int) bool { return slices.Contains(part.shards, index) })
+	}
+	return parts
+}
+
+// largestPart gives the most services that some zone has leafs of, with all zones that have them.
+func largestPart(rest []int, zones []map[string]bool) routePart {
+	counts := map[string]int{}
+	for _, index := range rest {
+		for zone := range zones[index] {
+			counts[zone]++
+		}
+	}
+	best := ""
+	for zone, count := range counts {
+		if best == "" || count > counts[best] || count == counts[best] && zone < best {
+			best = zone
+		}
+	}
+	part := routePart{zones: map[string]bool{}}
+	for _, index := range rest {
+		if zones[index][best] {
+			part.shards = append(part.shards, index)
+		}
+	}
+	for zone := range counts {
+		part.zones[zone] = !slices.ContainsFunc(part.shards, func(index int) bool { return !zones[index][zone] })
+	}
+	return part
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,10 @@
 	planned time.Time
 	// late is from when an answer that goes out has lost some of its worth.
 	late time.Time
+	// required is the least number of parts that is of use.
+	required int
+	// root is the node that the request is gathered for; empty when it is this one.
+	root string
 }
 
 // newQuery finds the route of a request in the table in force.
@@ -63,7 +67,7 @@
 	if entry == nil {
 		return nil, failure.New(failure.UnknownRoute, failure.NotRun, "no route for host %q and path %q in version %d", request.Leaf.Host, request.Path, table.Version)
 	}
-	pinned := &query{Request: request, entry: entry, table: table, deadline: request.Arrived.Add(entry.Timeout)}
+	pinned := &query{Request: request, entry: entry, table: table, deadline: request.Arrived.Add(entry.Timeout), required: entry.RequiredParts}
 	pinned.objective = request.Arrived.Add(entry.Objective - g.elsewhere(request, entry))
 	pinned.planned = pinned.objective.Add(-g.lag.expected(entry.Objective))
 	pinned.late = pinned.objective.Add(g.config.ObjectiveReserve)
--- a/internal/gateway/warm.go
+++ b/internal/gateway/warm.go
@@ -36,7 +36,7 @@
 // warmOne opens a connection to the leaf that a first request would ask.
 func (g *Gateway) warmOne(service string, limit int) {
 	var targets []leafhttp.Target
-	choice := g.balancer.Choose(g.partsOf(service, limit, &targets), nil)
+	choice := g.balancer.Choose(g.partsOf(service, true, limit, &targets), nil)
 	if choice.Leaf == nil {
 		return
 	}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -136,6 +136,8 @@
 	eventPartial       = "request_partial"
 	eventFailed        = "request_failed"
 	eventAttemptFailed = "attempt_failed"
+	eventGathered      = "request_gathered"
+	eventPassed        = "group_unanswered"
 	eventAttemptEnded  = "attempt_ended"
 )
 
@@ -175,6 +177,25 @@
 	Execution       string                `json:"execution"`
 	Code            failure.Code          `json:"code,omitempty"`
 	Message         string                `json:"message,omitempty"`
+	// Groups are the parts that other nodes gathered, For is the node that this one gathered for.
+	Groups []groupEvent `json:"groups,omitempty"`
+	For    string       `json:"for,omitempty"`
+}
+
+// groupEvent says how it went to let another node gather a part of a request.
+type groupEvent struct {
+	Intermediate string               `json:"intermediate"`
+	Parts        int                  `json:"parts"`
+	Outcome      gateway.GroupOutcome `json:"outcome"`
+	Reason       string               `json:"reason,omitempty"`
+	TookMillis   float64              `json:"took_millis"`
+}
+
+type passedEvent struct {
+	Time      time.Time `json:"time"`
+	Event     string    `json:"event"`
+	RequestID string    `json:"request_id"`
+	groupEvent
 }
 
 type attemptEvent struct {
@@ -229,7 +250,10 @@
 		Revision: record.Revision, ConfigAgeMillis: record.ConfigAge.Milliseconds(), TookMillis: millis(record.Took),
 		InTime: record.InTime, Status: record.Status, Parts: record.Parts, Missing: record.MissingServices,
 		Attempts: record.Summary.Attempts, Hedges: record.Summary.Hedges, Retries: record.Summary.Retries,
-		Execution: record.Summary.Execution().String(),
+		Execution: record.Summary.Execution().String(), For: record.For,
+	}
+	for _, group := range record.Groups {
+		event.Groups = append(event.Groups, newGroupEvent(group))
 	}
 	importance, outcome := decisionlog.Ordinary, outcomeWhole
 	switch {
@@ -241,12 +265,34 @@
 	case !record.InTime:
 		importance = decisionlog.Failed
 	}
+	if record.For != "" {
+		event.Event = eventGathered
+		j.metrics.TreeGathered.WithLabelValues(outcome).Inc()
+		j.log.Write(importance, event)
+		return
+	}
 	j.metrics.FrontRequests.WithLabelValues(record.Route, outcome).Inc()
 	j.metrics.FrontLatency.WithLabelValues(outcome).Observe(record.Took.Seconds())
 	j.metrics.FrontMissingParts.Add(float64(record.Missing))
 	j.log.Write(importance, event)
 }
 
+func newGroupEvent(record gateway.GroupRecord) groupEvent {
+	return groupEvent{
+		Intermediate: record.Intermediate, Parts: record.Parts, Outcome: record.Outcome, Reason: record.Reason, TookMillis: millis(record.Took),
+	}
+}
+
+// Passed implements gateway.Journal. Groups that were answered are told of with their request.
+func (j *requestJournal) Passed(record gateway.GroupRecord) {
+	j.metrics.TreePassed.WithLabelValues(string(record.Outcome)).Inc()
+	j.metrics.TreeLatency.Observe(record.Took.Seconds())
+	if record.Outcome == gateway.GroupAnswered || record.Outcome == gateway.GroupCancelled {
+		return
+	}
+	j.log.Write(decisionlog.Failed, passedEvent{Time: time.Now(), Event: eventPassed, RequestID: record.RequestID, groupEvent: newGroupEvent(record)})
+}
+
 func millis(duration time.Duration) float64 {
 	return float64(duration.Microseconds()) / float64(time.Millisecond/time.Microsecond)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 			newJournal,
 			newBeliefJournal,
 			newGateway,
+			newIntermediates,
+			newTree,
 			newFront,
 			newEngine,
 			newSyncer,
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -30,6 +30,7 @@
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/search"
+	"github.com/portgauge/portgauge/internal/servingtree"
 	"github.com/portgauge/portgauge/internal/settings"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/telemetry"
@@ -71,7 +72,10 @@
 
 // newSelf gives the node's own record: the configured id, or one made from zone and address.
 func newSelf(config settings.Settings, transport *peer.SocketTransport) catalog.NodeRecord {
-	self := catalog.NodeRecord{ID: config.Node.ID, Zone: config.Node.Zone, Address: transport.Address()}
+	self := catalog.NodeRecord{
+		ID: config.Node.ID, Zone: config.Node.Zone, Address: transport.Address(), Tree: config.Listen.Tree,
+		Processors: config.Node.Processors * config.Node.ProcessorShare,
+	}
 	if self.ID == "" {
 		self.ID = fmt.Sprintf("%s/%s", self.Zone, self.Address)
 	}
@@ -142,12 +146,42 @@
 	return newRequestJournal(log, metrics, config.DecisionLog.EveryAttempt)
 }
 
-func newGateway(config settings.Settings, dialect httpdialect.Dialect, known *catalog.Catalog, memory *leafmemory.Memory, dealer *connshare.Dealer, choice *balancer.Balancer, budgets *retrybudget.Budgets, pool *leafhttp.Pool, journal gateway.Journal) *gateway.Gateway {
+// gatewayParts are what a gateway is made from.
+type gatewayParts struct {
+	fx.In
+
+	Config        settings.Settings
+	Dialect       httpdialect.Dialect
+	Catalog       *catalog.Catalog
+	Memory        *leafmemory.Memory
+	Dealer        *connshare.Dealer
+	Balancer      *balancer.Balancer
+	Budgets       *retrybudget.Budgets
+	Leafs         *leafhttp.Pool
+	Journal       gateway.Journal
+	Self          catalog.NodeRecord
+	Fleet         *registry.Census
+	Intermediates *servingtree.Client
+}
+
+func newGateway(parts gatewayParts) *gateway.Gateway {
 	return gateway.New(gateway.Parts{
-		Config: config.Gateway, Dialect: dialect, Catalog: known, Memory: memory, Dealer: dealer, Balancer: choice, Budgets: budgets, Leafs: pool, Journal: journal,
+		Config: parts.Config.Gateway, Dialect: parts.Dialect, Catalog: parts.Catalog, Memory: parts.Memory, Dealer: parts.Dealer,
+		Balancer: parts.Balancer, Budgets: parts.Budgets, Leafs: parts.Leafs, Journal: parts.Journal,
+		Self: parts.Self, Fleet: parts.Fleet, Intermediates: parts.Intermediates,
 	})
 }
 
+func newIntermediates(config settings.Settings, lifecycle fx.Lifecycle) *servingtree.Client {
+	client := servingtree.NewClient(config.ServingTree)
+	lifecycle.Append(fx.StopHook(client.Close))
+	return client
+}
+
+func newTree(config settings.Settings, handler *gateway.Gateway) *servingtree.Server {
+	return servingtree.NewServer(config.ServingTree, handler)
+}
+
 func newFront(backend *gateway.Gateway, dialect httpdialect.Dialect, logger *zap.Logger) *front.Server {
 	return front.NewServer(backend, dialect, logger)
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -23,6 +23,7 @@
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/search"
+	"github.com/portgauge/portgauge/internal/servingtree"
 	"github.com/portgauge/portgauge/internal/settings"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/wait"
@@ -116,6 +117,7 @@
 	Engine  *search.Engine
 	Gateway *gateway.Gateway
 	Front   *front.Server
+	Tree    *servingtree.Server
 	Syncer  *configsync.Syncer
 	Members *membership.Membership
 	Logger  *zap.Logger
@@ -132,6 +134,13 @@
 	warming, stopWarming := context.WithCancel(context.Background())
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
+			if config.Listen.Tree != "" {
+				listener, err := listen(ctx, config.Listen.Tree, logger)
+				if err != nil {
+					return err
+				}
+				go parts.Tree.Serve(listener)
+			}
 			if config.Listen.Front == "" {
 				return nil
 			}
@@ -149,6 +158,7 @@
 		OnStop: func(ctx context.Context) error {
 			stopWarming()
 			parts.Members.Leave()
+			parts.Tree.Announce()
 			parts.Engine.Announce()
 			parts.Front.Announce()
 			logger.Info("stopping: announced")
@@ -186,6 +196,10 @@
 		err := parts.Front.Shutdown(ctx)
 		parts.Logger.Info("stopping: front drained", zap.Error(err))
 	})
+	draining.Go(func() {
+		err := parts.Tree.Shutdown(ctx)
+		parts.Logger.Info("stopping: requests of other nodes drained", zap.Error(err))
+	})
 	draining.Wait()
 }
 
--- a/internal/registry/census.go
+++ b/internal/registry/census.go
@@ -22,7 +22,9 @@
 	view  *catalog.View // the last one looked at
 	gone  map[string]time.Time
 	nodes []catalog.NodeRecord // sorted by id
-	until time.Time
+	// gatherers are of nodes.
+	gatherers []catalog.NodeRecord
+	until     time.Time
 }
 
 // NewCensus makes a census for the node of an id.
@@ -33,19 +35,33 @@
 // Nodes gives the nodes that are registered or were a moment ago, sorted by id. The slice is shared
 // and never changed: callers must not change it either.
 func (c *Census) Nodes() []catalog.NodeRecord {
-	view := c.catalog.View()
-	now := c.now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.refresh()
+	return c.nodes
+}
+
+// Gatherers gives those of the nodes that gather for the others of their zones, see Gatherers. The
+// slice is shared and never changed.
+func (c *Census) Gatherers() []catalog.NodeRecord {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.refresh()
+	return c.gatherers
+}
+
+// refresh looks at the configuration in force. The mutex must be held.
+func (c *Census) refresh() {
+	view := c.catalog.View()
+	now := c.now()
 	if view == c.view && (c.until.IsZero() || now.Before(c.until)) {
-		return c.nodes
+		return
 	}
 	nodes := c.current(view, now)
 	c.view = view
 	if !slices.Equal(nodes, c.nodes) {
-		c.nodes = nodes
+		c.nodes, c.gatherers = nodes, Gatherers(nodes)
 	}
-	return c.nodes
 }
 
 // current finds the nodes that count, and until when that holds. The mutex must be held.
--- /dev/null
+++ b/internal/scatter/group.go
@@ -0,0 +1,95 @@
+package scatter
+
+import (
+	"context"
+	"slices"
+)
+
+// Group is some shards that are asked as one: another node asks their leafs and gives back all of
+// their replies together. If it gives none, each shard is asked by itself. Nothing is hedged while a
+// group is asked, so that no shard has two replies; whoever carries the group out decides when to
+// give up on it.
+type Group struct {
+	// Shards are indices into the plan's shards.
+	Shards []int
+}
+
+// GroupReason is the reason of shards that the answer of their group lacked.
+const GroupReason Reason = "MISSING_IN_GROUP"
+
+// GroupResult is how the attempt of a group ended.
+type GroupResult[Reply any] struct {
+	// Replies are those of the group's shards, in its order, nil for those that are missing; nil as
+	// a whole when there is no answer.
+	Replies []*Reply
+	// Execution is what is known of the leafs when there is no answer.
+	Execution Execution
+	// Final says that there is no answer, and that asking each shard by itself could not help.
+	Final bool
+}
+
+// StartGroup begins the attempt of a group, by its index in the plan, without blocking. It calls done
+// once; the function that it gives ends an attempt whose answer nobody waits for.
+type StartGroup[Reply any] func(ctx context.Context, group int, done func(GroupResult[Reply])) context.CancelCauseFunc
+
+// finishedGroup is a group with its result.
+type finishedGroup[Reply any] struct {
+	group  int
+	result GroupResult[Reply]
+}
+
+// startGroups begins the attempts of all groups.
+func (s *Scatter[Reply]) startGroups() {
+	for number, group := range s.plan.Groups {
+		for _, index := range group.Shards {
+			s.shards[index].isGrouped = true
+		}
+		s.grouped += len(group.Shards)
+		s.summary.Groups++
+		s.cancelGroups = append(s.cancelGroups, s.startGroup(s.ctx, number, func(result GroupResult[Reply]) {
+			s.groupResults <- finishedGroup[Reply]{number, result}
+		}))
+	}
+}
+
+// handleGroup takes the replies of a group, or asks its shards one by one.
+func (s *Scatter[Reply]) handleGroup(ended finishedGroup[Reply]) {
+	shards := s.plan.Groups[ended.group].Shards
+	s.grouped -= len(shards)
+	s.learnExecution(ended.result)
+	for place, index := range shards {
+		shard := &s.shards[index]
+		shard.isGrouped = false
+		switch {
+		case shard.done:
+		case ended.result.Replies == nil && !ended.result.Final:
+			s.ungroup(index, ended.result.Execution)
+		case !ended.result.Final && ended.result.Replies[place] != nil:
+			s.accept(shard, ended.result.Replies[place])
+		default:
+			shard.reason = GroupReason
+			s.settle(shard)
+		}
+	}
+}
+
+// ungroup asks for a shard whose group gave no answer. Leafs that may have been asked count as one
+// of its attempts.
+func (s *Scatter[Reply]) ungroup(index int, execution Execution) {
+	shard := &s.shards[index]
+	if execution != NotRun {
+		shard.isRepeat = true
+		shard.attempts = min(1, s.plan.MaximumAttempts-1)
+	}
+	s.launchFirst(index)
+}
+
+func (s *Scatter[Reply]) learnExecution(result GroupResult[Reply]) {
+	answered := slices.ContainsFunc(result.Replies, func(reply *Reply) bool { return reply != nil })
+	switch {
+	case answered || result.Execution == Ran:
+		s.summary.Ran = true
+	case result.Execution == Unknown:
+		s.summary.MaybeRan = true
+	}
+}
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -87,6 +87,8 @@
 // Plan is the work of one request.
 type Plan struct {
 	Shards []Shard
+	// Groups are disjoint sets of the shards, each asked as one first; see Group.
+	Groups []Group
 	// Deadline is when every open shard is given up.
 	Deadline time.Time
 	// SoftDeadline is from when Sufficient replies are enough; zero means never.
@@ -177,6 +179,7 @@
 	// Queued counts replies of leafs that had more attempts than slots.
 	Queued    int
 	Replies   int
+	Groups    int
 	Attempts  int
 	Hedges    int
 	Retries   int
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -17,13 +17,18 @@
 	observer Observer[Reply]
 	// superseded is the cause that ends attempts which nobody waits for any more.
 	superseded error
+	startGroup StartGroup[Reply]
 
 	ctx     context.Context
 	results chan *finished[Reply]
-	shards  []shardState[Reply]
-	open    int // shards without an outcome
-	summary Summary
-	began   time.Time
+	// groupResults are the ends of the groups' attempts, cancelGroups what ends those under way.
+	groupResults chan finishedGroup[Reply]
+	cancelGroups []context.CancelCauseFunc
+	grouped      int // open shards that are asked in a group
+	shards       []shardState[Reply]
+	open         int // shards without an outcome
+	summary      Summary
+	began        time.Time
 	// heldSince is when hedges first had to wait for this node; zero while they never had to.
 	heldSince time.Time
 }
@@ -51,6 +56,10 @@
 	retryAt  time.Time // zero when the shard does not wait for a replica
 	counted  bool      // the policy knows of the first attempt
 	done     bool
+	// isGrouped says that the shard is asked in a group, and isRepeat that it may have been asked
+	// in one that gave no answer.
+	isGrouped bool
+	isRepeat  bool
 	// neverArrived says that the last attempt most likely did not reach its leaf.
 	neverArrived bool
 	leaf         *balancer.Leaf
@@ -64,6 +73,8 @@
 	Balancer *balancer.Balancer
 	Start    Start[Reply]
 	Observer Observer[Reply]
+	// StartGroup begins the attempts of the plan's groups; nil where there are none.
+	StartGroup StartGroup[Reply]
 	// Superseded is the cause of the contexts of attempts that lost to another.
 	Superseded error
 }
@@ -72,6 +83,7 @@
 func New[Reply any](plan Plan, parts Parts[Reply]) *Scatter[Reply] {
 	return &Scatter[Reply]{
 		plan: plan, balancer: parts.Balancer, start: parts.Start, observer: parts.Observer, superseded: parts.Superseded,
+		startGroup: parts.StartGroup, groupResults: make(chan finishedGroup[Reply], len(plan.Groups)),
 		results: make(chan *finished[Reply], len(plan.Shards)*(plan.MaximumAttempts+plan.MaximumRefusals+1)),
 		shards:  make([]shardState[Reply], len(plan.Shards)),
 		open:    len(plan.Shards),
@@ -86,8 +98,11 @@
 	s.ctx = deadlined
 	s.began = time.Now()
 	defer s.cancelOutstanding()
+	s.startGroups()
 	for index := range s.shards {
-		s.launch(index, First, always)
+		if !s.shards[index].isGrouped {
+			s.launchFirst(index)
+		}
 	}
 	timer := time.NewTimer(s.untilNext())
 	defer timer.Stop()
@@ -96,6 +111,8 @@
 		case ended := <-s.results:
 			s.handle(ended)
 			s.handleWaiting()
+		case ended := <-s.groupResults:
+			s.handleGroup(ended)
 		case <-timer.C:
 			s.sendDue()
 		case <-s.ctx.Done():
@@ -127,6 +144,9 @@
 	if s.ctx.Err() != nil {
 		cause = context.Cause(s.ctx)
 	}
+	for _, cancel := range s.cancelGroups {
+		cancel(cause)
+	}
 	for index := range s.shards {
 		for _, cancel := range s.shards[index].cancelAll {
 			cancel(cause)
@@ -150,6 +170,15 @@
 // always is the budget of attempts that need none.
 func always() bool { return true }
 
+// launchFirst asks for a shard by itself; where it was asked in a group before, that is a repeat.
+func (s *Scatter[Reply]) launchFirst(index int) {
+	if s.shards[index].isRepeat {
+		s.launch(index, Retry, s.allowRetry(index))
+		return
+	}
+	s.launch(index, First, always)
+}
+
 // launch starts an attempt for a shard if there is a replica to ask and the budget allows it.
 // Otherwise the shard waits, or is settled unless an earlier attempt is still out.
 func (s *Scatter[Reply]) launch(index int, kind Kind, allow func() bool) bool {
@@ -239,12 +268,8 @@
 		return
 	}
 	if result.Reply != nil {
-		shard.reply, shard.leaf = result.Reply, ended.attempt.Leaf
-		s.summary.Replies++
-		if s.summary.Replies == max(1, s.plan.Sufficient) {
-			s.summary.SufficientAt = time.Now()
-		}
-		s.settle(shard)
+		shard.leaf = ended.attempt.Leaf
+		s.accept(shard, result.Reply)
 		s.abandon(shard)
 		return
 	}
@@ -260,6 +285,16 @@
 	s.launch(index, Retry, s.allowRetry(index))
 }
 
+// accept settles a shard with its reply.
+func (s *Scatter[Reply]) accept(shard *shardState[Reply], reply *Reply) {
+	shard.reply = reply
+	s.summary.Replies++
+	if s.summary.Replies == max(1, s.plan.Sufficient) {
+		s.summary.SufficientAt = time.Now()
+	}
+	s.settle(shard)
+}
+
 // allowRetry gives the budget of a shard's next retry: none is needed where the last attempt never
 // reached a leaf.
 func (s *Scatter[Reply]) allowRetry(index int) func() bool {
@@ -344,10 +379,11 @@
 		if shard.done {
 			continue
 		}
-		if len(shard.inFlight) > 0 {
+		isAsked := len(shard.inFlight) > 0 || shard.isGrouped
+		if isAsked {
 			s.summary.MaybeRan = true
 		}
-		if shard.reason == "" || len(shard.inFlight) > 0 {
+		if shard.reason == "" || isAsked {
 			shard.reason = reason
 		}
 		s.settle(shard)
--- a/internal/scatter/schedule.go
+++ b/internal/scatter/schedule.go
@@ -70,7 +70,8 @@
 
 // isLateItself reports whether so many shards are late at once that leafs can hardly be the cause.
 func (s *Scatter[Reply]) isLateItself(now time.Time) bool {
-	if s.open < leastLateCount || float64(s.open) <= mostLateShare*float64(len(s.shards)) {
+	open := s.open - s.grouped
+	if open < leastLateCount || float64(open) <= mostLateShare*float64(len(s.shards)) {
 		return false
 	}
 	if s.heldSince.IsZero() {
@@ -115,7 +116,7 @@
 	shard := &s.shards[index]
 	shard.retryAt = time.Time{}
 	if shard.attempts == 0 {
-		s.launch(index, First, always)
+		s.launchFirst(index)
 		return
 	}
 	s.launch(index, Retry, s.allowRetry(index))
--- /dev/null
+++ b/internal/servingtree/client.go
@@ -0,0 +1,283 @@
+package servingtree
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Client asks intermediates; safe for concurrent use.
+type Client struct {
+	cfg Config
+
+	mu       sync.Mutex
+	sessions map[string]*session // by address
+	closed   bool
+}
+
+// NewClient makes a client without connections.
+func NewClient(cfg Config) *Client {
+	return &Client{cfg: cfg, sessions: map[string]*session{}}
+}
+
+// Result is how a call ended: a reply, or a *NeverSentError or *BrokenError.
+type Result struct {
+	Reply Reply
+	Err   error
+}
+
+// Call is one request at one intermediate.
+type Call struct {
+	session *session
+	number  uint64
+	ask     *Ask
+	signs   chan struct{}
+	done    chan Result
+}
+
+// Signs gives a value when the intermediate has shown that it is at work on the request.
+func (c *Call) Signs() <-chan struct{} { return c.signs }
+
+// Done gives the result, once.
+func (c *Call) Done() <-chan Result { return c.done }
+
+// Probe asks the intermediate for a sign. It does not block for long.
+func (c *Call) Probe() {
+	if c.session != nil {
+		c.session.send(line{Number: c.number, Probe: true})
+	}
+}
+
+// Cancel ends a call whose reply nobody waits for.
+func (c *Call) Cancel() {
+	if c.session != nil && c.session.take(c.number) != nil {
+		c.session.send(line{Number: c.number, Cancel: true})
+	}
+}
+
+// Start asks the intermediate at an address. It does not wait for the connection.
+func (c *Client) Start(address string, ask Ask) *Call {
+	call := &Call{ask: &ask, signs: make(chan struct{}, 1), done: make(chan Result, 1)}
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		call.done <- Result{Err: &NeverSentError{Cause: &ClosedError{}}}
+		return call
+	}
+	s, found := c.sessions[address]
+	if !found {
+		s = &session{client: c, address: address, calls: map[uint64]*Call{}}
+		c.sessions[address] = s
+		go s.run()
+	}
+	c.mu.Unlock()
+	call.session = s
+	s.start(call)
+	return call
+}
+
+// Drop closes the connection to an address, as one whose other end is silent; its calls end.
+func (c *Client) Drop(address string, cause error) {
+	c.mu.Lock()
+	s, found := c.sessions[address]
+	c.mu.Unlock()
+	if found {
+		s.end(cause)
+	}
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	sessions := make([]*session, 0, len(c.sessions))
+	for _, s := range c.sessions {
+		sessions = append(sessions, s)
+	}
+	c.mu.Unlock()
+	for _, s := range sessions {
+		s.end(&ClosedError{})
+	}
+}
+
+// forget removes a session that ended.
+func (c *Client) forget(s *session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sessions[s.address] == s {
+		delete(c.sessions, s.address)
+	}
+}
+
+// session is one connection to an intermediate with the calls on it.
+type session struct {
+	client  *Client
+	address string
+
+	mu    sync.Mutex
+	wire  *wire // nil while the connection is being opened
+	ended error // why the session ended; nil while it has not
+	next  uint64
+	calls map[uint64]*Call
+	// stopDial ends the opening of the connection.
+	stopDial context.CancelFunc
+}
+
+// start sends a call, or keeps it until the connection is open.
+func (s *session) start(call *Call) {
+	s.mu.Lock()
+	var refusal error
+	switch {
+	case s.ended != nil:
+		refusal = s.ended
+	case len(s.calls) >= s.client.cfg.MaximumRequests:
+		refusal = &FullError{Limit: s.client.cfg.MaximumRequests}
+	}
+	if refusal != nil {
+		s.mu.Unlock()
+		call.done <- Result{Err: &NeverSentError{Cause: refusal}}
+		return
+	}
+	s.next++
+	call.number = s.next
+	s.calls[call.number] = call
+	open := s.wire
+	s.mu.Unlock()
+	if open != nil {
+		s.sendAsk(open, call)
+	}
+}
+
+// sendAsk writes a call's request; one that can't be written whole may have arrived.
+func (s *session) sendAsk(open *wire, call *Call) {
+	if err := open.write(line{Number: call.number, Ask: call.ask}); err != nil {
+		if taken := s.take(call.number); taken != nil {
+			taken.done <- Result{Err: &BrokenError{Cause: err}}
+		}
+	}
+}
+
+// send writes a line of a call that was sent before; it is lost with the connection.
+func (s *session) send(l line) {
+	s.mu.Lock()
+	open := s.wire
+	s.mu.Unlock()
+	if open == nil {
+		return
+	}
+	if err := open.write(l); err != nil {
+		s.end(err)
+	}
+}
+
+// take removes a call, which is then the taker's to end; nil when it is gone.
+func (s *session) take(number uint64) *Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call := s.calls[number]
+	delete(s.calls, number)
+	return call
+}
+
+// run opens the connection and reads it to its end.
+func (s *session) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), s.client.cfg.ConnectTimeout)
+	defer cancel()
+	s.mu.Lock()
+	s.stopDial = cancel
+	s.mu.Unlock()
+	var dialer net.Dialer
+	socket, err := dialer.DialContext(ctx, "tcp4", s.address)
+	if err != nil {
+		s.endUnsent(err)
+		return
+	}
+	open := newWire(s.client.cfg, socket)
+	// The one who asks closes first, so that no request crosses the close.
+	open.cfg.IdleTimeout /= 2
+	if !s.opened(open) {
+		open.close()
+		return
+	}
+	for {
+		l, err := open.read()
+		if err != nil {
+			s.end(err)
+			return
+		}
+		s.receive(l)
+	}
+}
+
+// opened sends the calls that waited for the connection; false when the session ended meanwhile.
+func (s *session) opened(open *wire) bool {
+	s.mu.Lock()
+	if s.ended != nil {
+		s.mu.Unlock()
+		return false
+	}
+	s.wire = open
+	waiting := make([]*Call, 0, len(s.calls))
+	for _, call := range s.calls {
+		waiting = append(waiting, call)
+	}
+	s.mu.Unlock()
+	for _, call := range waiting {
+		s.sendAsk(open, call)
+	}
+	return true
+}
+
+func (s *session) receive(l line) {
+	if l.Reply != nil {
+		if call := s.take(l.Number); call != nil {
+			call.done <- Result{Reply: *l.Reply}
+		}
+		return
+	}
+	s.mu.Lock()
+	call := s.calls[l.Number]
+	s.mu.Unlock()
+	if call == nil || !l.Accepted {
+		return
+	}
+	select {
+	case call.signs <- struct{}{}:
+	default:
+	}
+}
+
+// end closes the connection; calls on it may have run, unless it was never open.
+func (s *session) end(cause error) {
+	s.mu.Lock()
+	open := s.wire
+	if s.stopDial != nil {
+		s.stopDial()
+	}
+	s.mu.Unlock()
+	if open == nil {
+		s.endUnsent(cause)
+		return
+	}
+	open.close()
+	s.endCalls(cause, func() error { return &BrokenError{Cause: cause} })
+}
+
+// endUnsent ends a session whose connection was never open.
+func (s *session) endUnsent(cause error) {
+	s.endCalls(cause, func() error { return &NeverSentError{Cause: cause} })
+}
+
+func (s *session) endCalls(cause error, told func() error) {
+	s.client.forget(s)
+	s.mu.Lock()
+	if s.ended == nil {
+		s.ended = cause
+	}
+	calls := s.calls
+	s.calls = map[uint64]*Call{}
+	s.mu.Unlock()
+	for _, call := range calls {
+		call.done <- Result{Err: told()}
+	}
+}
--- /dev/null
+++ b/internal/servingtree/message.go
@@ -0,0 +1,113 @@
+// Package servingtree lets a node have a part of a gathered request done by another: the root, which
+// took the request from its caller, asks an intermediate for a group of shards; that asks their leafs,
+// merges what they give and sends it back as one. There is one level: an intermediate never passes on.
+//
+// Between the two are standing connections that carry JSON lines, many requests on one. The package
+// carries requests and answers; who asks whom, and what happens when one is silent, is decided by
+// package gateway.
+package servingtree
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// Ask is a group of shards of a gathered request, as a root passes it on.
+type Ask struct {
+	// ID is the caller's own id of its try.
+	ID     string `json:"id"`
+	Method string `json:"method"`
+	// Target is the path and query exactly as the caller sent them.
+	Target  string      `json:"target"`
+	Host    string      `json:"host"`
+	Header  http.Header `json:"header,omitempty"`
+	Body    []byte      `json:"body,omitempty"`
+	HasBody bool        `json:"has_body,omitempty"`
+	// Root is the id of the node that asks.
+	Root string `json:"root"`
+	// Revision is that of the routing table that the root pinned the request to.
+	Revision int64 `json:"revision"`
+	// Shards are the services that are asked for, as indices into the route's; Required is how many
+	// of them an answer needs at least.
+	Shards   []int `json:"shards"`
+	Required int   `json:"required"`
+	// ObjectiveMicros is the time left until the answer must be given back to have its full worth;
+	// DeadlineMicros, until it is of no use.
+	ObjectiveMicros int64 `json:"objective_micros"`
+	DeadlineMicros  int64 `json:"deadline_micros"`
+}
+
+// Answer is what the leafs of a group gave.
+type Answer struct {
+	// Stamps are the signatures of the parts, one for each shard that was asked for; empty for those
+	// that are missing.
+	Stamps []string `json:"stamps"`
+	// Records are the greatest ones of all parts together.
+	Records []byte `json:"records,omitempty"`
+}
+
+// Failure is why there is no answer.
+type Failure struct {
+	Code             failure.Code           `json:"code"`
+	Execution        failure.ExecutionState `json:"execution"`
+	Message          string                 `json:"message"`
+	RetryAfterMicros int64                  `json:"retry_after_micros,omitempty"`
+}
+
+// Err gives the failure as an error.
+func (f *Failure) Err() error {
+	failed := failure.New(f.Code, f.Execution, "%s", f.Message)
+	if f.RetryAfterMicros > 0 {
+		failed = failed.WithRetryAfter(time.Duration(f.RetryAfterMicros) * time.Microsecond)
+	}
+	return failed
+}
+
+// NewFailure gives an error as the root is told of it.
+func NewFailure(err error) *Failure {
+	failed := failure.From(err)
+	return &Failure{Code: failed.Code, Execution: failed.Execution, Message: failed.Message, RetryAfterMicros: failed.RetryAfter.Microseconds()}
+}
+
+// Decline says why an intermediate did not begin with a request.
+type Decline string
+
+// The reasons to decline; after each of them nothing has run.
+const (
+	// Leaving means that the node is about to stop.
+	Leaving Decline = "LEAVING"
+	// Busy means that the node has too much to do.
+	Busy Decline = "BUSY"
+	// OtherRevision means that the node has another routing table in force.
+	OtherRevision Decline = "OTHER_REVISION"
+)
+
+// Reply is what an intermediate gives back; exactly one of the first three is set.
+type Reply struct {
+	Answer  *Answer  `json:"answer,omitempty"`
+	Failure *Failure `json:"failure,omitempty"`
+	Decline Decline  `json:"decline,omitempty"`
+	// TookMicros is how long the intermediate had the request.
+	TookMicros int64 `json:"took_micros,omitempty"`
+}
+
+// version is that of the lines; a node that speaks another ends the connection.
+const version = 1
+
+// line is one line in either direction. A root sends Ask, Probe or Cancel, an intermediate
+// Accepted or Reply.
+type line struct {
+	Version int `json:"v"`
+	// Number tells the requests of a connection apart.
+	Number uint64 `json:"n"`
+
+	Ask    *Ask `json:"ask,omitempty"`
+	Probe  bool `json:"probe,omitempty"`
+	Cancel bool `json:"cancel,omitempty"`
+
+	// Accepted says that the node is at work on the request.
+	Accepted bool   `json:"accepted,omitempty"`
+	Reply    *Reply `json:"reply,omitempty"`
+}
--- /dev/null
+++ b/internal/servingtree/server.go
@@ -0,0 +1,208 @@
+package servingtree
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Handler does the work of an intermediate.
+type Handler interface {
+	// Gather answers a request; the context ends when the root does not wait for it any more.
+	Gather(ctx context.Context, ask Ask) Reply
+}
+
+// Server takes requests of roots; create it with NewServer.
+type Server struct {
+	cfg     Config
+	handler Handler
+
+	mu       sync.Mutex
+	listener net.Listener
+	wires    map[*wire]bool
+	leaving  bool
+	running  sync.WaitGroup
+}
+
+// NewServer makes a server that does not listen yet.
+func NewServer(cfg Config, handler Handler) *Server {
+	return &Server{cfg: cfg, handler: handler, wires: map[*wire]bool{}}
+}
+
+// Serve takes connections of a listener until the server is shut down.
+func (s *Server) Serve(listener net.Listener) {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
+	for {
+		socket, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		go s.serve(newWire(s.cfg, socket))
+	}
+}
+
+// Announce begins a planned stop: from then on requests are declined.
+func (s *Server) Announce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Shutdown waits for the requests under way until the context ends, and closes all connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Announce()
+	ended := make(chan struct{})
+	go func() {
+		s.running.Wait()
+		close(ended)
+	}()
+	var err error
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		err = errors.Join(err, s.listener.Close())
+	}
+	for open := range s.wires {
+		open.close()
+	}
+	return err
+}
+
+// serve takes the requests of one connection; those under way end with it.
+func (s *Server) serve(open *wire) {
+	s.mu.Lock()
+	s.wires[open] = true
+	s.mu.Unlock()
+	served := &servedConnection{server: s, wire: open, cancels: map[uint64]context.CancelFunc{}}
+	defer func() {
+		open.close()
+		served.cancelAll()
+		s.mu.Lock()
+		delete(s.wires, open)
+		s.mu.Unlock()
+	}()
+	for {
+		l, err := open.read()
+		if err != nil {
+			return
+		}
+		served.receive(l)
+	}
+}
+
+// begin counts a request in; false while the server is stopping.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return false
+	}
+	s.running.Add(1)
+	return true
+}
+
+// servedConnection is a connection of a root with its requests under way.
+type servedConnection struct {
+	server *Server
+	wire   *wire
+
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc
+}
+
+func (c *servedConnection) receive(l line) {
+	switch {
+	case l.Ask != nil:
+		c.start(l.Number, *l.Ask)
+	case l.Cancel:
+		c.cancel(l.Number)
+	case l.Probe && c.isRunning(l.Number):
+		c.send(line{Number: l.Number, Accepted: true})
+	}
+}
+
+// start begins with a request, or declines it.
+func (c *servedConnection) start(number uint64, ask Ask) {
+	if !c.server.begin() {
+		c.send(line{Number: number, Reply: &Reply{Decline: Leaving}})
+		return
+	}
+	ctx, isIn := c.add(number)
+	if !isIn {
+		c.server.running.Done()
+		c.send(line{Number: number, Reply: &Reply{Decline: Busy}})
+		return
+	}
+	go c.gather(ctx, number, ask)
+}
+
+// add counts a request in and gives its context; false when there are as many as allowed.
+func (c *servedConnection) add(number uint64) (context.Context, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.cancels) >= c.server.cfg.MaximumRequests {
+		return nil, false
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancels[number] = cancel
+	return ctx, true
+}
+
+// gather does the work of a request and sends what came of it, unless nobody waits for it.
+func (c *servedConnection) gather(ctx context.Context, number uint64, ask Ask) {
+	defer c.server.running.Done()
+	began := time.Now()
+	c.send(line{Number: number, Accepted: true})
+	reply := c.server.handler.Gather(ctx, ask)
+	isAwaited := ctx.Err() == nil
+	c.cancel(number)
+	if isAwaited {
+		reply.TookMicros = time.Since(began).Microseconds()
+		c.send(line{Number: number, Reply: &reply})
+	}
+}
+
+// send writes a line; a root that can't be told anything notices the end of its connection.
+func (c *servedConnection) send(l line) {
+	if err := c.wire.write(l); err != nil {
+		c.wire.close()
+	}
+}
+
+func (c *servedConnection) isRunning(number uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cancels[number] != nil
+}
+
+// cancel ends a request, if it is under way.
+func (c *servedConnection) cancel(number uint64) {
+	c.mu.Lock()
+	cancel := c.cancels[number]
+	delete(c.cancels, number)
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (c *servedConnection) cancelAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, cancel := range c.cancels {
+		cancel()
+	}
+	clear(c.cancels)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,6 +28,7 @@
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/search"
+	"github.com/portgauge/portgauge/internal/servingtree"
 )
 
 // Node is who the node is.
@@ -35,6 +36,10 @@
 	// ID is unique in the fleet; empty means one is made from zone and peer address.
 	ID   string `yaml:"id"`
 	Zone string `yaml:"zone"`
+	// Processors and ProcessorShare are how many processors the node has and its part of them; the
+	// product says how much work it can take beside others. 0 means that it does not say.
+	Processors     float64 `yaml:"processors"`
+	ProcessorShare float64 `yaml:"processor_share"`
 }
 
 // Listen is where the node listens; each is an IP number and port.
@@ -49,6 +54,8 @@
 	Operators string `yaml:"operators"`
 	// Peers serves other nodes, over UDP and TCP.
 	Peers string `yaml:"peers"`
+	// Tree gathers requests for other nodes; empty means that it is off.
+	Tree string `yaml:"tree"`
 	// AdvertisePeers is the peer address told to others, where it differs.
 	AdvertisePeers string `yaml:"advertise_peers"`
 }
@@ -101,6 +108,7 @@
 	RetryBudget     retrybudget.Config  `yaml:"retry_budget"`
 	Registry        registry.Config     `yaml:"registry"`
 	LeafGossip      leafgossip.Config   `yaml:"leaf_gossip"`
+	ServingTree     servingtree.Config  `yaml:"serving_tree"`
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
 }
 
@@ -129,6 +137,7 @@
 		RetryBudget:     retrybudget.DefaultConfig(),
 		Registry:        registry.DefaultConfig(),
 		LeafGossip:      leafgossip.DefaultConfig(),
+		ServingTree:     servingtree.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
 	}
 }
@@ -143,6 +152,9 @@
 	requireAddressIfSet(&checks, "listen.advertise_peers", s.Listen.AdvertisePeers)
 	requireAddressIfSet(&checks, "listen.front", s.Listen.Front)
 	requireAddressIfSet(&checks, "listen.ready", s.Listen.Ready)
+	requireAddressIfSet(&checks, "listen.tree", s.Listen.Tree)
+	checks.Refuse(s.Node.Processors < 0, "node.processors", "must not be negative")
+	checks.Refuse(s.Node.ProcessorShare < 0, "node.processor_share", "must not be negative")
 	requireAddress(&checks, "platform.address", s.Platform.Address)
 	checks.Refuse(s.Platform.Dialect == "", "platform.dialect", "must not be empty")
 	checks.Refuse(s.Platform.WatchWait <= 0, "platform.watch_wait", "must be positive")
@@ -162,6 +174,7 @@
 	checks.Add("config_sync", s.ConfigSync.Validate())
 	checks.Add("config_writer", s.ConfigWriter.Validate())
 	checks.Add("gateway", s.Gateway.Validate())
+	checks.Add("serving_tree", s.ServingTree.Validate())
 	checks.Add("leaf_http", s.LeafHTTP.Validate())
 	checks.Add("leaf_memory", s.LeafMemory.Validate())
 	checks.Add("connection_share", s.ConnectionShare.Validate())
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -44,6 +44,12 @@
 	FrontAttemptFailures *prometheus.CounterVec
 	// FrontMissingParts counts the parts that gathered answers lacked.
 	FrontMissingParts prometheus.Counter
+	// TreePassed counts requests passed on to other nodes, by outcome.
+	TreePassed *prometheus.CounterVec
+	// TreeLatency is the time from passing a request on to its reply.
+	TreeLatency prometheus.Histogram
+	// TreeGathered counts requests gathered for other nodes, by outcome.
+	TreeGathered *prometheus.CounterVec
 	// LeafConnections counts connections opened to leafs.
 	LeafConnections prometheus.Counter
 	// StoreCalls counts calls of the store by name and status.
@@ -74,6 +80,9 @@
 		FrontAttempts:        counters("front_attempts_total", "Leaf attempts of the front by kind.", "kind"),
 		FrontAttemptFailures: counters("front_attempt_failures_total", "Leaf attempts of the front without a usable reply.", "reason"),
 		FrontMissingParts:    counter("front_missing_parts_total", "Parts that gathered answers lacked."),
+		TreePassed:           counters("tree_passed_total", "Requests passed on to other nodes by outcome.", "outcome"),
+		TreeLatency:          prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Name: "tree_pass_seconds", Help: "Time from passing a request on to its reply.", Buckets: latencyBuckets()}),
+		TreeGathered:         counters("tree_gathered_total", "Requests gathered for other nodes by outcome.", "outcome"),
 		LeafConnections:      counter("leaf_connections_opened_total", "Connections opened to leafs."),
 		StoreCalls:           counters("store_calls_total", "Calls of the store.", "call", "status"),
 		LogLinesLeftOut:      counter("log_lines_left_out_total", "Decisions that were not logged."),
@@ -84,7 +93,7 @@
 		metrics.CancelledAttempts, metrics.DroppedReplies, metrics.ConfigRevision, metrics.ConfigAge,
 		metrics.ConfigRejected, metrics.ConfigRelayed, metrics.ControlBytes, metrics.Members,
 		metrics.FrontRequests, metrics.FrontLatency, metrics.FrontAttempts, metrics.FrontAttemptFailures,
-		metrics.FrontMissingParts, metrics.LeafConnections, metrics.StoreCalls, metrics.LogLinesLeftOut,
+		metrics.FrontMissingParts, metrics.TreePassed, metrics.TreeLatency, metrics.TreeGathered, metrics.LeafConnections, metrics.StoreCalls, metrics.LogLinesLeftOut,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
