--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,12 +141,16 @@
 	// gatheredLatency is that of all shards of a gathered request; nil until it is looked up.
 	gatheredLatency *kindLatency
 	summary         scatter.Summary
-	outcomes        []scatter.Outcome[leafhttp.Response]
+	// collected takes the parts as they come; nil unless this is a group for another node.
+	collected *collected
+	outcomes  []scatter.Outcome[leafhttp.Response]
 
 	// mutex guards the rest, which attempts and groups set as they end.
 	mutex       sync.Mutex
 	lastFailure *leafhttp.Response
 	groupsEnded []GroupRecord
+	// refusal is that of a node that all of the request was passed on to.
+	refusal error
 }
 
 // learnLag compares when an answer was made with when it was planned, where only the plan decided
@@ -168,7 +172,7 @@
 	}
 	work := scatter.New(plan, scatter.Parts[leafhttp.Response]{
 		Balancer: w.gateway.balancer, Start: w.startAttempt, Observer: w, Superseded: leafhttp.ErrSuperseded,
-		StartGroup: w.startGroup,
+		StartGroup: w.startGroup, Accepted: w.accepted(),
 	})
 	w.outcomes, w.summary = work.Run(ctx)
 	if ctx.Err() != nil {
@@ -189,6 +193,14 @@
 	}
 }
 
+// accepted gives who is told of parts as they come.
+func (w *gathering) accepted() func(shard int, reply *leafhttp.Response) {
+	if w.collected == nil {
+		return nil
+	}
+	return w.collected.add
+}
+
 func (w *gathering) plan() scatter.Plan {
 	entry := w.query.entry
 	w.query.Leaf.AtMostOnce = entry.Repeatability == routing.AtMostOnce
@@ -202,7 +214,7 @@
 		MaximumRefusals: w.gateway.config.MaximumRefusals,
 		ReplicaWait:     w.gateway.config.ReplicaWait,
 	}
-	if w.isGathered() {
+	if w.isGathered() && w.collected == nil {
 		plan.SoftDeadline = w.query.planned
 	}
 	w.targets = make([][]leafhttp.Target, len(w.services))
@@ -321,6 +333,9 @@
 // failed makes the typed failure of a request without an answer.
 func (w *gathering) failed() error {
 	execution := w.execution()
+	if w.refusal != nil && execution == failure.NotRun {
+		return w.refusal
+	}
 	reason := w.firstReason()
 	code := failure.IncompleteCoverage
 	switch {
--- a/internal/gateway/intermediate.go
+++ b/internal/gateway/intermediate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/leafhttp"
@@ -14,7 +15,10 @@
 // Gather implements servingtree.Handler: it asks the leafs of a group for the node that took the
 // request from its caller. Both must have the same routing table in force, so that no answer mixes
 // two, and no caller sees an older one after a newer one.
-func (g *Gateway) Gather(ctx context.Context, ask servingtree.Ask) servingtree.Reply {
+//
+// What is in by the objective is sent then, and the rest when it is in: whether that is enough is for
+// the root to say, which knows of the other parts.
+func (g *Gateway) Gather(ctx context.Context, ask servingtree.Ask, send func(servingtree.Answer)) servingtree.Reply {
 	if g.gathered.Add(1) > g.config.MaximumGathered {
 		g.gathered.Add(-1)
 		return servingtree.Reply{Decline: servingtree.Busy}
@@ -24,13 +28,20 @@
 	if work == nil {
 		return servingtree.Reply{Decline: servingtree.OtherRevision}
 	}
+	work.collected = newCollected(len(work.services))
+	timer := time.AfterFunc(time.Until(work.query.planned), func() {
+		if work.collected.send(work.answerOf, send) {
+			g.lag.observe(time.Since(work.query.planned))
+		}
+	})
+	defer timer.Stop()
 	answer, err := work.serve(ctx)
-	work.learnLag()
 	g.journal.Served(work.query.record(work, answer, err))
-	if err != nil {
+	if err != nil && !work.collected.any() {
 		return servingtree.Reply{Failure: servingtree.NewFailure(err)}
 	}
-	return servingtree.Reply{Answer: &servingtree.Answer{Stamps: work.stamps(), Records: answer.Body}}
+	rest := work.collected.end(work.answerOf)
+	return servingtree.Reply{Answer: &rest}
 }
 
 // askedWork prepares the work on a group; nil when it is not by the routing table in force here.
@@ -70,13 +81,62 @@
 	return &gathering{gateway: g, query: asked, services: services}
 }
 
-// stamps gives the signature of each part, empty for those that are missing.
-func (w *gathering) stamps() []string {
-	stamps := make([]string, len(w.outcomes))
-	for index, outcome := range w.outcomes {
-		if outcome.Reply != nil {
-			stamps[index] = outcome.Reply.Header.Get(w.gateway.dialect.ResponseStamp)
+// answerOf puts some parts as the root is told of them.
+func (w *gathering) answerOf(parts []*leafhttp.Response) servingtree.Answer {
+	answer := servingtree.Answer{Stamps: make([]string, len(parts))}
+	bodies := make([][]byte, 0, len(parts))
+	for index, part := range parts {
+		if part != nil {
+			answer.Stamps[index] = part.Header.Get(w.gateway.dialect.ResponseStamp)
+			bodies = append(bodies, part.Body)
 		}
 	}
-	return stamps
+	answer.Records = topRecords(bodies, w.query.entry.TopRecords)
+	return answer
+}
+
+// collected are the parts of a group that the root was not told of yet; safe for concurrent use.
+type collected struct {
+	mu    sync.Mutex
+	parts []*leafhttp.Response // by shard
+	had   bool                 // there was any part
+	ended bool
+}
+
+func newCollected(shards int) *collected {
+	return &collected{parts: make([]*leafhttp.Response, shards)}
+}
+
+// add takes a part.
+func (c *collected) add(shard int, part *leafhttp.Response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.parts[shard], c.had = part, true
+}
+
+// any reports whether there was any part.
+func (c *collected) any() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.had
+}
+
+// send sends what is in, unless the end came before; the lock keeps it before what end gives.
+func (c *collected) send(put func([]*leafhttp.Response) servingtree.Answer, send func(servingtree.Answer)) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || !c.had {
+		return false
+	}
+	send(put(c.parts))
+	clear(c.parts)
+	return true
+}
+
+// end gives the parts that were not sent.
+func (c *collected) end(put func([]*leafhttp.Response) servingtree.Answer) servingtree.Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	return put(c.parts)
 }
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -27,9 +27,9 @@
 // since most of its shards have too much work waiting. Refused at once, it leaves the leafs to
 // those that can, and its caller may come back within its own time. Kinds of request with a
 // short objective are refused first. Single slow or dark shards don't count: an answer can go
-// out without them.
+// out without them. A part of a request is not refused: its root has begun with the rest.
 func (w *gathering) refuse(plan scatter.Plan) error {
-	if !w.isGathered() {
+	if !w.isGathered() || len(w.services) < len(w.query.entry.Gathered) {
 		return nil
 	}
 	delays := make([]float64, 0, len(plan.Shards))
--- a/internal/gateway/root.go
+++ b/internal/gateway/root.go
@@ -23,8 +23,8 @@
 // Intermediates passes groups on to other nodes; servingtree.Client is the real one.
 type Intermediates interface {
 	Start(address string, ask servingtree.Ask) *servingtree.Call
-	// Drop closes the connection to a node that is silent.
-	Drop(address string, cause error)
+	// DropSilent closes the connection to a node if nothing came from there for so long.
+	DropSilent(address string, silence time.Duration, cause error)
 }
 
 // errSilent ends the connection to an intermediate that showed no sign of work.
@@ -38,6 +38,7 @@
 	GroupAnswered  GroupOutcome = "answered"
 	GroupFailed    GroupOutcome = "failed"
 	GroupDeclined  GroupOutcome = "declined"
+	GroupLeaving   GroupOutcome = "leaving"
 	GroupNeverSent GroupOutcome = "never_sent"
 	GroupCancelled GroupOutcome = "cancelled"
 	GroupSilent    GroupOutcome = "silent"
@@ -129,7 +130,7 @@
 }
 
 // startGroup implements scatter.StartGroup.
-func (w *gathering) startGroup(ctx context.Context, number int, done func(scatter.GroupResult[leafhttp.Response])) context.CancelCauseFunc {
+func (w *gathering) startGroup(ctx context.Context, number int, told func(scatter.GroupResult[leafhttp.Response])) context.CancelCauseFunc {
 	r := w.gateway.root
 	passed := &passing{root: r, work: w, group: w.groups[number]}
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -139,14 +140,14 @@
 		began := time.Now()
 		record := GroupRecord{RequestID: w.query.Leaf.ID, Intermediate: passed.group.node.ID, Parts: len(passed.group.shards)}
 		var result scatter.GroupResult[leafhttp.Response]
-		result, record.Outcome, record.Reason = passed.await(ctx, call)
+		result, record.Outcome, record.Reason = passed.await(ctx, call, told)
 		record.Took = time.Since(began)
 		r.standing.learn(passed.group.node, record.Outcome)
 		w.gateway.journal.Passed(record)
 		w.mutex.Lock()
 		w.groupsEnded = append(w.groupsEnded, record)
 		w.mutex.Unlock()
-		done(result)
+		told(result)
 	}()
 	return cancel
 }
@@ -177,6 +178,8 @@
 	signParts = 4
 	signHops  = 3
 	leastSign = 10 * time.Millisecond
+	// mostProbes is how many probes may go unanswered.
+	mostProbes = 1
 )
 
 // signWait is how long an intermediate may take to show that it is at work.
@@ -187,28 +190,37 @@
 
 // await waits for the reply as long as the intermediate gives signs of work: at once, and whenever it
 // is asked for one after the objective. The reason says what went wrong.
-func (p *passing) await(ctx context.Context, call *servingtree.Call) (result scatter.GroupResult[leafhttp.Response], outcome GroupOutcome, reason string) {
+func (p *passing) await(ctx context.Context, call *servingtree.Call, told func(scatter.GroupResult[leafhttp.Response])) (result scatter.GroupResult[leafhttp.Response], outcome GroupOutcome, reason string) {
 	began := time.Now()
 	wait := p.signWait()
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	isAwaitingSign := true
+	signs, unanswered := 0, 0
 	for {
 		select {
 		case ended := <-call.Done():
+			select {
+			case answer := <-call.Parts():
+				p.tellParts(answer, told)
+			default:
+			}
 			return p.judge(ended, time.Since(began))
+		case answer := <-call.Parts():
+			p.tellParts(answer, told)
 		case <-call.Signs():
-			isAwaitingSign = false
+			signs++
+			unanswered = 0
+			// The answer is late when the next sign is due: there is nothing to be won by haste.
+			wait = p.work.query.entry.Objective
 			timer.Reset(max(wait, time.Until(p.work.query.objective)))
 		case <-timer.C:
-			if isAwaitingSign {
-				call.Cancel()
-				p.root.intermediates.Drop(p.group.node.Tree, errSilent)
-				return result, GroupSilent, errSilent.Error()
+			// A node that is late itself may find its timer over before it has read the sign.
+			if unanswered >= mostProbes {
+				return p.giveUp(call, signs > 0)
 			}
-			isAwaitingSign = true
+			unanswered++
 			call.Probe()
-			timer.Reset(wait)
+			timer.Reset(wait / 2)
 		case <-ctx.Done():
 			call.Cancel()
 			return result, GroupCancelled, ""
@@ -216,6 +228,30 @@
 	}
 }
 
+// leastSilence is how long nothing must have come from an intermediate for its connection to be given
+// up, and with it all that is under way there.
+const leastSilence = 300 * time.Millisecond
+
+// tellParts tells of the parts that are in before the end.
+func (p *passing) tellParts(answer servingtree.Answer, told func(scatter.GroupResult[leafhttp.Response])) {
+	if len(answer.Stamps) == len(p.group.shards) {
+		told(scatter.GroupResult[leafhttp.Response]{Replies: p.replies(&answer), More: true})
+	}
+}
+
+// giveUp ends a call to an intermediate that is silent.
+func (p *passing) giveUp(call *servingtree.Call, hasBegun bool) (result scatter.GroupResult[leafhttp.Response], outcome GroupOutcome, reason string) {
+	isSent := call.Cancel()
+	p.root.intermediates.DropSilent(p.group.node.Tree, leastSilence, errSilent)
+	if !isSent {
+		result.Execution = scatter.NotRun
+		return result, GroupNeverSent, errSilent.Error()
+	}
+	// Once it has begun, it may have spent all attempts that the route allows.
+	result.Final = hasBegun
+	return result, GroupSilent, errSilent.Error()
+}
+
 // judge says what a result is worth.
 func (p *passing) judge(ended servingtree.Result, took time.Duration) (result scatter.GroupResult[leafhttp.Response], outcome GroupOutcome, reason string) {
 	var neverSent *servingtree.NeverSentError
@@ -234,14 +270,28 @@
 	case reply.Answer != nil:
 		return result, GroupBroken, "the answer has parts of other services"
 	case reply.Failure != nil:
+		p.work.keepRefusal(p.group, reply.Failure)
 		result.Final, result.Execution = true, executionOf(reply.Failure.Execution)
 		return result, GroupFailed, reply.Failure.Message
+	case reply.Decline == servingtree.Leaving:
+		result.Execution = scatter.NotRun
+		return result, GroupLeaving, string(reply.Decline)
 	default:
 		result.Execution = scatter.NotRun
 		return result, GroupDeclined, string(reply.Decline)
 	}
 }
 
+// keepRefusal keeps the failure of a group that is all of the request.
+func (w *gathering) keepRefusal(part group, failed *servingtree.Failure) {
+	if len(part.shards) < len(w.services) {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.refusal = failed.Err()
+}
+
 // replies gives the parts of an answer. Their records are merged already; the first part that is in
 // carries them all.
 func (p *passing) replies(answer *servingtree.Answer) []*leafhttp.Response {
--- a/internal/gateway/standing.go
+++ b/internal/gateway/standing.go
@@ -28,9 +28,11 @@
 	return &standing{now: time.Now, nodes: map[string]*nodeStanding{}}
 }
 
-// How long a node is not asked: after it declined, and after it failed, doubling.
+// How long a node is not asked: after it declined, after it said that it leaves, and after it failed,
+// doubling.
 const (
 	declinedPause    = 300 * time.Millisecond
+	leavingPause     = 3 * time.Second
 	failedPause      = time.Second
 	longestPause     = 8 * time.Second
 	maximumStandings = 4096
@@ -72,6 +74,8 @@
 		known.failures = 0
 	case GroupDeclined:
 		known.asideUntil = now.Add(declinedPause)
+	case GroupLeaving:
+		known.asideUntil = now.Add(leavingPause)
 	case GroupNeverSent, GroupSilent, GroupBroken:
 		if now.Before(known.asideUntil) {
 			return // groups that were under way when the node failed
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -17,20 +17,26 @@
 // GroupReason is the reason of shards that the answer of their group lacked.
 const GroupReason Reason = "MISSING_IN_GROUP"
 
-// GroupResult is how the attempt of a group ended.
+// GroupResult is what came of the attempt of a group, at its end or before.
 type GroupResult[Reply any] struct {
-	// Replies are those of the group's shards, in its order, nil for those that are missing; nil as
-	// a whole when there is no answer.
+	// Replies are those of the group's shards, in its order, nil for those that are not in; nil as a
+	// whole when there is no answer.
 	Replies []*Reply
+	// More says that the others may still come.
+	More bool
 	// Execution is what is known of the leafs when there is no answer.
 	Execution Execution
 	// Final says that there is no answer, and that asking each shard by itself could not help.
 	Final bool
 }
 
-// StartGroup begins the attempt of a group, by its index in the plan, without blocking. It calls done
-// once; the function that it gives ends an attempt whose answer nobody waits for.
-type StartGroup[Reply any] func(ctx context.Context, group int, done func(GroupResult[Reply])) context.CancelCauseFunc
+// StartGroup begins the attempt of a group, by its index in the plan, without blocking. It calls told
+// with what came before the end, once at most, and with the end; the function that it gives ends an
+// attempt whose answer nobody waits for.
+type StartGroup[Reply any] func(ctx context.Context, group int, told func(GroupResult[Reply])) context.CancelCauseFunc
+
+// resultsOfGroup is how many results a group has at most.
+const resultsOfGroup = 2
 
 // finishedGroup is a group with its result.
 type finishedGroup[Reply any] struct {
@@ -52,20 +58,24 @@
 	}
 }
 
-// handleGroup takes the replies of a group, or asks its shards one by one.
+// handleGroup takes the replies of a group. Without an answer its shards are asked one by one.
 func (s *Scatter[Reply]) handleGroup(ended finishedGroup[Reply]) {
-	shards := s.plan.Groups[ended.group].Shards
-	s.grouped -= len(shards)
-	s.learnExecution(ended.result)
-	for place, index := range shards {
+	result := ended.result
+	s.learnExecution(result)
+	for place, index := range s.plan.Groups[ended.group].Shards {
 		shard := &s.shards[index]
+		isIn := result.Replies != nil && result.Replies[place] != nil
+		if !shard.isGrouped || result.More && !isIn {
+			continue
+		}
 		shard.isGrouped = false
+		s.grouped--
 		switch {
 		case shard.done:
-		case ended.result.Replies == nil && !ended.result.Final:
-			s.ungroup(index, ended.result.Execution)
-		case !ended.result.Final && ended.result.Replies[place] != nil:
-			s.accept(shard, ended.result.Replies[place])
+		case isIn:
+			s.accept(shard, result.Replies[place])
+		case result.Replies == nil && !result.Final:
+			s.ungroup(index, result.Execution)
 		default:
 			shard.reason = GroupReason
 			s.settle(shard)
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -18,6 +18,7 @@
 	// superseded is the cause that ends attempts which nobody waits for any more.
 	superseded error
 	startGroup StartGroup[Reply]
+	accepted   func(shard int, reply *Reply)
 
 	ctx     context.Context
 	results chan *finished[Reply]
@@ -56,6 +57,7 @@
 	retryAt  time.Time // zero when the shard does not wait for a replica
 	counted  bool      // the policy knows of the first attempt
 	done     bool
+	number   int // its index
 	// isGrouped says that the shard is asked in a group, and isRepeat that it may have been asked
 	// in one that gave no answer.
 	isGrouped bool
@@ -75,19 +77,26 @@
 	Observer Observer[Reply]
 	// StartGroup begins the attempts of the plan's groups; nil where there are none.
 	StartGroup StartGroup[Reply]
+	// Accepted is told of each reply that settles a shard, by the shard's index; it may be nil.
+	Accepted func(shard int, reply *Reply)
 	// Superseded is the cause of the contexts of attempts that lost to another.
 	Superseded error
 }
 
 // New prepares the work of one request.
 func New[Reply any](plan Plan, parts Parts[Reply]) *Scatter[Reply] {
-	return &Scatter[Reply]{
+	s := &Scatter[Reply]{
 		plan: plan, balancer: parts.Balancer, start: parts.Start, observer: parts.Observer, superseded: parts.Superseded,
-		startGroup: parts.StartGroup, groupResults: make(chan finishedGroup[Reply], len(plan.Groups)),
-		results: make(chan *finished[Reply], len(plan.Shards)*(plan.MaximumAttempts+plan.MaximumRefusals+1)),
-		shards:  make([]shardState[Reply], len(plan.Shards)),
-		open:    len(plan.Shards),
+		startGroup: parts.StartGroup, accepted: parts.Accepted,
+		groupResults: make(chan finishedGroup[Reply], resultsOfGroup*len(plan.Groups)),
+		results:      make(chan *finished[Reply], len(plan.Shards)*(plan.MaximumAttempts+plan.MaximumRefusals+1)),
+		shards:       make([]shardState[Reply], len(plan.Shards)),
+		open:         len(plan.Shards),
 	}
+	for index := range s.shards {
+		s.shards[index].number = index
+	}
+	return s
 }
 
 // Run gives one outcome for each shard. It returns when all are known, when enough are and the
@@ -288,6 +297,9 @@
 // accept settles a shard with its reply.
 func (s *Scatter[Reply]) accept(shard *shardState[Reply], reply *Reply) {
 	shard.reply = reply
+	if s.accepted != nil {
+		s.accepted(shard.number, reply)
+	}
 	s.summary.Replies++
 	if s.summary.Replies == max(1, s.plan.Sufficient) {
 		s.summary.SufficientAt = time.Now()
--- a/internal/servingtree/client.go
+++ b/internal/servingtree/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 )
 
 // Client asks intermediates; safe for concurrent use.
@@ -31,13 +33,18 @@
 	session *session
 	number  uint64
 	ask     *Ask
+	sent    atomic.Bool
 	signs   chan struct{}
+	parts   chan Answer
 	done    chan Result
 }
 
 // Signs gives a value when the intermediate has shown that it is at work on the request.
 func (c *Call) Signs() <-chan struct{} { return c.signs }
 
+// Parts gives the parts that are in before the end, once at most.
+func (c *Call) Parts() <-chan Answer { return c.parts }
+
 // Done gives the result, once.
 func (c *Call) Done() <-chan Result { return c.done }
 
@@ -48,16 +55,18 @@
 	}
 }
 
-// Cancel ends a call whose reply nobody waits for.
-func (c *Call) Cancel() {
-	if c.session != nil && c.session.take(c.number) != nil {
+// Cancel ends a call whose reply nobody waits for. It reports whether the request may have reached the
+// intermediate.
+func (c *Call) Cancel() bool {
+	if c.session != nil && c.session.take(c.number) != nil && c.sent.Load() {
 		c.session.send(line{Number: c.number, Cancel: true})
 	}
+	return c.sent.Load()
 }
 
 // Start asks the intermediate at an address. It does not wait for the connection.
 func (c *Client) Start(address string, ask Ask) *Call {
-	call := &Call{ask: &ask, signs: make(chan struct{}, 1), done: make(chan Result, 1)}
+	call := &Call{ask: &ask, signs: make(chan struct{}, 1), parts: make(chan Answer, 1), done: make(chan Result, 1)}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -67,6 +76,7 @@
 	s, found := c.sessions[address]
 	if !found {
 		s = &session{client: c, address: address, calls: map[uint64]*Call{}}
+		s.heardAt.Store(time.Now().UnixNano())
 		c.sessions[address] = s
 		go s.run()
 	}
@@ -76,12 +86,13 @@
 	return call
 }
 
-// Drop closes the connection to an address, as one whose other end is silent; its calls end.
-func (c *Client) Drop(address string, cause error) {
+// DropSilent closes the connection to an address if nothing came from there for so long; its calls
+// end.
+func (c *Client) DropSilent(address string, silence time.Duration, cause error) {
 	c.mu.Lock()
 	s, found := c.sessions[address]
 	c.mu.Unlock()
-	if found {
+	if found && time.Since(time.Unix(0, s.heardAt.Load())) >= silence {
 		s.end(cause)
 	}
 }
@@ -121,6 +132,9 @@
 	calls map[uint64]*Call
 	// stopDial ends the opening of the connection.
 	stopDial context.CancelFunc
+
+	// heardAt is when a line last came, or else the connection was begun, in unix nanoseconds.
+	heardAt atomic.Int64
 }
 
 // start sends a call, or keeps it until the connection is open.
@@ -150,6 +164,7 @@
 
 // sendAsk writes a call's request; one that can't be written whole may have arrived.
 func (s *session) sendAsk(open *wire, call *Call) {
+	call.sent.Store(true)
 	if err := open.write(line{Number: call.number, Ask: call.ask}); err != nil {
 		if taken := s.take(call.number); taken != nil {
 			taken.done <- Result{Err: &BrokenError{Cause: err}}
@@ -229,6 +244,11 @@
 }
 
 func (s *session) receive(l line) {
+	s.heardAt.Store(time.Now().UnixNano())
+	if l.Reply != nil && l.Reply.Partial {
+		s.receivePart(l)
+		return
+	}
 	if l.Reply != nil {
 		if call := s.take(l.Number); call != nil {
 			call.done <- Result{Reply: *l.Reply}
@@ -247,6 +267,20 @@
 	}
 }
 
+// receivePart takes what is in of a reply before its end.
+func (s *session) receivePart(l line) {
+	s.mu.Lock()
+	call := s.calls[l.Number]
+	s.mu.Unlock()
+	if call == nil || l.Reply.Answer == nil {
+		return
+	}
+	select {
+	case call.parts <- *l.Reply.Answer:
+	default:
+	}
+}
+
 // end closes the connection; calls on it may have run, unless it was never open.
 func (s *session) end(cause error) {
 	s.mu.Lock()
--- a/internal/servingtree/message.go
+++ b/internal/servingtree/message.go
@@ -89,6 +89,9 @@
 	Answer  *Answer  `json:"answer,omitempty"`
 	Failure *Failure `json:"failure,omitempty"`
 	Decline Decline  `json:"decline,omitempty"`
+	// Partial says that the answer holds what is in so far, and that another reply with the rest
+	// follows.
+	Partial bool `json:"partial,omitempty"`
 	// TookMicros is how long the intermediate had the request.
 	TookMicros int64 `json:"took_micros,omitempty"`
 }
--- a/internal/servingtree/server.go
+++ b/internal/servingtree/server.go
@@ -10,8 +10,9 @@
 
 // Handler does the work of an intermediate.
 type Handler interface {
-	// Gather answers a request; the context ends when the root does not wait for it any more.
-	Gather(ctx context.Context, ask Ask) Reply
+	// Gather answers a request; the context ends when the root does not wait for it any more. Before
+	// its end it may call send with what is in so far, once; the reply then holds the rest.
+	Gather(ctx context.Context, ask Ask, send func(Answer)) Reply
 }
 
 // Server takes requests of roots; create it with NewServer.
@@ -165,7 +166,9 @@
 	defer c.server.running.Done()
 	began := time.Now()
 	c.send(line{Number: number, Accepted: true})
-	reply := c.server.handler.Gather(ctx, ask)
+	reply := c.server.handler.Gather(ctx, ask, func(answer Answer) {
+		c.send(line{Number: number, Reply: &Reply{Answer: &answer, Partial: true}})
+	})
 	isAwaited := ctx.Err() == nil
 	c.cancel(number)
 	if isAwaited {
