--- /dev/null
+++ b/internal/gateway/tree_test.go
@@ -0,0 +1,481 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/connshare"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/registry"
+	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/scatter"
+	"github.com/portgauge/portgauge/internal/servingtree"
+)
+
+// treeLeafs are the leafs of all nodes of a test; each attempt is noted by the node that made it.
+type treeLeafs struct {
+	node string
+	seen *treeSeen
+	// answer is how a leaf treats an attempt; nil means a whole answer at once.
+	answer func(leaf string) (time.Duration, *leafhttp.Response, error)
+}
+
+// treeSeen is what the leafs saw.
+type treeSeen struct {
+	mu        sync.Mutex
+	asked     map[string][]string // leafs by node
+	cancelled int
+}
+
+func (s *treeSeen) by(node string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.asked[node])
+}
+
+func (s *treeSeen) cancels() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cancelled
+}
+
+func (l *treeLeafs) Start(target leafhttp.Target, _ *leafhttp.Request, _ time.Time, done leafhttp.Done) context.CancelCauseFunc {
+	l.seen.mu.Lock()
+	l.seen.asked[l.node] = append(l.seen.asked[l.node], target.Incarnation)
+	answer := l.answer
+	l.seen.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		delay, response, err := time.Duration(0), answered(200, records(target.Incarnation)), error(nil)
+		if answer != nil {
+			delay, response, err = answer(target.Incarnation)
+		}
+		select {
+		case <-time.After(delay):
+			done(response, err)
+		case <-ctx.Done():
+			l.seen.mu.Lock()
+			l.seen.cancelled++
+			l.seen.mu.Unlock()
+			done(nil, &leafhttp.BrokenAnswerError{Cause: context.Cause(ctx)})
+		}
+	}()
+	return cancel
+}
+
+// treat sets how leafs treat attempts from now on.
+func (l *treeLeafs) treat(answer func(leaf string) (time.Duration, *leafhttp.Response, error)) {
+	l.seen.mu.Lock()
+	defer l.seen.mu.Unlock()
+	l.answer = answer
+}
+
+func (l *treeLeafs) CanSpare(string) bool   { return true }
+func (l *treeLeafs) Warm([]leafhttp.Target) {}
+
+// treeNode is one node of a test.
+type treeNode struct {
+	t        *testing.T
+	record   catalog.NodeRecord
+	catalog  *catalog.Catalog
+	gateway  *Gateway
+	journal  *silentJournal
+	leafs    *treeLeafs
+	server   *servingtree.Server
+	listener net.Listener
+}
+
+// tree is some nodes over ten services: the first five have leafs in near and far, the others in far
+// and farther only.
+type tree struct {
+	t     *testing.T
+	seen  *treeSeen
+	nodes map[string]*treeNode
+}
+
+const (
+	zoneNear    = "near"
+	zoneFar     = "far"
+	zoneFarther = "farther"
+)
+
+// nearShards is how many services have a leaf in the near zone.
+const nearShards = 5
+
+// treeObjective leaves time for what a test awaits.
+const treeObjective = 2 * time.Second
+
+// newTree starts a node for each record; its address is filled in.
+func newTree(t *testing.T, nodes ...catalog.NodeRecord) *tree {
+	t.Helper()
+	built := &tree{t: t, seen: &treeSeen{asked: map[string][]string{}}, nodes: map[string]*treeNode{}}
+	for index := range nodes {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		nodes[index].Tree = listener.Addr().String()
+		built.nodes[nodes[index].ID] = &treeNode{t: t, record: nodes[index], listener: listener}
+	}
+	for _, node := range built.nodes {
+		built.start(node, nodes)
+	}
+	return built
+}
+
+func (b *tree) start(node *treeNode, nodes []catalog.NodeRecord) {
+	node.catalog = catalog.New(func(key string, err error) { b.t.Errorf("%s: %v", key, err) })
+	node.journal, node.leafs = &silentJournal{}, &treeLeafs{node: node.record.ID, seen: b.seen}
+	var gathered []string
+	for index := range shardCount {
+		service := fmt.Sprintf("s%d", index)
+		gathered = append(gathered, service)
+		zones := []string{zoneNear, zoneFar}
+		if index >= nearShards {
+			zones = []string{zoneFar, zoneFarther}
+		}
+		for _, zone := range zones {
+			id := service + zone
+			put(b.t, node.catalog, catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Zone: zone, State: leafset.Ready})
+		}
+	}
+	for _, known := range nodes {
+		put(b.t, node.catalog, catalog.NodeKey(known.ID), known)
+	}
+	b.putRoutes(node, 1, gathered)
+	census := registry.NewCensus(node.catalog, node.record.ID, time.Minute)
+	client := servingtree.NewClient(servingtree.DefaultConfig())
+	b.t.Cleanup(client.Close)
+	node.gateway = New(Parts{
+		Config: DefaultConfig(), Dialect: dialect, Catalog: node.catalog, Memory: leafmemory.New(leafmemory.DefaultConfig(), node.catalog),
+		Dealer:   connshare.New(connshare.DefaultConfig(), census, node.record),
+		Balancer: balancer.New(balancer.DefaultConfig(), node.record.Zone),
+		Budgets:  treeBudgets(),
+		Leafs:    node.leafs, Journal: node.journal, Self: node.record, Fleet: census, Intermediates: client,
+	})
+	node.server = servingtree.NewServer(servingtree.DefaultConfig(), node.gateway)
+	go node.server.Serve(node.listener)
+}
+
+func (b *tree) putRoutes(node *treeNode, version int64, gathered []string) {
+	put(b.t, node.catalog, catalog.RoutesKey, routing.Configuration{Version: version, Routes: []routing.Route{{
+		Name: "pages", Host: "h", Prefix: "/pages/", Gathered: gathered, TopRecords: 2 * shardCount, MinimumCoverage: 0.8,
+		Repeatability: routing.Repeatable, MaximumAttempts: 2, TimeoutMillis: 60_000, ObjectiveMillis: treeObjective.Milliseconds(),
+	}}})
+}
+
+func (b *tree) ask(node string) (*Answer, error) {
+	request := ask("/pages/1")
+	request.Patience = 0
+	return b.nodes[node].gateway.Serve(b.t.Context(), request)
+}
+
+// whole fails the test unless an answer has each part once, and the records of just those.
+func (b *tree) whole(answer *Answer, err error) {
+	b.t.Helper()
+	is := is.New(b.t)
+	is.NoErr(err)
+	is.Equal(answer.Missing, 0)
+	b.consistent(answer)
+}
+
+// consistent fails the test unless an answer's records are those of its parts.
+func (b *tree) consistent(answer *Answer) {
+	b.t.Helper()
+	is := is.New(b.t)
+	var services, fromStamps, inBody []string
+	for _, stamp := range answer.Stamps {
+		leaf := strings.TrimSpace(strings.TrimPrefix(stamp, "stamp-"))
+		services = append(services, leaf[:2])
+		fromStamps = append(fromStamps, leaf)
+	}
+	for part := range slices.Chunk(answer.Body, recordBytes) {
+		inBody = append(inBody, strings.TrimSpace(string(part)))
+	}
+	slices.Sort(services)
+	is.Equal(len(slices.Compact(services)), len(answer.Stamps)) // no service twice
+	slices.Sort(fromStamps)
+	slices.Sort(inBody)
+	is.Equal(inBody, fromStamps)
+}
+
+// outcomes gives those of the groups that a node passed on.
+func (b *tree) outcomes(node string) []GroupOutcome {
+	journal := b.nodes[node].journal
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	var outcomes []GroupOutcome
+	for _, pass := range journal.passes {
+		outcomes = append(outcomes, pass.Outcome)
+	}
+	return outcomes
+}
+
+func near(id string) catalog.NodeRecord { return catalog.NodeRecord{ID: id, Zone: zoneNear} }
+func far(id string) catalog.NodeRecord  { return catalog.NodeRecord{ID: id, Zone: zoneFar} }
+
+// The shards without a leaf in the own zone are gathered by a node that has one; the others are not.
+func TestOtherZonesAreGatheredThere(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"))
+	b.whole(b.ask("root"))
+	is.Equal(len(b.seen.by("root")), nearShards)
+	for _, leaf := range b.seen.by("root") {
+		is.True(strings.HasSuffix(leaf, zoneNear))
+	}
+	is.Equal(len(b.seen.by("there")), shardCount-nearShards)
+	is.Equal(b.outcomes("root"), []GroupOutcome{GroupAnswered})
+	record := b.nodes["there"].journal.records[0]
+	is.Equal(record.For, "root")
+	is.Equal(record.RequestID, "r")
+	is.Equal(b.nodes["root"].journal.records[0].Groups[0].Intermediate, "there")
+}
+
+// A node with far fewer processors than others of its zone lets them gather, one that is alike does
+// not.
+func TestSmallNodesLetLargeOnesGather(t *testing.T) {
+	is := is.New(t)
+	small, large := near("small"), near("large")
+	small.Processors, large.Processors = 0.2, 0.8
+	b := newTree(t, small, large, far("there"))
+	b.whole(b.ask("small"))
+	is.Equal(len(b.seen.by("small")), 0)
+	is.Equal(len(b.seen.by("large")), nearShards)
+	b.whole(b.ask("large"))
+	is.Equal(len(b.seen.by("small")), 0)
+	is.Equal(len(b.seen.by("large")), 2*nearShards)
+}
+
+// Switched off, every node asks every leaf itself.
+func TestTreeCanBeSwitchedOff(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"))
+	b.nodes["root"].gateway.root = nil
+	b.whole(b.ask("root"))
+	is.Equal(len(b.seen.by("root")), shardCount)
+	is.Equal(len(b.seen.by("there")), 0)
+}
+
+// However an intermediate fails before it has given an answer, the root asks its leafs itself, and no
+// part is in twice.
+func TestRootDoesWithoutItsIntermediate(t *testing.T) {
+	cases := map[string]struct {
+		fail    func(node *treeNode)
+		outcome GroupOutcome
+	}{
+		"dead":   {func(node *treeNode) { _ = node.listener.Close() }, GroupNeverSent},
+		"frozen": {freeze, GroupSilent},
+		"leaving": {func(node *treeNode) {
+			node.server.Announce()
+		}, GroupLeaving},
+		"another table": {func(node *treeNode) {
+			put(node.t, node.catalog, catalog.LeafKey("other"), leafset.Record{ID: "other", Service: "other", Address: "127.0.0.1:1"})
+			put(node.t, node.catalog, catalog.RoutesKey, routing.Configuration{Version: 2})
+		}, GroupDeclined},
+		"busy": {func(node *treeNode) { node.gateway.config.MaximumGathered = 0 }, GroupDeclined},
+		"dies at work": {func(node *treeNode) {
+			node.leafs.treat(func(string) (time.Duration, *leafhttp.Response, error) {
+				node.stop()
+				return time.Hour, nil, errors.New("dead")
+			})
+		}, GroupBroken},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTree(t, near("root"), far("there"))
+			c.fail(b.nodes["there"])
+			b.whole(b.ask("root"))
+			is.Equal(b.outcomes("root"), []GroupOutcome{c.outcome})
+			is.Equal(len(b.seen.by("root")), shardCount)
+			// It is left alone for a while.
+			b.whole(b.ask("root"))
+			is.Equal(len(b.outcomes("root")), 1)
+		})
+	}
+}
+
+// freeze takes a node's connections without reading them.
+func freeze(node *treeNode) {
+	address := node.listener.Addr().String()
+	_ = node.listener.Close()
+	frozen, err := net.Listen("tcp", address)
+	if err != nil {
+		node.t.Fatal(err)
+	}
+	node.t.Cleanup(func() { _ = frozen.Close() })
+}
+
+// stop ends a node's server at once.
+func (n *treeNode) stop() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = n.server.Shutdown(ended)
+}
+
+// An intermediate that has shown its work and then falls silent may have spent all attempts of the
+// route: its shards are not asked again. One that has shown nothing has spent none, or its first.
+func TestSilenceAfterASignIsFinal(t *testing.T) {
+	cases := map[string]struct {
+		says    string
+		isFinal bool
+	}{"nothing": {"", false}, "a sign": {`{"v":1,"n":1,"accepted":true}` + "\n", true}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTree(t, near("root"), far("there"))
+			entry := &routing.Entry{Objective: 40 * time.Millisecond}
+			work := &gathering{gateway: b.nodes["root"].gateway, query: &query{entry: entry, objective: time.Now().Add(entry.Objective)}}
+			p := &passing{root: b.nodes["root"].gateway.root, work: work, group: group{node: b.nodes["there"].record, shards: []int{5, 6}}}
+			client := servingtree.NewClient(servingtree.DefaultConfig())
+			t.Cleanup(client.Close)
+			result, outcome, _ := p.await(t.Context(), client.Start(saying(t, c.says), servingtree.Ask{}), nil)
+			is.Equal(outcome, GroupSilent)
+			is.Equal(result.Final, c.isFinal)
+			is.Equal(result.Execution, scatter.Unknown)
+		})
+	}
+}
+
+// saying is an intermediate that answers the first line it gets with a text, and then nothing.
+func saying(t *testing.T, text string) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+		_, _ = connection.Read(make([]byte, 1))
+		_, _ = connection.Write([]byte(text))
+	}()
+	return listener.Addr().String()
+}
+
+// Parts that are slow at the intermediate come after those that are in by the objective, and the
+// answer waits for them only where too few others are in.
+func TestSlowPartsOfAGroup(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"))
+	b.nodes["there"].leafs.treat(func(leaf string) (time.Duration, *leafhttp.Response, error) {
+		if strings.HasPrefix(leaf, "s9") {
+			return time.Hour, nil, errors.New("dark")
+		}
+		return 0, answered(200, records(leaf)), nil
+	})
+	answer, err := b.ask("root")
+	is.NoErr(err)
+	is.Equal(answer.Missing, 1)
+	b.consistent(answer)
+
+	// Three of ten are missing then: the rest is awaited.
+	b.nodes["there"].leafs.treat(func(leaf string) (time.Duration, *leafhttp.Response, error) {
+		if leaf[:2] >= "s7" {
+			return treeObjective + treeObjective/4, answered(200, records(leaf)), nil
+		}
+		return 0, answered(200, records(leaf)), nil
+	})
+	answer, err = b.ask("root")
+	is.NoErr(err)
+	is.True(answer.Missing <= 2)
+	b.consistent(answer)
+}
+
+// A caller that leaves ends the work at the intermediate's leafs.
+func TestCallerThatLeavesEndsTheWorkOfIntermediates(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"))
+	b.nodes["there"].leafs.treat(func(string) (time.Duration, *leafhttp.Response, error) { return time.Hour, nil, nil })
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		for len(b.seen.by("there")) < shardCount-nearShards {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	request := ask("/pages/1")
+	request.Patience = 0
+	_, err := b.nodes["root"].gateway.Serve(ctx, request)
+	is.Equal(failure.From(err).Code, failure.Cancelled)
+	for b.seen.cancels() < shardCount-nearShards {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// An intermediate never passes on what it was asked for.
+func TestThereIsOneLevel(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"), catalog.NodeRecord{ID: "farther", Zone: zoneFarther})
+	for range 10 {
+		b.whole(b.ask("root"))
+	}
+	is.Equal(len(b.outcomes("there")), 0)
+	is.Equal(len(b.outcomes("farther")), 0)
+	is.True(len(b.seen.by("there")) > 0)
+	is.True(len(b.seen.by("farther")) > 0) // both zones have all of the others' leafs
+}
+
+// An answer that is not for the shards that were asked for counts as none.
+func TestAnswerOfOtherShardsIsNone(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"))
+	work := &gathering{gateway: b.nodes["root"].gateway, query: &query{entry: &routing.Entry{Objective: time.Second}}}
+	p := &passing{root: b.nodes["root"].gateway.root, work: work, group: group{shards: []int{5, 6}}}
+	_, outcome, _ := p.judge(servingtree.Result{Reply: servingtree.Reply{Answer: &servingtree.Answer{Stamps: []string{"x"}}}}, 0)
+	is.Equal(outcome, GroupBroken)
+}
+
+// Asks that don't fit the table in force are declined.
+func TestAsksThatDoNotFitAreDeclined(t *testing.T) {
+	b := newTree(t, near("root"), far("there"))
+	there := b.nodes["there"].gateway
+	revision := b.nodes["there"].catalog.View().Routes.Revision
+	good := servingtree.Ask{ID: "r", Method: http.MethodGet, Target: "/pages/1", Host: "h", Revision: revision, Shards: []int{0}, Required: 1}
+	bad := map[string]func(*servingtree.Ask){
+		"older":         func(a *servingtree.Ask) { a.Revision-- },
+		"no route":      func(a *servingtree.Ask) { a.Target = "/other/" },
+		"no shards":     func(a *servingtree.Ask) { a.Shards = nil },
+		"unknown shard": func(a *servingtree.Ask) { a.Shards = []int{shardCount} },
+		"negative":      func(a *servingtree.Ask) { a.Shards = []int{-1} },
+	}
+	for name, change := range bad {
+		asked := good
+		change(&asked)
+		if reply := there.Gather(t.Context(), asked, nil); reply.Decline != servingtree.OtherRevision {
+			t.Errorf("%s: %+v", name, reply)
+		}
+	}
+}
+
+// treeBudgets allow some repeats that no request pays for, as operators do: a root has no others for
+// what its intermediates gather.
+func treeBudgets() *retrybudget.Budgets {
+	config := retrybudget.Config{Ratio: 0, Window: 20 * time.Millisecond, Allowance: 20, Share: 1}
+	budgets := retrybudget.New(config, func() int { return 1 })
+	for budgets.Left("any") == 0 {
+		time.Sleep(time.Millisecond) // a new node leaves the allowance alone for one window
+	}
+	return budgets
+}
--- a/internal/servingtree/client.go
+++ b/internal/servingtree/client.go
@@ -204,7 +204,7 @@
 	var dialer net.Dialer
 	socket, err := dialer.DialContext(ctx, "tcp4", s.address)
 	if err != nil {
-		s.endUnsent(err)
+		s.end(err)
 		return
 	}
 	open := newWire(s.client.cfg, socket)
@@ -281,37 +281,28 @@
 	}
 }
 
-// end closes the connection; calls on it may have run, unless it was never open.
+// end closes the connection; calls on it may have run, unless it was never open. The first cause is
+// the one that is told.
 func (s *session) end(cause error) {
 	s.mu.Lock()
+	if s.ended == nil {
+		s.ended = cause
+	}
+	cause = s.ended
 	open := s.wire
 	if s.stopDial != nil {
 		s.stopDial()
 	}
-	s.mu.Unlock()
-	if open == nil {
-		s.endUnsent(cause)
-		return
-	}
-	open.close()
-	s.endCalls(cause, func() error { return &BrokenError{Cause: cause} })
-}
-
-// endUnsent ends a session whose connection was never open.
-func (s *session) endUnsent(cause error) {
-	s.endCalls(cause, func() error { return &NeverSentError{Cause: cause} })
-}
-
-func (s *session) endCalls(cause error, told func() error) {
-	s.client.forget(s)
-	s.mu.Lock()
-	if s.ended == nil {
-		s.ended = cause
-	}
 	calls := s.calls
 	s.calls = map[uint64]*Call{}
 	s.mu.Unlock()
+	s.client.forget(s)
+	var told error = &NeverSentError{Cause: cause}
+	if open != nil {
+		open.close()
+		told = &BrokenError{Cause: cause}
+	}
 	for _, call := range calls {
-		call.done <- Result{Err: told()}
+		call.done <- Result{Err: told}
 	}
 }
--- /dev/null
+++ b/internal/servingtree/servingtree_test.go
@@ -0,0 +1,336 @@
+package servingtree
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// handler is an intermediate whose work is a function.
+type handler func(ctx context.Context, ask Ask, send func(Answer)) Reply
+
+func (h handler) Gather(ctx context.Context, ask Ask, send func(Answer)) Reply {
+	return h(ctx, ask, send)
+}
+
+// echo answers with the request's own id.
+func echo(_ context.Context, ask Ask, _ func(Answer)) Reply {
+	return Reply{Answer: &Answer{Stamps: []string{ask.ID}, Records: []byte(ask.ID)}}
+}
+
+// untilCancelled works until nobody waits.
+func untilCancelled(ctx context.Context, _ Ask, _ func(Answer)) Reply {
+	<-ctx.Done()
+	return Reply{}
+}
+
+// testConfig has bounds that no test waits for.
+func testConfig() Config {
+	cfg := DefaultConfig()
+	cfg.WriteTimeout = 10 * time.Second
+	cfg.ConnectTimeout = 10 * time.Second
+	return cfg
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func serve(t *testing.T, cfg Config, work handler) (server *Server, address string) {
+	t.Helper()
+	listener := listen(t)
+	server = NewServer(cfg, work)
+	go server.Serve(listener)
+	return server, listener.Addr().String()
+}
+
+func newClient(t *testing.T, cfg Config) *Client {
+	t.Helper()
+	client := NewClient(cfg)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// result waits for the end of a call.
+func result(t *testing.T, call *Call) Result {
+	t.Helper()
+	select {
+	case ended := <-call.Done():
+		return ended
+	case <-time.After(time.Minute):
+		t.Fatal("the call does not end")
+		return Result{}
+	}
+}
+
+// Many requests share a connection, and each has its own reply, in whatever order they come.
+func TestCrossingRepliesReachTheirRequests(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, testConfig(), func(ctx context.Context, ask Ask, send func(Answer)) Reply {
+		time.Sleep(time.Duration(len(ask.ID)*7%5) * time.Millisecond)
+		return echo(ctx, ask, send)
+	})
+	client := newClient(t, testConfig())
+	var running sync.WaitGroup
+	for number := range 200 {
+		running.Go(func() {
+			id := strings.Repeat("x", number)
+			ended := result(t, client.Start(address, Ask{ID: id}))
+			if ended.Err != nil || ended.Reply.Answer == nil || ended.Reply.Answer.Stamps[0] != id {
+				t.Errorf("request %d got %+v", number, ended)
+			}
+		})
+	}
+	running.Wait()
+	is.Equal(len(client.sessions), 1)
+}
+
+// The intermediate shows at once that it is at work, and again when it is asked.
+func TestSignsOfWork(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, testConfig(), untilCancelled)
+	call := newClient(t, testConfig()).Start(address, Ask{ID: "a"})
+	<-call.Signs()
+	call.Probe()
+	<-call.Signs()
+	is.True(call.Cancel())
+}
+
+// Parts come before the end, and the rest with it.
+func TestPartsComeBeforeTheRest(t *testing.T) {
+	is := is.New(t)
+	goOn := make(chan struct{})
+	_, address := serve(t, testConfig(), func(_ context.Context, _ Ask, send func(Answer)) Reply {
+		send(Answer{Stamps: []string{"a", ""}})
+		<-goOn
+		return Reply{Answer: &Answer{Stamps: []string{"", "b"}}}
+	})
+	call := newClient(t, testConfig()).Start(address, Ask{ID: "a"})
+	is.Equal((<-call.Parts()).Stamps, []string{"a", ""})
+	close(goOn)
+	is.Equal(result(t, call).Reply.Answer.Stamps, []string{"", "b"})
+}
+
+// A caller that leaves, a client that closes and a root that dies all end the work.
+func TestWorkEndsWithItsRequest(t *testing.T) {
+	ways := map[string]func(client *Client, call *Call){
+		"cancelled":     func(_ *Client, call *Call) { call.Cancel() },
+		"client closed": func(client *Client, _ *Call) { client.Close() },
+		"connection cut": func(client *Client, call *Call) {
+			_ = call.session.wire.socket.(*net.TCPConn).SetLinger(0)
+			call.session.wire.close()
+		},
+	}
+	for name, end := range ways {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan struct{})
+			_, address := serve(t, testConfig(), func(ctx context.Context, _ Ask, _ func(Answer)) Reply {
+				<-ctx.Done()
+				close(ended)
+				return Reply{}
+			})
+			client := newClient(t, testConfig())
+			call := client.Start(address, Ask{ID: "a"})
+			<-call.Signs()
+			end(client, call)
+			<-ended
+		})
+	}
+}
+
+// A planned stop declines what comes and finishes what is there.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	goOn := make(chan struct{})
+	server, address := serve(t, testConfig(), func(ctx context.Context, ask Ask, send func(Answer)) Reply {
+		<-goOn
+		return echo(ctx, ask, send)
+	})
+	client := newClient(t, testConfig())
+	before := client.Start(address, Ask{ID: "before"})
+	<-before.Signs()
+	server.Announce()
+	is.Equal(result(t, client.Start(address, Ask{ID: "after"})).Reply.Decline, Leaving)
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Shutdown(t.Context()) }()
+	close(goOn)
+	is.Equal(result(t, before).Reply.Answer.Stamps, []string{"before"})
+	is.NoErr(<-stopped)
+	is.True(result(t, client.Start(address, Ask{ID: "late"})).Err != nil)
+}
+
+// Where nothing can have run, the error says so; where it may, it does too.
+func TestErrorsTellWhetherItMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	var neverSent *NeverSentError
+	var broken *BrokenError
+	client := newClient(t, testConfig())
+
+	dead := listen(t)
+	_ = dead.Close()
+	call := client.Start(dead.Addr().String(), Ask{ID: "a"})
+	is.True(errors.As(result(t, call).Err, &neverSent))
+	is.True(!call.Cancel())
+
+	dying := listen(t)
+	go func() {
+		connection, err := dying.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = bufio.NewReader(connection).ReadString('\n')
+		_ = connection.Close()
+	}()
+	is.True(errors.As(result(t, client.Start(dying.Addr().String(), Ask{ID: "a"})).Err, &broken))
+
+	client.Close()
+	is.True(errors.As(result(t, client.Start(dying.Addr().String(), Ask{ID: "a"})).Err, &neverSent))
+}
+
+// A frozen intermediate takes connections and says nothing: its connection is given up only once
+// nothing came for long enough.
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	frozen := listen(t) // the kernel takes the connection, nobody reads it
+	client := newClient(t, testConfig())
+	address := frozen.Addr().String()
+	call := client.Start(address, Ask{ID: "a"})
+	for !call.sent.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	client.DropSilent(address, time.Hour, io.ErrNoProgress)
+	select {
+	case ended := <-call.Done():
+		t.Fatalf("given up too early: %v", ended.Err)
+	default:
+	}
+	client.DropSilent(address, 0, io.ErrNoProgress)
+	var broken *BrokenError
+	is.True(errors.As(result(t, call).Err, &broken))
+	is.True(errors.Is(broken, io.ErrNoProgress))
+	is.True(call.Cancel())
+}
+
+// Beyond its bounds, either side refuses without having begun.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	narrow := testConfig()
+	narrow.MaximumRequests = 2
+	_, address := serve(t, narrow, untilCancelled)
+	client := newClient(t, testConfig())
+	for range 2 {
+		<-client.Start(address, Ask{ID: "a"}).Signs()
+	}
+	is.Equal(result(t, client.Start(address, Ask{ID: "b"})).Reply.Decline, Busy)
+
+	bounded := newClient(t, narrow)
+	for range 2 {
+		<-bounded.Start(address, Ask{ID: "a"}).Signs()
+	}
+	var full *FullError
+	is.True(errors.As(result(t, bounded.Start(address, Ask{ID: "b"})).Err, &full))
+
+	small := testConfig()
+	small.MaximumLineBytes = 1024
+	var tooLong *LineTooLongError
+	is.True(errors.As(result(t, newClient(t, small).Start(address, Ask{Body: make([]byte, 4096)})).Err, &tooLong))
+}
+
+// Lines that are no lines of ours, of another version, or of requests that nobody made end the
+// connection or are passed over; they reach no request.
+func TestStrangeLines(t *testing.T) {
+	is := is.New(t)
+	strange := map[string]string{
+		"no json":       "HTTP/1.1 400 Bad Request\r\n\r\n",
+		"other version": `{"v":2,"n":1,"reply":{"answer":{"stamps":["x"]}}}` + "\n",
+		"too long":      strings.Repeat("x", 8<<10) + "\n",
+	}
+	for name, text := range strange {
+		cfg := testConfig()
+		cfg.MaximumLineBytes = 4 << 10
+		ended := result(t, newClient(t, cfg).Start(scripted(t, text), Ask{ID: "a"}))
+		var broken *BrokenError
+		if !errors.As(ended.Err, &broken) {
+			t.Errorf("%s: %+v", name, ended)
+		}
+	}
+	foreign := `{"v":1,"n":99,"reply":{"answer":{"stamps":["foreign"]}}}` + "\n" + `{"v":1,"n":99,"accepted":true}` + "\n"
+	own := `{"v":1,"n":1,"reply":{"answer":{"stamps":["own"]}}}` + "\n"
+	call := newClient(t, testConfig()).Start(scripted(t, foreign+own+own), Ask{ID: "a"})
+	is.Equal(result(t, call).Reply.Answer.Stamps, []string{"own"})
+	is.Equal(len(call.Signs()), 0)
+}
+
+// scripted is an intermediate that answers the first line it gets with a text.
+func scripted(t *testing.T, text string) (address string) {
+	t.Helper()
+	listener := listen(t)
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+		_, _ = bufio.NewReader(connection).ReadString('\n')
+		_, _ = io.WriteString(connection, text)
+	}()
+	return listener.Addr().String()
+}
+
+// A failure reaches the root with all that its caller is told.
+func TestFailureIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	sent := failure.New(failure.Overloaded, failure.NotRun, "100%% busy").WithRetryAfter(250 * time.Millisecond)
+	_, address := serve(t, testConfig(), func(context.Context, Ask, func(Answer)) Reply { return Reply{Failure: NewFailure(sent)} })
+	ended := result(t, newClient(t, testConfig()).Start(address, Ask{ID: "a"}))
+	got := failure.From(ended.Reply.Failure.Err())
+	is.Equal(got.Code, sent.Code)
+	is.Equal(got.Execution, sent.Execution)
+	is.Equal(got.Message, sent.Message)
+	is.Equal(got.RetryAfter, sent.RetryAfter)
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultConfig().Validate())
+	is.Equal(len(failure.Faults(Config{}.Validate())), 5)
+}
+
+// Whatever comes is a line of ours or an error.
+func FuzzDecode(f *testing.F) {
+	for _, l := range []line{
+		{Version: version, Number: 1, Ask: &Ask{ID: "a", Shards: []int{1, 2}}},
+		{Version: version, Number: 2, Cancel: true},
+		{Version: version, Number: 3, Reply: &Reply{Answer: &Answer{Stamps: []string{"a", ""}, Records: []byte("r")}, Partial: true}},
+	} {
+		encoded, err := json.Marshal(l)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(encoded)
+	}
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		l, err := decode(encoded)
+		if err == nil && l.Version != version {
+			t.Fatal(fmt.Sprint("version ", l.Version))
+		}
+	})
+}
