Soak the serving tree; remove the hollow fleet and the scale run; move the variants under platform/

The soak's nodes have unlike processors and services with leafs in one zone only, so that they gather for each other over links that are delayed, silenced, cut one way and reset.

The variants speak of the users' site files, so they live beside the adapter, outside the node's binary.

--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -13,8 +13,6 @@
 	HTTPLeaf   httpLeafCommand   `cmd:"" name:"http-leaf" help:"Run a stand-in back end that routes are served by."`
 	Platform   platformCommand   `cmd:"" help:"Run a stand-in store and machine list."`
 	Sample     sampleCommand     `cmd:"" help:"Print a service or manifest over stand-in back ends."`
-	Hollow     hollowCommand     `cmd:"" help:"Run hollow nodes, for a scale run."`
-	Scale      scaleCommand      `cmd:"" help:"Measure configuration and membership with hollow nodes beside real ones."`
 	Leafs      leafsCommand      `cmd:"" help:"Run many stand-in back ends in one process."`
 	Bare       bareCommand       `cmd:"" help:"Serve searches by a fan-out without decisions, the baseline of node-cost."`
 	Load       loadCommand       `cmd:"" help:"Send searches open-loop and print latency, coverage and extra load."`
--- a/cmd/portgauge-lab/variants.go
+++ b/cmd/portgauge-lab/variants.go
@@ -10,7 +10,7 @@
 	"sync"
 
 	"github.com/portgauge/portgauge/internal/failure"
-	"github.com/portgauge/portgauge/internal/lab/variants"
+	"github.com/portgauge/portgauge/platform/variants"
 )
 
 // variantsCommand plays deployments and days drawn from a seed on the users' bench.
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -36,6 +36,10 @@
 		{"node cut from the store", (*injector).cutStore},
 		{"node's store link one way", (*injector).oneWayStore},
 		{"node cut from its peers", (*injector).cutPeers},
+		{"node's link of requests silent", (*injector).silenceTree},
+		{"node's link of requests one way", (*injector).oneWayTree},
+		{"node's link of requests delayed", (*injector).slowTree},
+		{"node's link of requests reset", (*injector).resetTree},
 		{"store refuses", (*injector).refuseStore},
 		{"store loses answers", (*injector).loseAnswers},
 		{"store forgets its history", (*injector).compactStore},
@@ -164,6 +168,23 @@
 	return func() { node.setCut(false) }
 }
 
+// setTreeLink disturbs the link by which other nodes have a node gather for them. That touches their
+// requests, not only its own.
+func (i *injector) setTreeLink(span time.Duration, condition Condition) func() {
+	i.everyNode(span)
+	node := i.world.nodes[i.random.IntN(len(i.world.nodes))]
+	node.treeLink.Set(condition)
+	return func() {
+		node.treeLink.Set(Sound)
+		i.everyNode(0)
+	}
+}
+
+func (i *injector) silenceTree(span time.Duration) func() { return i.setTreeLink(span, Silent) }
+func (i *injector) oneWayTree(span time.Duration) func()  { return i.setTreeLink(span, OneWay) }
+func (i *injector) slowTree(span time.Duration) func()    { return i.setTreeLink(span, Delayed) }
+func (i *injector) resetTree(span time.Duration) func()   { return i.setTreeLink(span, Resetting) }
+
 func (i *injector) setStore(span time.Duration, wrong kvstore.Faults) func() {
 	i.everyNode(span)
 	i.world.store.SetFaults(wrong)
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -21,6 +21,7 @@
 	settings  string
 	storeLink *Link
 	peerLink  *forwarder.Forwarder
+	treeLink  *Link
 
 	mu      sync.Mutex
 	process *process.Process
@@ -41,7 +42,7 @@
 
 // addNode starts a node with links of its own to the store and from other nodes.
 func (w *world) addNode(index int) error {
-	addresses, err := process.FreeAddresses(6)
+	addresses, err := process.FreeAddresses(7)
 	if err != nil {
 		return err
 	}
@@ -53,9 +54,12 @@
 	if err != nil {
 		return err
 	}
+	if node.treeLink, err = NewLink(addresses[6]); err != nil {
+		return err
+	}
 	node.settings = filepath.Join(w.folder, node.name+".yaml")
 	content := fmt.Sprintf(settingsText, node.name, node.zone, addresses[0], addresses[1], addresses[2], addresses[5],
-		addresses[3], addresses[4], node.storeLink.Address(), platform.Name)
+		addresses[3], addresses[4], addresses[6], node.treeLink.Address(), processorsOf(index), node.storeLink.Address(), platform.Name)
 	if err := os.WriteFile(node.settings, []byte(content), 0o600); err != nil {
 		return err
 	}
@@ -63,10 +67,19 @@
 	return w.startNode(node)
 }
 
+// processorsOf gives the processors of a node: the first of each zone has far more, so that the others
+// let it gather for them.
+func processorsOf(index int) float64 {
+	if index < zoneCount {
+		return 0.8
+	}
+	return 0.2
+}
+
 // settingsText is a node's settings file.
-const settingsText = `node: {id: %s, zone: %s}
-listen: {callers: "%s", operators: "%s", peers: "%s", advertise_peers: "%s", front: "%s", ready: "%s"}
-platform: {address: "%s", dialect: %s, watch_wait: 1500ms}
+const settingsText = `node: {id: %s, zone: %s, processors: 1, processor_share: %[11]v}
+listen: {callers: "%[3]s", operators: "%[4]s", peers: "%[5]s", advertise_peers: "%[6]s", front: "%[7]s", ready: "%[8]s", tree: "%[9]s", advertise_tree: "%[10]s"}
+platform: {address: "%[12]s", dialect: %[13]s, watch_wait: 1500ms}
 stop: {announce_delay: 500ms, drain_timeout: 2800ms}
 config_sync: {first_read_delay: 8ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
 retry_budget: {ratio: 0.2, window: 10s, allowance: 56}
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -145,7 +145,7 @@
 	w.mu.Lock()
 	w.nextID++
 	id := fmt.Sprintf("leaf-%d", w.nextID)
-	zone := zoneName(w.nextID % zoneCount)
+	zone := zoneOf(service, w.nextID)
 	w.mu.Unlock()
 	leaf, err := httpleaf.Start(id, w.dialect, func(asked httpleaf.Request) httpleaf.Answer {
 		return httpleaf.Answer{Delay: 4 * time.Millisecond, Body: partBody(service, asked.ID), Load: "0,0,4", KeepAliveSeconds: 20}
@@ -165,6 +165,16 @@
 }
 
 // register writes a leaf's record.
+// zoneOf gives the zone of a leaf. Some services have leafs in one zone only, so that nodes of others
+// have them gathered there.
+func zoneOf(service string, number int) string {
+	sum := xxhash.Sum64String(service)
+	if sum%2 == 0 {
+		return zoneName(int(sum / 2 % zoneCount))
+	}
+	return zoneName(number % zoneCount)
+}
+
 func (w *world) register(id, state string) {
 	w.mu.Lock()
 	known := w.leafs[id]
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -76,6 +76,9 @@
 		ID: config.Node.ID, Zone: config.Node.Zone, Address: transport.Address(), Tree: config.Listen.Tree,
 		Processors: config.Node.Processors * config.Node.ProcessorShare,
 	}
+	if config.Listen.AdvertiseTree != "" {
+		self.Tree = config.Listen.AdvertiseTree
+	}
 	if self.ID == "" {
 		self.ID = fmt.Sprintf("%s/%s", self.Zone, self.Address)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,8 @@
 	Peers string `yaml:"peers"`
 	// Tree gathers requests for other nodes; empty means that it is off.
 	Tree string `yaml:"tree"`
+	// AdvertiseTree is the address of Tree told to others, where it differs.
+	AdvertiseTree string `yaml:"advertise_tree"`
 	// AdvertisePeers is the peer address told to others, where it differs.
 	AdvertisePeers string `yaml:"advertise_peers"`
 }
@@ -153,6 +155,7 @@
 	requireAddressIfSet(&checks, "listen.front", s.Listen.Front)
 	requireAddressIfSet(&checks, "listen.ready", s.Listen.Ready)
 	requireAddressIfSet(&checks, "listen.tree", s.Listen.Tree)
+	requireAddressIfSet(&checks, "listen.advertise_tree", s.Listen.AdvertiseTree)
 	checks.Refuse(s.Node.Processors < 0, "node.processors", "must not be negative")
 	checks.Refuse(s.Node.ProcessorShare < 0, "node.processor_share", "must not be negative")
 	requireAddress(&checks, "platform.address", s.Platform.Address)
