--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -95,7 +95,7 @@
 	g := New(Parts{
 		Config: DefaultConfig(), Dialect: dialect, Catalog: known, Memory: leafmemory.New(leafmemory.DefaultConfig(), known),
 		Dealer: connshare.New(connshare.DefaultConfig(), alone{}, catalog.NodeRecord{ID: "n"}), Balancer: balancer.New(balancer.DefaultConfig(), "z"),
-		Budgets: retrybudget.New(retrybudget.DefaultConfig(), func() int { return 1 }), Leafs: pool, Journal: &discardingJournal{},
+		Budgets: retrybudget.New(retrybudget.DefaultConfig(), func(string) float64 { return 1 }), Leafs: pool, Journal: &discardingJournal{},
 	})
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -146,7 +146,7 @@
 	return New(Parts{
 		Config: DefaultConfig(), Dialect: dialect, Catalog: known, Memory: leafmemory.New(leafmemory.DefaultConfig(), known),
 		Dealer:   connshare.New(connshare.DefaultConfig(), alone{}, catalog.NodeRecord{ID: "n"}),
-		Balancer: balancer.New(balancer.DefaultConfig(), "z"), Budgets: retrybudget.New(budget, func() int { return 1 }),
+		Balancer: balancer.New(balancer.DefaultConfig(), "z"), Budgets: retrybudget.New(budget, func(string) float64 { return 1 }),
 		Leafs: leafs, Journal: journal,
 	}), journal
 }
--- a/internal/gateway/tree_test.go
+++ b/internal/gateway/tree_test.go
@@ -473,7 +473,7 @@
 // what its intermediates gather.
 func treeBudgets() *retrybudget.Budgets {
 	config := retrybudget.Config{Ratio: 0, Window: 20 * time.Millisecond, Allowance: 20, Share: 1}
-	budgets := retrybudget.New(config, func() int { return 1 })
+	budgets := retrybudget.New(config, func(string) float64 { return 1 })
 	for budgets.Left("any") == 0 {
 		time.Sleep(time.Millisecond) // a new node leaves the allowance alone for one window
 	}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -137,8 +137,11 @@
 	return pool
 }
 
-func newBudgets(config settings.Settings, census *registry.Census) *retrybudget.Budgets {
-	return retrybudget.New(config.RetryBudget, census.Sharing)
+func newBudgets(config settings.Settings, known *catalog.Catalog, census *registry.Census) *retrybudget.Budgets {
+	return retrybudget.New(config.RetryBudget, func(service string) float64 {
+		routes := known.View().Routes
+		return census.Part(routes != nil && routes.IsGathered(service))
+	})
 }
 
 func newDecisionLog(config settings.Settings, output io.Writer, metrics *telemetry.Metrics) *decisionlog.Log {
--- a/internal/registry/census.go
+++ b/internal/registry/census.go
@@ -109,12 +109,24 @@
 	return addresses
 }
 
-// Sharing gives the number of nodes that share a bound, 0 unless this node is one of those
-// that the others know of.
-func (c *Census) Sharing() int {
-	nodes := c.Nodes()
+// gatherersPart is the part of a bound on the leafs of gathered services that the nodes which gather
+// have; the others have the rest, for when those fail them.
+const gatherersPart = 0.8
+
+// Part gives this node's part of a bound that all nodes share, 0 unless it is one of those that the
+// others know of. Of bounds on gathered services, the nodes that gather have the most.
+func (c *Census) Part(gathered bool) float64 {
+	nodes, gatherers := c.Nodes(), c.Gatherers()
 	if _, registered := c.catalog.View().Nodes[c.self]; !registered {
 		return 0
 	}
-	return len(nodes)
+	others := len(nodes) - len(gatherers)
+	switch {
+	case !gathered || others == 0:
+		return 1 / float64(len(nodes))
+	case slices.ContainsFunc(gatherers, func(node catalog.NodeRecord) bool { return node.ID == c.self }):
+		return gatherersPart / float64(len(gatherers))
+	default:
+		return (1 - gatherersPart) / float64(others)
+	}
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -138,13 +140,13 @@
 		register(known, "n2", false)
 		register(known, "n3", false)
 		is.Equal(ids(census), []string{"n2", "n3"})
-		is.Equal(census.Sharing(), 0)
+		is.Equal(census.Part(false), 0.0)
 		register(known, "n1", false)
-		is.Equal(census.Sharing(), 3)
+		is.Equal(census.Part(false), 1.0/3)
 		register(known, "n3", true)
 		is.Equal(ids(census), []string{"n1", "n2", "n3"})
 		time.Sleep(900 * time.Millisecond)
-		is.Equal(census.Sharing(), 3)
+		is.Equal(census.Part(false), 1.0/3)
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(ids(census), []string{"n1", "n2"})
 	})
@@ -164,3 +166,59 @@
 	}
 	return ids
 }
+
+// However nodes are made up, their parts of a bound are all of it, and the nodes that gather have most
+// of what concerns gathered services.
+func TestPartsOfABound(t *testing.T) {
+	is := is.New(t)
+	for _, large := range []int{0, 1, 2, 5} {
+		known := catalog.New(nil)
+		for index := range 5 {
+			node := catalog.NodeRecord{ID: fmt.Sprintf("n%d", index), Zone: "z", Tree: "127.0.0.1:1", Processors: 0.2}
+			if index < large {
+				node.Processors = 0.8
+			}
+			putNode(t, known, node)
+		}
+		for _, gathered := range []bool{false, true} {
+			sum := 0.0
+			for index := range 5 {
+				sum += NewCensus(known, fmt.Sprintf("n%d", index), time.Second).Part(gathered)
+			}
+			is.True(math.Abs(sum-1) < 1e-9)
+		}
+		isUneven := large > 0 && large < 5
+		is.Equal(NewCensus(known, "n0", time.Second).Part(true) > 0.2, isUneven)
+		is.Equal(NewCensus(known, "unknown", time.Second).Part(true), 0.0)
+	}
+}
+
+// A node with less than half of its zone's largest share of processors does not gather, one that says
+// nothing of it does.
+func TestGatherers(t *testing.T) {
+	is := is.New(t)
+	nodes := []catalog.NodeRecord{
+		{ID: "large", Zone: "a", Tree: "t", Processors: 0.8}, {ID: "half", Zone: "a", Tree: "t", Processors: 0.4},
+		{ID: "small", Zone: "a", Tree: "t", Processors: 0.39}, {ID: "silent", Zone: "a", Tree: "t"},
+		{ID: "other zone", Zone: "b", Tree: "t", Processors: 0.1},
+		{ID: "large without tree", Zone: "c", Processors: 8}, {ID: "small there", Zone: "c", Tree: "t", Processors: 0.1},
+	}
+	var ids []string
+	for _, node := range Gatherers(nodes) {
+		ids = append(ids, node.ID)
+	}
+	is.Equal(ids, []string{"large", "half", "silent", "other zone", "large without tree", "small there"})
+}
+
+func putNode(t *testing.T, known *catalog.Catalog, node catalog.NodeRecord) {
+	t.Helper()
+	content, err := json.Marshal(node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := catalog.NewDocument("", content, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known.Apply(catalog.Change{Entry: catalog.Entry{Key: catalog.NodeKey(node.ID), Value: value, Revision: known.Revision() + 1}, Previous: known.Revision()})
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -48,7 +48,7 @@
 // Budgets holds the budget of each service on one node; safe for concurrent use.
 type Budgets struct {
 	config Config
-	nodes  func() int
+	part   func(service string) float64
 	now    func() time.Time
 	start  time.Time
 
@@ -56,10 +56,10 @@
 	services map[string]*window
 }
 
-// New makes the budgets of a node. The nodes function gives how many nodes share the
-// allowance, 0 while that is unknown.
-func New(config Config, nodes func() int) *Budgets {
-	return &Budgets{config: config, nodes: nodes, now: time.Now, start: time.Now(), services: map[string]*window{}}
+// New makes the budgets of a node. The part function gives the node's part of the allowance for a
+// service, 0 while that is unknown; those of all nodes must not exceed 1 together.
+func New(config Config, part func(service string) float64) *Budgets {
+	return &Budgets{config: config, part: part, now: time.Now, start: time.Now(), services: map[string]*window{}}
 }
 
 // window counts the requests and repeats of the last moments.
@@ -83,7 +83,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	kept := b.window(service)
-	limit := b.limit(kept)
+	limit := b.limit(service, kept)
 	if float64(kept.sumRepeats()+1) > limit*(1-reserve) {
 		return false
 	}
@@ -96,7 +96,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	kept := b.window(service)
-	limit := b.limit(kept)
+	limit := b.limit(service, kept)
 	if limit <= 0 {
 		return 0
 	}
@@ -104,14 +104,14 @@
 }
 
 // limit is the most repeats in the window that ends now.
-func (b *Budgets) limit(kept *window) float64 {
+func (b *Budgets) limit(service string, kept *window) float64 {
 	requests := 0
 	for index := range kept.requests {
 		requests += kept.requests[index]
 	}
 	limit := b.config.Ratio * float64(requests)
-	if nodes := b.nodes(); nodes > 0 && b.now().Sub(b.start) >= b.config.Window {
-		limit += b.config.Allowance / float64(nodes)
+	if b.now().Sub(b.start) >= b.config.Window {
+		limit += b.config.Allowance * b.part(service)
 	}
 	return limit * b.config.Share
 }
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -24,15 +24,19 @@
 		size := rapid.IntRange(1, 12).Draw(t, "nodes")
 		start := time.Now()
 		elapsed := time.Duration(0)
-		newNode := func() *Budgets {
-			node := New(config, func() int { return size })
+		weights, sum := rapid.SliceOfN(rapid.IntRange(1, 20), size, size).Draw(t, "parts"), 0
+		for _, weight := range weights {
+			sum += weight
+		}
+		newNode := func(index int) *Budgets {
+			node := New(config, func(string) float64 { return float64(weights[index]) / float64(sum) })
 			node.now = func() time.Time { return start.Add(elapsed) }
 			node.start = node.now()
 			return node
 		}
 		nodes := make([]*Budgets, size)
 		for index := range nodes {
-			nodes[index] = newNode()
+			nodes[index] = newNode(index)
 		}
 		elapsed = config.Window
 		var events []event
@@ -40,7 +44,7 @@
 			elapsed += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
 			index := rapid.IntRange(0, size-1).Draw(t, "node")
 			if rapid.IntRange(0, 40).Draw(t, "restart") == 0 {
-				nodes[index] = newNode()
+				nodes[index] = newNode(index)
 			}
 			if rapid.Bool().Draw(t, "request") {
 				nodes[index].Request("s")
@@ -82,7 +86,7 @@
 func TestANodeThatStartedLeavesTheAllowanceAlone(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	budgets := New(Config{Ratio: 0.5, Window: 10 * time.Second, Allowance: 100, Share: 1}, func() int { return 1 })
+	budgets := New(Config{Ratio: 0.5, Window: 10 * time.Second, Allowance: 100, Share: 1}, func(string) float64 { return 1 })
 	budgets.now = func() time.Time { return now }
 	budgets.start = now
 	is.True(!budgets.Take("s", 0)) // no request yet, no allowance yet
@@ -103,12 +107,12 @@
 func TestReserveAndUnknownFleet(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	nodes := 0
-	budgets := New(Config{Ratio: 0, Window: time.Second, Allowance: 8, Share: 1}, func() int { return nodes })
+	part := 0.0
+	budgets := New(Config{Ratio: 0, Window: time.Second, Allowance: 8, Share: 1}, func(string) float64 { return part })
 	budgets.now = func() time.Time { return now }
 	budgets.start = now.Add(-time.Minute)
-	is.True(!budgets.Take("s", 0)) // how many share it is not known
-	nodes = 2
+	is.True(!budgets.Take("s", 0)) // its part is not known
+	part = 0.5
 	is.True(budgets.Take("s", 0.5))
 	is.True(budgets.Take("s", 0.5))
 	is.True(!budgets.Take("s", 0.5)) // the other half is kept back
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -26,6 +26,7 @@
 
 	byHost   map[string][]*Entry // longest prefix first
 	services map[string]Service
+	gathered map[string]bool // services that some route gathers
 }
 
 // Entry is a route of a table with its derived values; immutable.
@@ -46,6 +47,7 @@
 	table := &Table{
 		Version: configuration.Version, Revision: revision, Limits: configuration.Limits, Routes: configuration.Routes,
 		byHost: map[string][]*Entry{}, services: make(map[string]Service, len(configuration.Services)),
+		gathered: map[string]bool{},
 	}
 	for _, service := range configuration.Services {
 		table.services[service.Name] = service
@@ -53,6 +55,9 @@
 	for _, route := range configuration.Routes {
 		host := strings.ToLower(route.Host)
 		table.byHost[host] = append(table.byHost[host], newEntry(route))
+		for _, service := range route.Gathered {
+			table.gathered[service] = true
+		}
 	}
 	for _, entries := range table.byHost {
 		slices.SortStableFunc(entries, func(a, b *Entry) int { return len(b.Prefix) - len(a.Prefix) })
@@ -112,6 +117,9 @@
 	return service, found
 }
 
+// IsGathered reports whether some route gathers a service.
+func (t *Table) IsGathered(name string) bool { return t.gathered[name] }
+
 // ServiceNames gives every service that a route or the list of services names, sorted.
 func (t *Table) ServiceNames() []string {
 	names := map[string]bool{}
