--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,7 +176,7 @@
 	})
 	w.outcomes, w.summary = work.Run(ctx)
 	if ctx.Err() != nil {
-		return nil, failure.New(failure.Cancelled, w.execution(), "the caller went away")
+		return nil, failure.New(failure.Cancelled, w.execution(), "%s", w.whoLeft())
 	}
 	if w.isGathered() {
 		return w.gatheredAnswer()
@@ -184,6 +184,14 @@
 	return w.singleAnswer()
 }
 
+// whoLeft says who does not wait for the answer any more.
+func (w *gathering) whoLeft() string {
+	if w.collected != nil {
+		return "the root waits for no more parts"
+	}
+	return "the caller went away"
+}
+
 // countRequests counts the request for the services whose leafs are asked from here.
 func (w *gathering) countRequests() {
 	for index, service := range w.services {
--- /dev/null
+++ b/internal/gateway/tree_fleet_test.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/connshare"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafmemory"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/registry"
+	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/servingtree"
+)
+
+// treeLeafs are the leafs of all nodes of a test; each attempt is noted by the node that made it.
+type treeLeafs struct {
+	node string
+	seen *treeSeen
+	// answer is how a leaf treats an attempt; nil means a whole answer at once.
+	answer func(leaf string) (time.Duration, *leafhttp.Response, error)
+}
+
+// treeSeen is what the leafs saw.
+type treeSeen struct {
+	mu        sync.Mutex
+	asked     map[string][]string // leafs by node
+	cancelled int
+}
+
+func (s *treeSeen) by(node string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.asked[node])
+}
+
+func (s *treeSeen) cancels() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cancelled
+}
+
+func (l *treeLeafs) Start(target leafhttp.Target, _ *leafhttp.Request, _ time.Time, done leafhttp.Done) context.CancelCauseFunc {
+	l.seen.mu.Lock()
+	l.seen.asked[l.node] = append(l.seen.asked[l.node], target.Incarnation)
+	answer := l.answer
+	l.seen.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	go func() {
+		delay, response, err := time.Duration(0), answered(200, records(target.Incarnation)), error(nil)
+		if answer != nil {
+			delay, response, err = answer(target.Incarnation)
+		}
+		select {
+		case <-time.After(delay):
+			done(response, err)
+		case <-ctx.Done():
+			l.seen.mu.Lock()
+			l.seen.cancelled++
+			l.seen.mu.Unlock()
+			done(nil, &leafhttp.BrokenAnswerError{Cause: context.Cause(ctx)})
+		}
+	}()
+	return cancel
+}
+
+// treat sets how leafs treat attempts from now on.
+func (l *treeLeafs) treat(answer func(leaf string) (time.Duration, *leafhttp.Response, error)) {
+	l.seen.mu.Lock()
+	defer l.seen.mu.Unlock()
+	l.answer = answer
+}
+
+func (l *treeLeafs) CanSpare(string) bool   { return true }
+func (l *treeLeafs) Warm([]leafhttp.Target) {}
+
+// treeNode is one node of a test.
+type treeNode struct {
+	t        *testing.T
+	record   catalog.NodeRecord
+	catalog  *catalog.Catalog
+	gateway  *Gateway
+	journal  *silentJournal
+	leafs    *treeLeafs
+	server   *servingtree.Server
+	listener net.Listener
+}
+
+// tree is some nodes over ten services: the first five have leafs in near and far, the others in far
+// and farther only.
+type tree struct {
+	t     *testing.T
+	seen  *treeSeen
+	nodes map[string]*treeNode
+}
+
+const (
+	zoneNear    = "near"
+	zoneFar     = "far"
+	zoneFarther = "farther"
+)
+
+// nearShards is how many services have a leaf in the near zone.
+const nearShards = 5
+
+// treeObjective leaves time for what a test awaits.
+const treeObjective = 2 * time.Second
+
+// newTree starts a node for each record; its address is filled in.
+func newTree(t *testing.T, nodes ...catalog.NodeRecord) *tree {
+	t.Helper()
+	built := &tree{t: t, seen: &treeSeen{asked: map[string][]string{}}, nodes: map[string]*treeNode{}}
+	for index := range nodes {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = listener.Close() })
+		nodes[index].Tree = listener.Addr().String()
+		built.nodes[nodes[index].ID] = &treeNode{t: t, record: nodes[index], listener: listener}
+	}
+	for _, node := range built.nodes {
+		built.start(node, nodes)
+	}
+	return built
+}
+
+func (b *tree) start(node *treeNode, nodes []catalog.NodeRecord) {
+	node.catalog = catalog.New(func(key string, err error) { b.t.Errorf("%s: %v", key, err) })
+	node.journal, node.leafs = &silentJournal{}, &treeLeafs{node: node.record.ID, seen: b.seen}
+	var gathered []string
+	for index := range shardCount {
+		service := fmt.Sprintf("s%d", index)
+		gathered = append(gathered, service)
+		zones := []string{zoneNear, zoneFar}
+		if index >= nearShards {
+			zones = []string{zoneFar, zoneFarther}
+		}
+		for _, zone := range zones {
+			id := service + zone
+			put(b.t, node.catalog, catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Zone: zone, State: leafset.Ready})
+		}
+	}
+	for _, known := range nodes {
+		put(b.t, node.catalog, catalog.NodeKey(known.ID), known)
+	}
+	b.putRoutes(node, 1, gathered)
+	census := registry.NewCensus(node.catalog, node.record.ID, time.Minute)
+	client := servingtree.NewClient(servingtree.DefaultConfig())
+	b.t.Cleanup(client.Close)
+	node.gateway = New(Parts{
+		Config: DefaultConfig(), Dialect: dialect, Catalog: node.catalog, Memory: leafmemory.New(leafmemory.DefaultConfig(), node.catalog),
+		Dealer:   connshare.New(connshare.DefaultConfig(), census, node.record),
+		Balancer: balancer.New(balancer.DefaultConfig(), node.record.Zone),
+		Budgets:  treeBudgets(),
+		Leafs:    node.leafs, Journal: node.journal, Self: node.record, Fleet: census, Intermediates: client,
+	})
+	node.server = servingtree.NewServer(servingtree.DefaultConfig(), node.gateway)
+	go node.server.Serve(node.listener)
+}
+
+func (b *tree) putRoutes(node *treeNode, version int64, gathered []string) {
+	put(b.t, node.catalog, catalog.RoutesKey, routing.Configuration{Version: version, Routes: []routing.Route{{
+		Name: "pages", Host: "h", Prefix: "/pages/", Gathered: gathered, TopRecords: 2 * shardCount, MinimumCoverage: 0.8,
+		Repeatability: routing.Repeatable, MaximumAttempts: 2, TimeoutMillis: 60_000, ObjectiveMillis: treeObjective.Milliseconds(),
+	}}})
+}
+
+func (b *tree) ask(node string) (*Answer, error) {
+	request := ask("/pages/1")
+	request.Patience = 0
+	return b.nodes[node].gateway.Serve(b.t.Context(), request)
+}
+
+// whole fails the test unless an answer has each part once, and the records of just those.
+func (b *tree) whole(answer *Answer, err error) {
+	b.t.Helper()
+	is := is.New(b.t)
+	is.NoErr(err)
+	is.Equal(answer.Missing, 0)
+	b.consistent(answer)
+}
+
+// consistent fails the test unless an answer's records are those of its parts.
+func (b *tree) consistent(answer *Answer) {
+	b.t.Helper()
+	is := is.New(b.t)
+	var services, fromStamps, inBody []string
+	for _, stamp := range answer.Stamps {
+		leaf := strings.TrimSpace(strings.TrimPrefix(stamp, "stamp-"))
+		services = append(services, leaf[:2])
+		fromStamps = append(fromStamps, leaf)
+	}
+	for part := range slices.Chunk(answer.Body, recordBytes) {
+		inBody = append(inBody, strings.TrimSpace(string(part)))
+	}
+	slices.Sort(services)
+	is.Equal(len(slices.Compact(services)), len(answer.Stamps)) // no service twice
+	slices.Sort(fromStamps)
+	slices.Sort(inBody)
+	is.Equal(inBody, fromStamps)
+}
+
+// outcomes gives those of the groups that a node passed on.
+func (b *tree) outcomes(node string) []GroupOutcome {
+	journal := b.nodes[node].journal
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	var outcomes []GroupOutcome
+	for _, pass := range journal.passes {
+		outcomes = append(outcomes, pass.Outcome)
+	}
+	return outcomes
+}
+
+func near(id string) catalog.NodeRecord { return catalog.NodeRecord{ID: id, Zone: zoneNear} }
+func far(id string) catalog.NodeRecord  { return catalog.NodeRecord{ID: id, Zone: zoneFar} }
+
+// treeBudgets allow some repeats that no request pays for, as operators do: a root has no others for
+// what its intermediates gather.
+func treeBudgets() *retrybudget.Budgets {
+	config := retrybudget.Config{Ratio: 0, Window: 20 * time.Millisecond, Allowance: 20, Share: 1}
+	budgets := retrybudget.New(config, func(string) float64 { return 1 })
+	for budgets.Left("any") == 0 {
+		time.Sleep(time.Millisecond) // a new node leaves the allowance alone for one window
+	}
+	return budgets
+}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -267,6 +267,10 @@
 	}
 	if record.For != "" {
 		event.Event = eventGathered
+		if event.Code == failure.Cancelled {
+			// Its root has answered with the parts that it was sent: a usual end.
+			importance, outcome = decisionlog.Ordinary, outcomePartial
+		}
 		j.metrics.TreeGathered.WithLabelValues(outcome).Inc()
 		j.log.Write(importance, event)
 		return
