Judge overload by the shards that are asked from here

A root judged most shards by what it had last heard of leafs that intermediates ask for it, and let in what could not be answered in time.

Change: shards that another node is asked for don't count in the root's judgement. Test, failing before: TestOverloadIsJudgedByTheShardsAskedFromHere.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -27,13 +27,17 @@
 // since most of its shards have too much work waiting. Refused at once, it leaves the leafs to
 // those that can, and its caller may come back within its own time. Kinds of request with a
 // short objective are refused first. Single slow or dark shards don't count: an answer can go
-// out without them. A part of a request is not refused: its root has begun with the rest.
+// out without them. A part of a request is not refused: its root has begun with the rest. Shards that
+// another node is asked for don't count: what this one knows of their leafs is old.
 func (w *gathering) refuse(plan scatter.Plan) error {
 	if !w.isGathered() || len(w.services) < len(w.query.entry.Gathered) {
 		return nil
 	}
 	delays := make([]float64, 0, len(plan.Shards))
-	for _, shard := range plan.Shards {
+	for index, shard := range plan.Shards {
+		if w.isPassedOn(index) {
+			continue
+		}
 		if delay := w.gateway.balancer.Queueing(shard.Candidates); delay > 0 {
 			delays = append(delays, delay)
 		}
--- a/internal/gateway/tree_test.go
+++ b/internal/gateway/tree_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafhttp"
@@ -257,3 +259,24 @@
 		}
 	}
 }
+
+// A root judges overload by the leafs that it asks itself: of the others it knows nothing new.
+func TestOverloadIsJudgedByTheShardsAskedFromHere(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"), catalog.NodeRecord{ID: "farther", Zone: zoneFarther})
+	g := b.nodes["root"].gateway
+	for range 100 {
+		g.latencies.of(gatheredKind+"2000 0", time.Second).observe(treeObjective / 5)
+	}
+	for index := range nearShards - 1 { // most of its own, fewer than half of all
+		for _, zone := range []string{zoneNear, zoneFar} {
+			chosen := g.balancer.Choose([]balancer.Candidate{{LeafID: fmt.Sprintf("s%d%s", index, zone), Zone: zone}}, nil)
+			g.balancer.Report(chosen.Leaf, balancer.Load{InFlight: 40, Slots: 2})
+		}
+	}
+	_, err := b.ask("root")
+	is.True(failure.Is(err, failure.Overloaded))
+	is.Equal(failure.From(err).Execution, failure.NotRun)
+	is.Equal(len(b.seen.by("root")), 0)
+	is.Equal(len(b.seen.by("there")), 0)
+}
