A fleet that starts takes its state from its seeds and from each other; standby watchers call the store less

Three watchers a zone called it after each change, each every 0.3 s.

Nodes ask the seeds for 0.25 to 0.5 s before they read the store; seeds read it at once. A whole state is packed once, given with the changes since to 8 nodes in 0.1 s, and others are told of those. The first read is a stale one (a tenth of the price) and one call of a watch for what changed since; where that is forgotten, the newest state. A state counts as old as its oldest page. Watchers but the first of a zone rest 0.8 s after changes in place of 0.3 s and wait 3 s in place of 2 s. The stand-ins tell of where the store is when a watch begins, as the platform does.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -31,6 +31,11 @@
 	machines []machines.Machine
 	lists    int
 	watches  int
+	// staleLists counts the stale reads, which are answered by the state so many changes ago.
+	staleLists int
+	staleBy    int
+	// forgotten is the revision up to which changes are no longer kept.
+	forgotten int64
 	// cutOff holds the nodes that don't reach the platform.
 	cutOff map[string]bool
 	// forgetful says that watches tell where the store is, and not of changes.
@@ -58,29 +63,39 @@
 	return revision
 }
 
-func (p platformView) List(context.Context) (catalog.Snapshot, error) {
+func (p platformView) List(_ context.Context, consistency store.Consistency) (catalog.Snapshot, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.cutOff[p.node] {
 		return catalog.Snapshot{}, errDown
 	}
-	p.lists++
+	known := p.log
+	if consistency == store.Stale {
+		p.staleLists++
+		known = known[:max(0, len(known)-p.staleBy)]
+	} else {
+		p.lists++
+	}
 	entries := map[string]catalog.Entry{}
-	for _, change := range p.log {
+	for _, change := range known {
 		entries[change.Entry.Key] = change.Entry
 	}
-	snapshot := catalog.Snapshot{Revision: int64(len(p.log))}
+	snapshot := catalog.Snapshot{Revision: int64(len(known))}
 	for _, entry := range entries {
 		snapshot.Entries = append(snapshot.Entries, entry)
 	}
 	return snapshot, nil
 }
 
-func (p platformView) Watch(ctx context.Context, after int64, receive func(store.Event) error) error {
+func (p platformView) Watch(ctx context.Context, after int64, _ store.WatchRole, receive func(store.Event) error) error {
 	p.mutex.Lock()
 	p.watches++
+	isForgotten := after < p.forgotten
 	p.mutex.Unlock()
-	for {
+	if isForgotten {
+		return store.ErrHistoryGone
+	}
+	for isFirst := true; ; isFirst = false {
 		p.mutex.Lock()
 		missed, changed, down := p.log[after:], p.changed, p.cutOff[p.node]
 		newest, forgetful := int64(len(p.log)), p.forgetful
@@ -88,6 +103,11 @@
 		if down {
 			return errDown
 		}
+		if isFirst && len(missed) == 0 {
+			if err := receive(store.Event{Current: newest}); err != nil {
+				return err
+			}
+		}
 		if forgetful && after < newest {
 			missed, after = nil, newest
 			if err := receive(store.Event{Current: newest}); err != nil {
@@ -95,7 +115,7 @@
 			}
 		}
 		for _, change := range missed {
-			if err := receive(store.Event{Change: &change, Current: change.Entry.Revision}); err != nil {
+			if err := receive(store.Event{Change: &change, Current: newest}); err != nil {
 				return err
 			}
 			after = change.Entry.Revision
--- a/internal/configsync/handler.go
+++ b/internal/configsync/handler.go
@@ -46,7 +46,7 @@
 		state := syncer.HandlePush(message.From, *message.Push)
 		answer.State = &state
 	case message.Pull != nil:
-		state := syncer.HandlePull(*message.Pull)
+		state := syncer.HandlePull(message.From, *message.Pull)
 		answer.State = &state
 	case message.StatusQuery != nil:
 		reply := syncer.HandleStatus(ctx, *message.StatusQuery)
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -59,9 +59,7 @@
 // join tells some nodes of this one and reports whether it found its zone's view stable: all
 // nodes that answered know the same members, or there is none to ask.
 func (s *Syncer) join(ctx context.Context) bool {
-	s.mutex.Lock()
-	targets := append([]string(nil), s.seeds...)
-	s.mutex.Unlock()
+	targets := s.currentSeeds()
 	listed, err := s.listZone(ctx)
 	if err == nil {
 		targets = append(targets, listed...)
@@ -123,8 +121,9 @@
 	}
 }
 
-// pullFrom takes what a peer has beyond the revision in force; true when it had any
-// configuration. One pull runs at a time: the digests that follow ask again.
+// pullFrom takes what a peer has beyond the revision in force, or what one of those has that the peer
+// names instead; true when there was any configuration. One pull runs at a time: the digests that
+// follow ask again.
 func (s *Syncer) pullFrom(ctx context.Context, address string) bool {
 	if !s.pulling.CompareAndSwap(false, true) {
 		return false
@@ -132,39 +131,73 @@
 	defer s.pulling.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, pullTimeoutFactor*s.config.CallTimeout)
 	defer cancel()
+	taken, elsewhere := s.pullOnce(ctx, address)
+	for _, other := range elsewhere {
+		if taken || ctx.Err() != nil {
+			break
+		}
+		taken, _ = s.pullOnce(ctx, other)
+	}
+	return taken
+}
+
+// pullOnce asks one peer. Elsewhere are those that it names instead.
+func (s *Syncer) pullOnce(ctx context.Context, address string) (taken bool, elsewhere []string) {
 	s.relayed("pull")
 	after := s.catalog.Revision()
 	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), Pull: &peer.Pull{After: after}})
 	if err != nil || answer.State == nil || !answer.State.Initialised {
-		return false
+		return false, nil
+	}
+	if len(answer.State.Elsewhere) > 0 {
+		return false, answer.State.Elsewhere
+	}
+	if err := s.takeState(*answer.State); err != nil {
+		s.logger.Warn("state of a peer can't be read", zap.String("peer", address), zap.Error(err))
+		return false, nil
+	}
+	if s.catalog.Revision() >= answer.Digest.Revision {
+		s.catalog.Confirm(time.Now().Add(-time.Duration(answer.Digest.AgeMillis) * time.Millisecond))
 	}
-	s.takeState(*answer.State)
-	s.catalog.Confirm(time.Now().Add(-time.Duration(answer.Digest.AgeMillis) * time.Millisecond))
 	s.markInitialised()
-	return true
+	return true, nil
 }
 
 // pullTimeoutFactor times the call timeout bounds a pull, which may carry the whole state.
 const pullTimeoutFactor = 4
 
-func (s *Syncer) takeState(state peer.State) {
-	if state.Snapshot != nil {
-		s.catalog.Replace(*state.Snapshot)
+// takeState puts a peer's state into force, as far as it is newer.
+func (s *Syncer) takeState(state peer.State) error {
+	if len(state.Snapshot) > 0 {
+		snapshot, err := state.Snapshot.Unpack()
+		if err != nil {
+			return err
+		}
+		if s.catalog.Replace(snapshot) {
+			s.wholeStates.keep(snapshot.Revision, state.Snapshot)
+		}
 	}
 	s.catalog.ApplyAll(state.Changes)
+	return nil
 }
 
 // HandlePull gives a peer what it lacks.
-func (s *Syncer) HandlePull(pull peer.Pull) peer.State {
+func (s *Syncer) HandlePull(from string, pull peer.Pull) peer.State {
 	state := peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
 	changes, kept := s.catalog.Since(pull.After)
-	if kept {
+	if kept || !state.Initialised {
 		state.Changes = changes
 		return state
 	}
-	snapshot := s.catalog.Snapshot()
-	state.Snapshot = &snapshot
-	return state
+	given, err := s.wholeStates.give(s.catalog, from)
+	if err != nil {
+		s.logger.Error("whole state can't be given to a peer", zap.String("peer", from), zap.Error(err))
+		return peer.State{}
+	}
+	// One that gave too much and can name nobody has nothing for now.
+	given.Initialised = len(given.Snapshot) > 0 || len(given.Elsewhere) > 0
+	given.Revision = state.Revision
+	return given
 }
 
 // crossZoneLoop pulls from other zones while this watcher's view of the store is down.
--- a/internal/configsync/start_test.go
+++ b/internal/configsync/start_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,3 +44,75 @@
 		is.Equal(f.nodes["z0-n0"].catalog.Revision(), revision)
 	})
 }
+
+// A node that starts reads a stale state and what changed since, which costs the platform least; where
+// the store does not keep that any more, it reads the newest state.
+func TestFirstReadIsStaleAndBroughtUpToDate(t *testing.T) {
+	for name, one := range map[string]struct {
+		forgotten int64
+		lists     int
+	}{"kept": {0, 0}, "forgotten": {2, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 1, 0)
+				defer f.stopAll()
+				f.platform.write(t, "a", 1)
+				f.platform.write(t, "b", 1)
+				revision := f.platform.write(t, "a", 2)
+				f.platform.staleBy, f.platform.forgotten = 2, one.forgotten
+				f.config.FirstReadDelay = 10 * time.Millisecond
+				f.start("z0-n0", "z0")
+				time.Sleep(100 * time.Millisecond)
+				node := f.nodes["z0-n0"]
+				is.Equal(node.catalog.Revision(), revision)
+				is.Equal(node.catalog.View().Services["a"].Spec.GetConcurrencyLimit(), uint32(2))
+				f.platform.mutex.Lock()
+				defer f.platform.mutex.Unlock()
+				is.Equal(f.platform.staleLists, 1)
+				is.Equal(f.platform.lists, one.lists)
+			})
+		})
+	}
+}
+
+// A fleet that starts together reads the store at its seeds only, and has its state from them and from
+// each other.
+func TestFleetStartsFromItsSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 6, 0)
+		defer f.stopAll()
+		f.platform.write(t, "a", 1)
+		revision := f.platform.write(t, "b", 1)
+		f.config.FirstReadDelay = 500 * time.Millisecond
+		seeds := []string{"z0-n0", "z1-n0", "z2-n0"}
+		for zone := range 6 {
+			for number := range 40 {
+				f.start(fmt.Sprintf("z%d-n%d", zone, number), fmt.Sprintf("z%d", zone), seeds...)
+			}
+		}
+		time.Sleep(250 * time.Millisecond)
+		is.Equal(len(f.lagging(revision)), 0)
+		f.platform.mutex.Lock()
+		defer f.platform.mutex.Unlock()
+		is.Equal(f.platform.staleLists, len(seeds))
+		is.Equal(f.platform.lists, 0)
+	})
+}
+
+// A node whose seeds are dead, or have no state, reads the store after the delay.
+func TestNodeWithDeadSeedsReadsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 0)
+		defer f.stopAll()
+		revision := f.platform.write(t, "a", 1)
+		f.config.FirstReadDelay = 500 * time.Millisecond
+		f.platform.cutOff["empty"] = true
+		f.start("empty", "z9", "empty")
+		f.start("z0-n0", "z0", "dead", "empty")
+		time.Sleep(520 * time.Millisecond)
+		is.Equal(f.nodes["z0-n0"].catalog.Revision(), revision)
+	})
+}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -67,6 +67,7 @@
 	pullPending atomic.Bool
 	pushedAt    atomic.Int64 // when the last push arrived, in unix nanoseconds
 	pushes      chan catalog.Change
+	wholeStates wholeStates
 
 	mutex    sync.Mutex
 	contacts map[string][]string // peer addresses of other zones
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,14 +13,14 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/store"
-	"github.com/portgauge/portgauge/internal/wait"
 )
 
 // errGap ends a watch whose events do not follow on the revision in force.
 var errGap = merry.New("the watch skipped a change")
 
-// errNotWatcher ends the watch of a node that no longer ranks among its zone's watchers.
-var errNotWatcher = merry.New("no longer a watcher")
+// errRoleChanged ends the watch of a node whose rank among its zone's watchers asks for another one, or
+// for none.
+var errRoleChanged = merry.New("the node's role as a watcher changed")
 
 // notAWatcher is the rank of a node that does not watch the store.
 const notAWatcher = -1
@@ -77,7 +76,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, errNotWatcher) {
+		if errors.Is(err, errRoleChanged) {
 			continue
 		}
 		if errors.Is(err, store.ErrHistoryGone) {
@@ -96,37 +95,6 @@
 	}
 }
 
-// firstReadChecks is how many times a node looks whether a peer gave it configuration while it
-// waits with its own first read.
-const firstReadChecks = 8
-
-// readFirst reads the store until the node has configuration, from there or from a peer. A node
-// that starts does so whether it will be a watcher or not: joining its zone takes longer, and
-// until then it can't serve. It waits for a while first, a different one on each node, so that in
-// a large fleet that starts together most have configuration from peers by then. It reports false
-// when the context ended.
-func (s *Syncer) readFirst(ctx context.Context) bool {
-	readAt := time.Now().Add(time.Duration((0.5 + rand.Float64()/2) * float64(s.config.FirstReadDelay)))
-	for !s.initialised.Load() && s.rank() == notAWatcher && time.Now().Before(readAt) {
-		if !wait.For(ctx, s.config.FirstReadDelay/firstReadChecks) {
-			return false
-		}
-	}
-	retryAfter := s.config.RetryPause
-	for !s.initialised.Load() {
-		err := s.readStore(ctx)
-		if err == nil {
-			break
-		}
-		s.storeLost(err)
-		if !pause(ctx, retryAfter) {
-			return false
-		}
-		retryAfter = s.backoff(retryAfter)
-	}
-	return ctx.Err() == nil
-}
-
 // watchOnce reads the whole state if there is none yet, then follows the store's changes.
 func (s *Syncer) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -136,23 +104,46 @@
 			return err
 		}
 	}
+	role := roleOf(s.rank())
 	var heardAt atomic.Int64
 	heardAt.Store(time.Now().UnixNano())
 	stopped := make(chan struct{})
 	defer close(stopped)
-	go s.superviseWatch(stopped, cancel, &heardAt)
-	err := s.store.Watch(ctx, s.catalog.Revision(), func(event store.Event) error {
+	go s.superviseWatch(stopped, cancel, role, &heardAt)
+	err := s.store.Watch(ctx, s.catalog.Revision(), role, func(event store.Event) error {
 		heardAt.Store(time.Now().UnixNano())
 		return s.takeEvent(ctx, event)
 	})
-	if s.rank() == notAWatcher {
-		return errNotWatcher
+	if s.changedRole(role) {
+		return errRoleChanged
 	}
 	return err
 }
 
-// superviseWatch ends a watch that fell silent or whose node lost its rank.
-func (s *Syncer) superviseWatch(stopped <-chan struct{}, cancel context.CancelFunc, heardAt *atomic.Int64) {
+// roleOf gives how closely the watcher of a rank follows the store.
+func roleOf(rank int) store.WatchRole {
+	if rank == 0 {
+		return store.Primary
+	}
+	return store.Standby
+}
+
+// changedRole reports whether this node is to watch in another role, or not at all.
+func (s *Syncer) changedRole(role store.WatchRole) bool {
+	rank := s.rank()
+	return rank == notAWatcher || roleOf(rank) != role
+}
+
+// silence is how long a watch may be silent before it is opened anew.
+func (s *Syncer) silence(role store.WatchRole) time.Duration {
+	if role == store.Standby {
+		return s.config.StandbySilence
+	}
+	return s.config.WatchSilence
+}
+
+// superviseWatch ends a watch that fell silent or whose node changed its rank.
+func (s *Syncer) superviseWatch(stopped <-chan struct{}, cancel context.CancelFunc, role store.WatchRole, heardAt *atomic.Int64) {
 	ticker := time.NewTicker(s.config.RetryPause)
 	defer ticker.Stop()
 	for {
@@ -162,7 +153,7 @@
 		case <-ticker.C:
 		}
 		silent := time.Since(time.Unix(0, heardAt.Load()))
-		if silent > s.config.WatchSilence || s.rank() == notAWatcher {
+		if silent > s.silence(role) || s.changedRole(role) {
 			cancel()
 			return
 		}
@@ -173,7 +164,7 @@
 func (s *Syncer) readStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSilence)
 	defer cancel()
-	snapshot, err := s.store.List(ctx)
+	snapshot, err := s.store.List(ctx, store.Linearizable)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/configsync/whole_state_test.go
@@ -0,0 +1,76 @@
+package configsync
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+	"unsafe"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+)
+
+// change makes the next change of a catalog.
+func change(known *catalog.Catalog, key string) catalog.Change {
+	revision := known.Revision()
+	return catalog.Change{Entry: catalog.Entry{Key: key, Value: []byte(`{}`), Revision: revision + 1}, Previous: revision}
+}
+
+// A node gives its whole state to a few at once, and names those to the others.
+func TestWholeStateIsGivenToAFewAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		known := catalog.New(nil)
+		known.Apply(change(known, "x"))
+		var states wholeStates
+		for i := range mostGiven {
+			given, err := states.give(known, fmt.Sprintf("n%d", i))
+			is.NoErr(err)
+			is.True(len(given.Snapshot) > 0)
+		}
+		refused, err := states.give(known, "n0")
+		is.NoErr(err)
+		is.Equal(len(refused.Snapshot), 0)
+		is.Equal(len(refused.Elsewhere), mostNamed)
+		for _, named := range refused.Elsewhere {
+			is.True(named != "n0")
+		}
+		time.Sleep(giveInterval)
+		given, err := states.give(known, "n0")
+		is.NoErr(err)
+		is.True(len(given.Snapshot) > 0)
+	})
+}
+
+// The state is packed once and given with the changes since, until they are many.
+func TestWholeStateIsPackedOnce(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	known.Apply(change(known, "x"))
+	var states wholeStates
+	first, err := states.refresh(known)
+	is.NoErr(err)
+	is.Equal(len(first), 0)
+	packed := unsafe.SliceData(states.packed)
+	for i := range mostSince {
+		known.Apply(change(known, fmt.Sprintf("y%d", i)))
+	}
+	since, err := states.refresh(known)
+	is.NoErr(err)
+	is.Equal(len(since), mostSince)
+	is.Equal(unsafe.SliceData(states.packed), packed)
+	snapshot, err := states.packed.Unpack()
+	is.NoErr(err)
+	taker := catalog.New(nil)
+	is.True(taker.Replace(snapshot))
+	is.True(taker.ApplyAll(since))
+	is.Equal(taker.Snapshot().Revision, known.Revision())
+	is.Equal(len(taker.Snapshot().Entries), len(known.Snapshot().Entries))
+	known.Apply(change(known, "z"))
+	since, err = states.refresh(known)
+	is.NoErr(err)
+	is.Equal(len(since), 0)
+	is.Equal(states.revision, known.Revision())
+}
--- a/internal/lab/kvstore/kvstore.go
+++ b/internal/lab/kvstore/kvstore.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -36,6 +37,8 @@
 	Silent bool
 	// LoseAnswers makes changes without answering.
 	LoseAnswers bool
+	// HoldStale answers stale reads by the state at the time when this was set.
+	HoldStale bool
 	// HushWatches keeps changes from watches, which answer nothing until they are cut.
 	HushWatches bool
 }
@@ -57,6 +60,14 @@
 	changed   chan struct{}
 	faults    Faults
 	calls     map[string]int
+	// stale is what stale reads are answered by while they are held back.
+	stale staleState
+}
+
+// staleState is the state at an earlier revision.
+type staleState struct {
+	revision int64
+	items    map[string]Item
 }
 
 // New makes an empty store.
@@ -68,6 +79,9 @@
 func (s *Store) SetFaults(faults Faults) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if faults.HoldStale && !s.faults.HoldStale {
+		s.stale = staleState{revision: s.revision, items: maps.Clone(s.items)}
+	}
 	s.faults = faults
 }
 
@@ -213,15 +227,19 @@
 func (s *Store) getRange(c *gin.Context) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	known, at := s.items, s.revision
+	if c.Query("stale") == "1" && s.faults.HoldStale {
+		known, at = s.stale.items, s.stale.revision
+	}
 	items := []Item{}
-	for key, item := range s.items {
+	for key, item := range known {
 		if strings.HasPrefix(key, c.Query("PathPrefix")) && key > c.Query("after") {
 			items = append(items, item)
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
 	more := len(items) > pageItems
-	c.JSON(http.StatusOK, gin.H{"items": items[:min(len(items), pageItems)], "more": more, "at": s.revision})
+	c.JSON(http.StatusOK, gin.H{"items": items[:min(len(items), pageItems)], "more": more, "at": at})
 }
 
 func (s *Store) watch(c *gin.Context) {
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -210,7 +210,7 @@
 	return entry
 }
 
-// Watch implements StoreServiceServer.
+// Watch implements StoreServiceServer. It begins by saying where the store is, if nothing was missed.
 func (p *Platform) Watch(request *platformv1.WatchRequest, stream platformv1.StoreService_WatchServer) error {
 	ctx := stream.Context()
 	if err := p.enter(ctx, func(c *Counts) { c.Watches++ }); err != nil {
@@ -219,11 +219,16 @@
 	position := request.GetAfterRevision()
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
-	for {
+	for isFirst := true; ; isFirst = false {
 		missed, current, changed, down := p.since(position)
 		if down {
 			return status.Error(codes.Unavailable, "store is down")
 		}
+		if isFirst && len(missed) == 0 {
+			if err := stream.Send(&platformv1.WatchResponse{CurrentRevision: current}); err != nil {
+				return err
+			}
+		}
 		for _, entry := range missed {
 			response := &platformv1.WatchResponse{Entry: entry, PreviousRevision: entry.GetRevision() - 1, CurrentRevision: current}
 			if err := stream.Send(response); err != nil {
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -59,7 +59,7 @@
 	}
 	node.settings = filepath.Join(w.folder, node.name+".yaml")
 	content := fmt.Sprintf(settingsText, node.name, node.zone, addresses[0], addresses[1], addresses[2], addresses[5],
-		addresses[3], addresses[4], addresses[6], node.treeLink.Address(), processorsOf(index), node.storeLink.Address(), platform.Name)
+		addresses[3], addresses[4], addresses[6], node.treeLink.Address(), processorsOf(index), node.storeLink.Address(), platform.Name, w.seed(node))
 	if err := os.WriteFile(node.settings, []byte(content), 0o600); err != nil {
 		return err
 	}
@@ -67,6 +67,14 @@
 	return w.startNode(node)
 }
 
+// seed gives the peer address that a node is told to join through: the first node's own.
+func (w *world) seed(node *nodeState) string {
+	if len(w.nodes) == 0 {
+		return node.peers
+	}
+	return w.nodes[0].peers
+}
+
 // processorsOf gives the processors of a node: the first of each zone has far more, so that the others
 // let it gather for them.
 func processorsOf(index int) float64 {
@@ -81,8 +89,9 @@
 listen: {callers: "%[3]s", operators: "%[4]s", peers: "%[5]s", advertise_peers: "%[6]s", front: "%[7]s", ready: "%[8]s", tree: "%[9]s", advertise_tree: "%[10]s"}
 platform: {address: "%[12]s", dialect: %[13]s, watch_wait: 1500ms}
 stop: {announce_delay: 500ms, drain_timeout: 2800ms}
-config_sync: {first_read_delay: 8ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
+config_sync: {first_read_delay: 500ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
 retry_budget: {ratio: 0.2, window: 10s, allowance: 56}
+seeds: ["%[14]s"]
 `
 
 // startNode starts the process of a node.
--- a/internal/peer/batch.go
+++ b/internal/peer/batch.go
@@ -32,3 +32,25 @@
 	var changes []catalog.Change
 	return changes, json.Unmarshal(content, &changes)
 }
+
+// PackedSnapshot is a whole state, compressed once and then given to many nodes as it is.
+type PackedSnapshot []byte
+
+// PackSnapshot makes a packed snapshot.
+func PackSnapshot(snapshot catalog.Snapshot) (PackedSnapshot, error) {
+	content, err := json.Marshal(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	return compression.Compress(content)
+}
+
+// Unpack gives the whole state.
+func (p PackedSnapshot) Unpack() (catalog.Snapshot, error) {
+	content, err := compression.Expand(p, MaximumLine)
+	if err != nil {
+		return catalog.Snapshot{}, err
+	}
+	var snapshot catalog.Snapshot
+	return snapshot, json.Unmarshal(content, &snapshot)
+}
--- a/internal/peer/line.go
+++ b/internal/peer/line.go
@@ -40,8 +40,7 @@
 
 func encodeLine(message Message) ([]byte, error) {
 	line, err := json.Marshal(message)
-	// A push is mostly its batch, which is compressed already.
-	if err != nil || len(line) <= compressAbove || message.Push != nil {
+	if err != nil || len(line) <= compressAbove || message.isPacked() {
 		return line, err
 	}
 	packed, err := compression.Compress(line)
@@ -51,6 +50,11 @@
 	return json.Marshal(compressed{Gzip: packed})
 }
 
+// isPacked reports whether most of a message is compressed already: a batch, or a whole state.
+func (m Message) isPacked() bool {
+	return m.Push != nil || m.State != nil && len(m.State.Snapshot) > 0
+}
+
 func decodeLine(line []byte) (Message, error) {
 	var form struct {
 		Message
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -127,13 +127,17 @@
 	After int64 `json:"after"`
 }
 
-// State answers Pull and Push: changes, or the whole state when changes don't reach back.
+// State answers Pull and Push: changes, preceded by a whole state when changes alone don't reach back.
 type State struct {
 	// Initialised is false while the sender has no configuration at all.
-	Initialised bool              `json:"initialised"`
-	Revision    int64             `json:"revision"`
-	Changes     []catalog.Change  `json:"changes,omitempty"`
-	Snapshot    *catalog.Snapshot `json:"snapshot,omitempty"`
+	Initialised bool  `json:"initialised"`
+	Revision    int64 `json:"revision"`
+	// Snapshot is a whole state that the changes follow on; empty when they reach back far enough.
+	Snapshot PackedSnapshot   `json:"snapshot,omitempty"`
+	Changes  []catalog.Change `json:"changes,omitempty"`
+	// Elsewhere are peer addresses to ask instead: the sender gave its whole state to many a moment
+	// ago, and to these among them.
+	Elsewhere []string `json:"elsewhere,omitempty"`
 }
 
 // StatusQuery asks how many nodes have a revision in force.
--- a/internal/platformclient/platformclient.go
+++ b/internal/platformclient/platformclient.go
@@ -56,8 +56,8 @@
 	return entryFrom(response.GetEntry()), nil
 }
 
-// List implements store.Store.
-func (c *Client) List(ctx context.Context) (catalog.Snapshot, error) {
+// List implements store.Store; its answers are always linearizable.
+func (c *Client) List(ctx context.Context, _ store.Consistency) (catalog.Snapshot, error) {
 	response, err := c.store.List(ctx, &platformv1.ListRequest{})
 	if err != nil {
 		return catalog.Snapshot{}, merry.Prepend(err, "store list")
@@ -80,8 +80,8 @@
 	return store.SwapResult{Swapped: response.GetSwapped(), Entry: entryFrom(response.GetEntry())}, nil
 }
 
-// Watch implements store.Store.
-func (c *Client) Watch(ctx context.Context, after int64, receive func(store.Event) error) error {
+// Watch implements store.Store: a stream tells of each change at once, whatever the role.
+func (c *Client) Watch(ctx context.Context, after int64, _ store.WatchRole, receive func(store.Event) error) error {
 	stream, err := c.store.Watch(ctx, &platformv1.WatchRequest{AfterRevision: after})
 	if err != nil {
 		return merry.Prepend(err, "store watch")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,10 @@
 	// WatchPause is how long such a watch rests after it told of changes, so that those of a
 	// burst are told together.
 	WatchPause time.Duration `yaml:"watch_pause"`
+	// StandbyWatchWait and StandbyWatchPause are the same for the watches of nodes that only push
+	// what the first watcher of their zone did not. Each call of the store has its price.
+	StandbyWatchWait  time.Duration `yaml:"standby_watch_wait"`
+	StandbyWatchPause time.Duration `yaml:"standby_watch_pause"`
 }
 
 // DefaultDialect is the product's own protocol to a platform.
@@ -122,7 +126,7 @@
 			Operators: "127.0.0.1:7401",
 			Peers:     "127.0.0.1:7402",
 		},
-		Platform:        Platform{Address: "127.0.0.1:7300", Dialect: DefaultDialect, WatchWait: 2 * time.Second, WatchPause: 300 * time.Millisecond},
+		Platform:        defaultPlatform(),
 		LogLevel:        "info",
 		Stop:            Stop{DrainTimeout: 30 * time.Second, AnnounceDelay: 200 * time.Millisecond},
 		Search:          search.DefaultConfig(),
@@ -144,6 +148,17 @@
 	}
 }
 
+// defaultPlatform bounds how late a change is told: by a first watcher after 0.3 s at most, by one that
+// stands by after 0.8 s. Half a second later it pushes what was not pushed yet: within the 4 s that a
+// change may take.
+func defaultPlatform() Platform {
+	return Platform{
+		Address: "127.0.0.1:7300", Dialect: DefaultDialect,
+		WatchWait: 2 * time.Second, WatchPause: 300 * time.Millisecond,
+		StandbyWatchWait: 3 * time.Second, StandbyWatchPause: 800 * time.Millisecond,
+	}
+}
+
 // Validate names every field at fault.
 func (s Settings) Validate() error {
 	var checks failure.Checks
@@ -162,6 +177,8 @@
 	checks.Refuse(s.Platform.Dialect == "", "platform.dialect", "must not be empty")
 	checks.Refuse(s.Platform.WatchWait <= 0, "platform.watch_wait", "must be positive")
 	checks.Refuse(s.Platform.WatchPause < 0, "platform.watch_pause", "must not be negative")
+	checks.Refuse(s.Platform.StandbyWatchWait <= 0, "platform.standby_watch_wait", "must be positive")
+	checks.Refuse(s.Platform.StandbyWatchPause < 0, "platform.standby_watch_pause", "must not be negative")
 	for _, seed := range s.Seeds {
 		requireAddress(&checks, "seeds", seed)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,6 +27,27 @@
 	Current int64
 }
 
+// Consistency is how new an answer of the store must be.
+type Consistency int
+
+const (
+	// Linearizable answers hold all that was acknowledged before the call.
+	Linearizable Consistency = iota
+	// Stale answers may be seconds old. They cost the platform less, and those who use them for more than
+	// a first look must bring them up to date by a watch.
+	Stale
+)
+
+// WatchRole is how closely a watch follows the store.
+type WatchRole int
+
+const (
+	// Primary watches tell of changes as soon as may be.
+	Primary WatchRole = iota
+	// Standby watches may tell of changes later, in fewer calls: others have told of them already.
+	Standby
+)
+
 // SwapResult is the outcome of a compare-and-swap whose reply arrived.
 type SwapResult struct {
 	Swapped bool
@@ -40,13 +61,14 @@
 	// Get reads one key; nil when it was never written.
 	Get(ctx context.Context, key string) (*catalog.Entry, error)
 	// List reads every key, tombstones included, at one revision.
-	List(ctx context.Context) (catalog.Snapshot, error)
+	List(ctx context.Context, consistency Consistency) (catalog.Snapshot, error)
 	// CompareAndSwap writes the key if its revision is still the expected one; 0 means
 	// that the key is absent or deleted.
 	CompareAndSwap(ctx context.Context, key string, expected int64, value []byte, remove bool) (SwapResult, error)
 	// Watch calls receive for each change after a revision, in order, until the context
-	// ends, the connection is lost, or receive fails.
-	Watch(ctx context.Context, after int64, receive func(Event) error) error
+	// ends, the connection is lost, or receive fails. It begins with the changes that there are
+	// already, or with an event without one.
+	Watch(ctx context.Context, after int64, role WatchRole, receive func(Event) error) error
 }
 
 // Lessor keeps keys that go when their writer does. Implementations are safe for concurrent use.
