Ask another intermediate where one gives nothing; gather for other tables that gather alike

A root of a large fleet makes a request each six seconds and has no connections to leafs: what an intermediate gave nothing for (silent, leaving, busy, another routing table) it asked of 180 leafs itself, out of its own small part of the allowance. An intermediate declined for any change of the configuration, also of another route. A root took the way to an intermediate for nothing until it had learnt it, from a few requests.

One other node that can gather is asked first. What a silent one may have asked counts among the route's attempts and is a repeat there, out of the intermediate's part of the allowance; after two the attempts of a route with two are spent. A refusal after a silence does not say that nothing ran. Routes are told apart by what gathering depends on (services, records, attempts), not by the table. The way to an intermediate is taken for 5 ms until it is known. A group counts as under way from when it begins (one of a refused request counted for good). Whether this node gathers is kept, not searched at each attempt; the slice of gatherers stays the same while they do, so that parts of leafs hold when other nodes come and go.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,7 +105,7 @@
 	}
 	work := &gathering{gateway: g, query: pinned, services: g.servicesOf(pinned)}
 	if g.root != nil && work.isGathered() {
-		work.groups = g.root.groups(pinned.entry)
+		work.passOn(g.root.groups(pinned.entry))
 	}
 	answer, err := work.serve(ctx)
 	work.learnLag()
@@ -136,11 +136,15 @@
 	services []string
 	// groups are the services that other nodes gather.
 	groups []group
+	// passedOn says by shard whether it is in a group; nil where there is none.
+	passedOn []bool
 	// targets are the leafs that may be asked, by shard.
 	targets [][]leafhttp.Target
 	// gatheredLatency is that of all shards of a gathered request; nil until it is looked up.
 	gatheredLatency *kindLatency
 	summary         scatter.Summary
+	// spent is how many attempts another node may have made at each shard.
+	spent int
 	// collected takes the parts as they come; nil unless this is a group for another node.
 	collected *collected
 	outcomes  []scatter.Outcome[leafhttp.Response]
@@ -192,8 +196,12 @@
 	return "the caller went away"
 }
 
-// countRequests counts the request for the services whose leafs are asked from here.
+// countRequests counts the request for the services whose leafs are asked from here, unless another node
+// may have counted it.
 func (w *gathering) countRequests() {
+	if w.spent > 0 {
+		return
+	}
 	for index, service := range w.services {
 		if !w.isPassedOn(index) {
 			w.gateway.budgets.Request(service)
@@ -235,6 +243,7 @@
 		plan.Shards[index] = scatter.Shard{
 			Candidates: w.candidates(index),
 			Policy:     &policies[index],
+			Spent:      w.spent,
 		}
 	}
 	return plan
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -116,6 +116,7 @@
 
 func (alone) Nodes() []catalog.NodeRecord     { return []catalog.NodeRecord{{ID: "n"}} }
 func (alone) Gatherers() []catalog.NodeRecord { return []catalog.NodeRecord{{ID: "n"}} }
+func (alone) IsGatherer() bool                { return true }
 
 const shardCount = 10
 
--- a/internal/gateway/intermediate.go
+++ b/internal/gateway/intermediate.go
@@ -13,8 +13,8 @@
 var _ servingtree.Handler = (*Gateway)(nil)
 
 // Gather implements servingtree.Handler: it asks the leafs of a group for the node that took the
-// request from its caller. Both must have the same routing table in force, so that no answer mixes
-// two, and no caller sees an older one after a newer one.
+// request from its caller. Both must gather the route alike, so that no answer mixes two versions, and no
+// caller sees an older one after a newer one.
 //
 // What is in by the objective is sent then, and the rest when it is in: whether that is enough is for
 // the root to say, which knows of the other parts.
@@ -26,7 +26,7 @@
 	defer g.gathered.Add(-1)
 	work := g.askedWork(ask)
 	if work == nil {
-		return servingtree.Reply{Decline: servingtree.OtherRevision}
+		return servingtree.Reply{Decline: servingtree.OtherRoute}
 	}
 	work.collected = newCollected(len(work.services))
 	timer := time.AfterFunc(time.Until(work.query.planned), func() {
@@ -44,15 +44,15 @@
 	return servingtree.Reply{Answer: &rest}
 }
 
-// askedWork prepares the work on a group; nil when it is not by the routing table in force here.
+// askedWork prepares the work on a group; nil when it does not fit the routing table in force here.
 func (g *Gateway) askedWork(ask servingtree.Ask) *gathering {
 	table := g.catalog.View().Routes
-	if table == nil || table.Revision != ask.Revision {
+	if table == nil {
 		return nil
 	}
 	path, _, _ := strings.Cut(ask.Target, "?")
 	entry := table.Match(ask.Host, path)
-	if entry == nil {
+	if entry == nil || entry.GatherKey != ask.GatherKey || ask.Spent < 0 || ask.Spent >= entry.Attempts {
 		return nil
 	}
 	services := make([]string, 0, len(ask.Shards))
@@ -78,7 +78,7 @@
 		deadline:  now.Add(time.Duration(ask.DeadlineMicros) * time.Microsecond),
 		objective: objective, planned: objective.Add(-g.lag.expected(entry.Objective)), late: objective,
 	}
-	return &gathering{gateway: g, query: asked, services: services}
+	return &gathering{gateway: g, query: asked, services: services, spent: ask.Spent}
 }
 
 // answerOf puts some parts as the root is told of them.
--- a/internal/gateway/passing.go
+++ b/internal/gateway/passing.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/failure"
@@ -43,11 +42,20 @@
 	Took   time.Duration
 }
 
-// isPassedOn reports whether another node is asked for a service first.
-func (w *gathering) isPassedOn(shard int) bool {
-	return slices.ContainsFunc(w.groups, func(group group) bool { return slices.Contains(group.shards, shard) })
+// passOn notes which groups other nodes are asked for first.
+func (w *gathering) passOn(groups []group) {
+	w.groups = groups
+	w.passedOn = make([]bool, len(w.services))
+	for _, group := range groups {
+		for _, shard := range group.shards {
+			w.passedOn[shard] = true
+		}
+	}
 }
 
+// isPassedOn reports whether another node is asked for a service first.
+func (w *gathering) isPassedOn(shard int) bool { return len(w.groups) > 0 && w.passedOn[shard] }
+
 // groupRecords gives what came of the groups that ended.
 func (w *gathering) groupRecords() []GroupRecord {
 	w.mutex.Lock()
@@ -57,20 +65,62 @@
 
 // startGroup implements scatter.StartGroup.
 func (w *gathering) startGroup(ctx context.Context, number int, tell func(scatter.GroupResult[leafhttp.Response])) context.CancelCauseFunc {
-	r := w.gateway.root
-	passed := &passing{root: r, work: w, group: w.groups[number]}
+	passed := &passing{root: w.gateway.root, work: w, group: w.groups[number]}
 	ctx, cancel := context.WithCancelCause(ctx)
-	call := r.intermediates.Start(passed.group.node.Tree, w.ask(passed.group))
+	call := passed.start()
 	go func() {
 		defer cancel(nil)
-		began := time.Now()
-		ended := passed.await(ctx, call, tell)
-		passed.note(ended, time.Since(began))
-		tell(ended.result)
+		tell(passed.run(ctx, call, tell))
 	}()
 	return cancel
 }
 
+// mostIntermediates is how many nodes are asked for one group at most: after two that gave nothing most
+// of an objective is over.
+const mostIntermediates = 2
+
+// start asks the node of the group.
+func (p *passing) start() *servingtree.Call {
+	p.root.standing.begin(p.group.node)
+	return p.root.intermediates.Start(p.group.node.Tree, p.work.ask(p.group, p.spent))
+}
+
+// run awaits the group, and asks another node for it where the first gave nothing. Attempts that the
+// first may have made count among those of the route.
+func (p *passing) run(ctx context.Context, call *servingtree.Call, tell told) scatter.GroupResult[leafhttp.Response] {
+	for asked := 1; ; asked++ {
+		began := time.Now()
+		ended := p.await(ctx, call, tell)
+		p.note(ended, time.Since(began))
+		result := p.withSpent(ended.result)
+		if asked == mostIntermediates || result.Replies != nil || result.Final || p.toldParts || ended.outcome == GroupCancelled {
+			return result
+		}
+		node, found := p.root.choose(p.group.zones)
+		if !found {
+			return result
+		}
+		p.group.node = node
+		call = p.start()
+	}
+}
+
+// withSpent adds to a result what the nodes that gave nothing may have spent.
+func (p *passing) withSpent(result scatter.GroupResult[leafhttp.Response]) scatter.GroupResult[leafhttp.Response] {
+	if result.Replies != nil {
+		return result
+	}
+	if result.Execution != scatter.NotRun {
+		p.spent++
+	}
+	if p.spent > 0 && result.Execution == scatter.NotRun {
+		result.Execution = scatter.Unknown // by what an earlier node may have done
+	}
+	result.Spent = p.spent
+	result.Final = result.Final || p.spent >= p.work.query.entry.Attempts
+	return result
+}
+
 // note tells of the end of a group, and learns from it who can be asked.
 func (p *passing) note(ended groupEnd, took time.Duration) {
 	w, node := p.work, p.group.node
@@ -86,14 +136,14 @@
 }
 
 // ask puts a group as it is passed on. Of its parts, as many may be missing as of the whole answer.
-func (w *gathering) ask(part group) servingtree.Ask {
+func (w *gathering) ask(part group, spent int) servingtree.Ask {
 	q, r := w.query, w.gateway.root
 	mayMiss := len(w.services) - q.required
 	planned := time.Until(q.planned) - r.hop.expected(q.entry.Objective)
 	return servingtree.Ask{
 		ID: q.Leaf.ID, Method: q.Leaf.Method, Target: q.Leaf.Target, Host: q.Leaf.Host, Header: q.Leaf.Header,
-		Body: q.Leaf.Body, HasBody: q.Leaf.HasBody, Root: r.self.ID, Revision: q.table.Revision,
-		Shards: part.shards, Required: max(1, len(part.shards)-mayMiss),
+		Body: q.Leaf.Body, HasBody: q.Leaf.HasBody, Root: r.self.ID, GatherKey: q.entry.GatherKey,
+		Shards: part.shards, Required: max(1, len(part.shards)-mayMiss), Spent: spent,
 		ObjectiveMicros: planned.Microseconds(), DeadlineMicros: time.Until(q.deadline).Microseconds(),
 	}
 }
@@ -114,6 +164,11 @@
 	root  *root
 	work  *gathering
 	group group
+	// spent is how many attempts of each shard nodes that gave nothing may have made.
+	spent int
+	// toldParts says that some parts are in: their records are merged, so that no other node may give
+	// them again.
+	toldParts bool
 }
 
 // Bounds of how long an intermediate may be silent, in parts of the objective and in times of the
@@ -184,6 +239,7 @@
 // tellParts tells of the parts that are in before the end.
 func (p *passing) tellParts(answer servingtree.Answer, tell told) {
 	if len(answer.Stamps) == len(p.group.shards) {
+		p.toldParts = true
 		tell(scatter.GroupResult[leafhttp.Response]{Replies: p.replies(&answer), More: true})
 	}
 }
--- a/internal/gateway/root.go
+++ b/internal/gateway/root.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/catalog"
@@ -13,6 +12,8 @@
 // Fleet gives the nodes that gather requests; registry.Census is the real one.
 type Fleet interface {
 	Gatherers() []catalog.NodeRecord
+	// IsGatherer reports whether this node is one of them.
+	IsGatherer() bool
 }
 
 // Intermediates passes groups on to other nodes; servingtree.Client is the real one.
@@ -25,6 +26,8 @@
 // group is the services that one other node gathers.
 type group struct {
 	node catalog.NodeRecord
+	// zones are those whose nodes can gather it.
+	zones map[string]bool
 	// shards are indices into the route's services.
 	shards []int
 }
@@ -52,10 +55,16 @@
 	hop lagTracker
 }
 
+// firstHop is what the ways to and from an intermediate are taken for until that is learnt: two ways
+// between zones of 1 to 1.5 ms, and as much for two nodes to read and write a line. A root of a large
+// fleet makes so few requests that it would learn it late.
+const firstHop = 5 * time.Millisecond
+
 func newRoot(parts Parts) *root {
 	return &root{
 		self: parts.Self, fleet: parts.Fleet, intermediates: parts.Intermediates,
 		placement: newPlacement(parts.Catalog, parts.Self.Zone), standing: newStanding(),
+		hop: lagTracker{lag: firstHop},
 	}
 }
 
@@ -65,19 +74,22 @@
 // groups gives the services of a route that other nodes gather: those of other zones, by a node
 // there, and, where others of the own zone have far more processors, the rest, by one of them.
 func (r *root) groups(entry *routing.Entry) []group {
-	gatherers := r.fleet.Gatherers()
-	isGatherer := slices.ContainsFunc(gatherers, func(node catalog.NodeRecord) bool { return node.ID == r.self.ID })
+	isGatherer := r.fleet.IsGatherer()
 	var groups []group
 	for _, part := range r.placement.of(entry) {
 		if len(part.shards) < leastGroup || part.zones[r.self.Zone] && isGatherer {
 			continue
 		}
-		node, found := r.standing.choose(gatherers, func(node catalog.NodeRecord) bool {
-			return node.Tree != "" && node.ID != r.self.ID && part.zones[node.Zone]
-		})
-		if found {
-			groups = append(groups, group{node: node, shards: part.shards})
+		if node, found := r.choose(part.zones); found {
+			groups = append(groups, group{node: node, zones: part.zones, shards: part.shards})
 		}
 	}
 	return groups
 }
+
+// choose gives another node in one of some zones that can be asked to gather; false when there is none.
+func (r *root) choose(zones map[string]bool) (catalog.NodeRecord, bool) {
+	return r.standing.choose(r.fleet.Gatherers(), func(node catalog.NodeRecord) bool {
+		return node.Tree != "" && node.ID != r.self.ID && zones[node.Zone]
+	})
+}
--- /dev/null
+++ b/internal/gateway/second_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/servingtree"
+)
+
+// newTreeOfThree has two nodes that can gather the services without a leaf near the root.
+func newTreeOfThree(t *testing.T) *tree {
+	return newTree(t, near("root"), far("first"), catalog.NodeRecord{ID: "second", Zone: zoneFarther})
+}
+
+// askFirst lets the root ask until the node named first was chosen first, and gives the whole answer's
+// groups.
+func (b *tree) askFirst() []GroupRecord {
+	b.t.Helper()
+	root := b.nodes["root"]
+	for range 100 {
+		root.gateway.root.standing = newStanding()
+		answer, err := b.ask("root")
+		root.journal.mutex.Lock()
+		record := root.journal.records[len(root.journal.records)-1]
+		root.journal.mutex.Unlock()
+		if len(record.Groups) > 0 && record.Groups[0].Intermediate == "first" {
+			b.whole(answer, err)
+			return record.Groups
+		}
+	}
+	b.t.Fatal("the first node was never chosen")
+	return nil
+}
+
+// Where a node gives nothing for a group, another one is asked, not the leafs from the root: that has no
+// connections to them.
+func TestAnotherIntermediateIsAsked(t *testing.T) {
+	for name, c := range waysToFail() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTreeOfThree(t)
+			c.fail(b.nodes["first"])
+			groups := b.askFirst()
+			is.Equal(len(groups), 2)
+			is.Equal(groups[0].Outcome, c.outcome)
+			is.Equal(groups[1].Intermediate, "second")
+			is.Equal(groups[1].Outcome, GroupAnswered)
+			for _, leaf := range b.seen.by("root") {
+				is.True(leaf[2:] == zoneNear)
+			}
+		})
+	}
+}
+
+// Two silent nodes may have spent both attempts of the route: no leaf is asked a third time.
+func TestTwoSilentIntermediatesSpendTheAttempts(t *testing.T) {
+	is := is.New(t)
+	b := newTreeOfThree(t)
+	freeze(b.nodes["first"])
+	freeze(b.nodes["second"])
+	_, err := b.ask("root")
+	is.True(failure.Is(err, failure.IncompleteCoverage))
+	is.Equal(failure.From(err).Execution, failure.Ran)
+	is.Equal(b.outcomes("root"), []GroupOutcome{GroupSilent, GroupSilent})
+	is.Equal(len(b.seen.by("root")), nearShards)
+}
+
+// What a silent node may have run is not denied by the refusal of the next one.
+func TestRefusalAfterSilenceDeniesNothing(t *testing.T) {
+	is := is.New(t)
+	b := newTreeOfThree(t)
+	entry := &routing.Entry{Attempts: 2}
+	p := &passing{root: b.nodes["root"].gateway.root, work: &gathering{query: &query{entry: entry}, services: make([]string, 2)}, group: group{shards: []int{0, 1}}}
+	silent := p.withSpent(groupEnd{outcome: GroupSilent}.result)
+	is.Equal(silent.Spent, 1)
+	is.True(!silent.Final)
+	refused := p.judgeReply(servingtree.Reply{Failure: &servingtree.Failure{Code: failure.Overloaded, Execution: failure.NotRun}})
+	is.Equal(p.withSpent(refused.result).Execution.String(), "unknown")
+}
+
+// An intermediate gathers by another version of the routing table as long as that gathers the route
+// alike; otherwise it declines.
+func TestOtherTablesThatGatherAlike(t *testing.T) {
+	cases := map[string]struct {
+		change  func(route *routing.Route)
+		outcome GroupOutcome
+	}{
+		"other time-out": {func(route *routing.Route) { route.TimeoutMillis /= 2 }, GroupAnswered},
+		"other services": {func(route *routing.Route) { slices.Reverse(route.Gathered) }, GroupDeclined},
+		"other records":  {func(route *routing.Route) { route.TopRecords++ }, GroupDeclined},
+		"other attempts": {func(route *routing.Route) { route.MaximumAttempts++ }, GroupDeclined},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTree(t, near("root"), far("there"))
+			there := b.nodes["there"]
+			configuration := routing.Configuration{Version: 2, Routes: slices.Clone(there.catalog.View().Routes.Routes)}
+			configuration.Routes[0].Gathered = slices.Clone(configuration.Routes[0].Gathered)
+			c.change(&configuration.Routes[0])
+			put(t, there.catalog, catalog.RoutesKey, configuration)
+			b.whole(b.ask("root"))
+			is.Equal(b.outcomes("root"), []GroupOutcome{c.outcome})
+		})
+	}
+}
+
+// The first group of a root is asked for early enough for the way back, though none was measured yet.
+func TestFirstGroupLeavesTimeForItsWay(t *testing.T) {
+	is := is.New(t)
+	b := newTree(t, near("root"), far("there"))
+	g := b.nodes["root"].gateway
+	planned := time.Now().Add(time.Second)
+	entry := &routing.Entry{Objective: time.Second}
+	work := &gathering{gateway: g, services: make([]string, 2), query: &query{Request: ask("/pages/1"), entry: entry, planned: planned}}
+	asked := work.ask(group{shards: []int{0, 1}}, 0)
+	is.True(asked.ObjectiveMicros <= (time.Second - firstHop).Microseconds())
+}
--- a/internal/gateway/standing.go
+++ b/internal/gateway/standing.go
@@ -38,8 +38,8 @@
 	maximumStandings = 4096
 )
 
-// choose gives the less busy of two random nodes among those that fit and can be asked, and counts a
-// group in there; false when there is none.
+// choose gives the less busy of two random nodes among those that fit and can be asked; false when there
+// is none.
 func (s *standing) choose(nodes []catalog.NodeRecord, fits func(catalog.NodeRecord) bool) (catalog.NodeRecord, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,11 +58,17 @@
 	if s.node(other.Tree).underWay < s.node(chosen.Tree).underWay {
 		chosen = other
 	}
-	s.node(chosen.Tree).underWay++
 	return chosen, true
 }
 
-// learn takes how it went at a node that was chosen.
+// begin counts a group in that a node is asked for.
+func (s *standing) begin(node catalog.NodeRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.node(node.Tree).underWay++
+}
+
+// learn takes how a group went that was counted in, and counts it out.
 func (s *standing) learn(node catalog.NodeRecord, outcome GroupOutcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/registry/census.go
+++ b/internal/registry/census.go
@@ -18,13 +18,15 @@
 	self    string
 	now     func() time.Time
 
-	mutex sync.Mutex
+	mu    sync.Mutex
 	view  *catalog.View // the last one looked at
 	gone  map[string]time.Time
 	nodes []catalog.NodeRecord // sorted by id
 	// gatherers are of nodes.
 	gatherers []catalog.NodeRecord
-	until     time.Time
+	// isGatherer says whether this node is one of them.
+	isGatherer bool
+	until      time.Time
 }
 
 // NewCensus makes a census for the node of an id.
@@ -35,8 +37,8 @@
 // Nodes gives the nodes that are registered or were a moment ago, sorted by id. The slice is shared
 // and never changed: callers must not change it either.
 func (c *Census) Nodes() []catalog.NodeRecord {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.refresh()
 	return c.nodes
 }
@@ -44,13 +46,21 @@
 // Gatherers gives those of the nodes that gather for the others of their zones, see Gatherers. The
 // slice is shared and never changed.
 func (c *Census) Gatherers() []catalog.NodeRecord {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.refresh()
 	return c.gatherers
 }
 
-// refresh looks at the configuration in force. The mutex must be held.
+// IsGatherer reports whether this node is one of those that gather for others.
+func (c *Census) IsGatherer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refresh()
+	return c.isGatherer
+}
+
+// refresh looks at the configuration in force. The lock must be held.
 func (c *Census) refresh() {
 	view := c.catalog.View()
 	now := c.now()
@@ -60,11 +70,16 @@
 	nodes := c.current(view, now)
 	c.view = view
 	if !slices.Equal(nodes, c.nodes) {
-		c.nodes, c.gatherers = nodes, Gatherers(nodes)
+		c.nodes = nodes
+	}
+	// What is dealt by the gatherers holds as long as their slice is the same.
+	if gatherers := Gatherers(nodes); !slices.Equal(gatherers, c.gatherers) {
+		c.gatherers = gatherers
+		c.isGatherer = slices.ContainsFunc(c.gatherers, func(node catalog.NodeRecord) bool { return node.ID == c.self })
 	}
 }
 
-// current finds the nodes that count, and until when that holds. The mutex must be held.
+// current finds the nodes that count, and until when that holds. The lock must be held.
 func (c *Census) current(view *catalog.View, now time.Time) []catalog.NodeRecord {
 	nodes := make([]catalog.NodeRecord, 0, len(view.Nodes))
 	c.until = time.Time{}
@@ -116,16 +131,18 @@
 // Part gives this node's part of a bound that all nodes share, 0 unless it is one of those that the
 // others know of. Of bounds on gathered services, the nodes that gather have the most.
 func (c *Census) Part(gathered bool) float64 {
-	nodes, gatherers := c.Nodes(), c.Gatherers()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refresh()
 	if _, registered := c.catalog.View().Nodes[c.self]; !registered {
 		return 0
 	}
-	others := len(nodes) - len(gatherers)
+	others := len(c.nodes) - len(c.gatherers)
 	switch {
 	case !gathered || others == 0:
-		return 1 / float64(len(nodes))
-	case slices.ContainsFunc(gatherers, func(node catalog.NodeRecord) bool { return node.ID == c.self }):
-		return gatherersPart / float64(len(gatherers))
+		return 1 / float64(len(c.nodes))
+	case c.isGatherer:
+		return gatherersPart / float64(len(c.gatherers))
 	default:
 		return (1 - gatherersPart) / float64(others)
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
@@ -222,3 +223,27 @@
 	}
 	known.Apply(catalog.Change{Entry: catalog.Entry{Key: catalog.NodeKey(node.ID), Value: value, Revision: known.Revision() + 1}, Previous: known.Revision()})
 }
+
+// A node that does not gather comes and goes without a new slice of those that do.
+func TestGatherersStayTheSameSlice(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	put := func(node catalog.NodeRecord) {
+		document, err := json.Marshal(node)
+		is.NoErr(err)
+		value, err := catalog.NewDocument("", document, nil)
+		is.NoErr(err)
+		revision := known.Revision()
+		known.Apply(catalog.Change{Entry: catalog.Entry{Key: catalog.NodeKey(node.ID), Value: value, Revision: revision + 1}, Previous: revision})
+	}
+	put(catalog.NodeRecord{ID: "large", Zone: "z", Tree: "127.0.0.1:1", Processors: 1})
+	census := NewCensus(known, "large", time.Minute)
+	before := census.Gatherers()
+	is.True(census.IsGatherer())
+	put(catalog.NodeRecord{ID: "small", Zone: "z", Tree: "127.0.0.1:2", Processors: 0.1})
+	is.Equal(len(census.Nodes()), 2)
+	is.True(unsafe.SliceData(before) == unsafe.SliceData(census.Gatherers()))
+	put(catalog.NodeRecord{ID: "larger", Zone: "z", Tree: "127.0.0.1:3", Processors: 4})
+	is.Equal(len(census.Gatherers()), 1)
+	is.True(!census.IsGatherer())
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Defaults of a route that sets no value of its own.
@@ -40,6 +42,9 @@
 	// WeightKey is equal for two versions of a route whose weights are the same, so that
 	// shares are kept across versions.
 	WeightKey string
+	// GatherKey is equal for two versions of a route that gather alike: one leaf of each of the same
+	// services, within as many attempts, for as many records.
+	GatherKey uint64
 }
 
 // NewTable compiles a checked configuration.
@@ -76,12 +81,19 @@
 		entry.Attempts = defaultAttempts
 	}
 	entry.RequiredParts = requiredParts(len(route.Gathered), route.MinimumCoverage)
+	if len(route.Gathered) > 0 {
+		entry.GatherKey = gatherKey(entry)
+	}
 	if len(route.Weighted) > 0 {
 		entry.WeightKey = fmt.Sprintf("%s%s %v", strings.ToLower(route.Host), route.Prefix, route.Weighted)
 	}
 	return entry
 }
 
+func gatherKey(entry *Entry) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%q %d %d %s", entry.Gathered, entry.TopRecords, entry.Attempts, entry.Repeatability))
+}
+
 // coverageTolerance absorbs the rounding of a share written in decimals.
 const coverageTolerance = 1e-9
 
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -26,6 +26,9 @@
 	More bool
 	// Execution is what is known of the leafs when there is no answer.
 	Execution Execution
+	// Spent is how many attempts of each shard may have been made when there is no answer; at least
+	// one counts unless the execution says that none ran.
+	Spent int
 	// Final says that there is no answer, and that asking each shard by itself could not help.
 	Final bool
 }
@@ -75,7 +78,7 @@
 		case isIn:
 			s.accept(shard, result.Replies[place])
 		case result.Replies == nil && !result.Final:
-			s.ungroup(index, result.Execution)
+			s.ungroup(index, result)
 		default:
 			shard.reason = GroupReason
 			s.settle(shard)
@@ -83,13 +86,10 @@
 	}
 }
 
-// ungroup asks for a shard whose group gave no answer. Leafs that may have been asked count as one
-// of its attempts.
-func (s *Scatter[Reply]) ungroup(index int, execution Execution) {
-	shard := &s.shards[index]
-	if execution != NotRun {
-		shard.isRepeat = true
-		shard.attempts = min(1, s.plan.MaximumAttempts-1)
+// ungroup asks for a shard whose group gave no answer.
+func (s *Scatter[Reply]) ungroup(index int, result GroupResult[Reply]) {
+	if result.Execution != NotRun {
+		s.shards[index].spend(max(1, result.Spent), s.plan.MaximumAttempts)
 	}
 	s.launchFirst(index)
 }
--- a/internal/scatter/group_test.go
+++ b/internal/scatter/group_test.go
@@ -310,3 +310,35 @@
 	}
 	return draw
 }
+
+// What may have been spent elsewhere counts among the attempts of a shard, and the next one is a repeat
+// that needs a budget.
+func TestSpentAttemptsCount(t *testing.T) {
+	for name, one := range map[string]struct {
+		spent, budget   int
+		firsts, repeats int
+	}{
+		"nothing": {0, 0, 2, 0}, "one": {1, 2, 0, 2}, "one without a budget": {1, 0, 0, 0}, "two of three": {2, 9, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				plan := Plan{Shards: shards(2, &testPolicy{budget: one.budget}), Deadline: time.Now().Add(time.Second), MaximumAttempts: 3, NoHedges: true}
+				if one.spent == 1 {
+					plan.MaximumAttempts = 2
+				}
+				for shard := range plan.Shards {
+					plan.Shards[shard].Spent = one.spent
+				}
+				_, _, watched := playGroups(t.Context(), plan, &groupScript{}, func(string, Attempt) (time.Duration, Result[string]) {
+					return ms, replied("own")
+				})
+				is.Equal(len(asked(watched, First)), one.firsts)
+				is.Equal(len(asked(watched, Retry)), one.repeats)
+				for _, attempt := range watched.began {
+					is.Equal(attempt.Number, one.spent+1)
+				}
+			})
+		})
+	}
+}
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -82,6 +82,9 @@
 type Shard struct {
 	Candidates []balancer.Candidate
 	Policy     Policy
+	// Spent is how many of MaximumAttempts may have been made elsewhere, without a reply: what is asked
+	// from here is a repeat. It must be less than MaximumAttempts.
+	Spent int
 }
 
 // Plan is the work of one request.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -59,7 +59,7 @@
 	done     bool
 	number   int // its index
 	// isGrouped says that the shard is asked in a group, and isRepeat that it may have been asked
-	// in one that gave no answer.
+	// in one that gave no answer, here or elsewhere.
 	isGrouped bool
 	isRepeat  bool
 	// neverArrived says that the last attempt most likely did not reach its leaf.
@@ -70,6 +70,12 @@
 	cancelAll    []context.CancelCauseFunc
 }
 
+// spend counts attempts that may have been made elsewhere, and leaves one.
+func (s *shardState[Reply]) spend(spent, most int) {
+	s.attempts = min(spent, most-1)
+	s.isRepeat = spent > 0
+}
+
 // Parts are what a scatter is built from besides its plan.
 type Parts[Reply any] struct {
 	Balancer *balancer.Balancer
@@ -95,6 +101,7 @@
 	}
 	for index := range s.shards {
 		s.shards[index].number = index
+		s.shards[index].spend(plan.Shards[index].Spent, plan.MaximumAttempts)
 	}
 	return s
 }
--- a/internal/servingtree/message.go
+++ b/internal/servingtree/message.go
@@ -27,12 +27,15 @@
 	HasBody bool        `json:"has_body,omitempty"`
 	// Root is the id of the node that asks.
 	Root string `json:"root"`
-	// Revision is that of the routing table that the root pinned the request to.
-	Revision int64 `json:"revision"`
+	// GatherKey is that of the route that the root pinned the request to, see routing.Entry.
+	GatherKey uint64 `json:"gather_key"`
 	// Shards are the services that are asked for, as indices into the route's; Required is how many
 	// of them an answer needs at least.
 	Shards   []int `json:"shards"`
 	Required int   `json:"required"`
+	// Spent is how many of the route's attempts may have been made at each shard by another
+	// intermediate, which gave no answer. What is asked then is a repeat.
+	Spent int `json:"spent,omitempty"`
 	// ObjectiveMicros is the time left until the answer must be given back to have its full worth;
 	// DeadlineMicros, until it is of no use.
 	ObjectiveMicros int64 `json:"objective_micros"`
@@ -80,8 +83,9 @@
 	Leaving Decline = "LEAVING"
 	// Busy means that the node has too much to do.
 	Busy Decline = "BUSY"
-	// OtherRevision means that the node has another routing table in force.
-	OtherRevision Decline = "OTHER_REVISION"
+	// OtherRoute means that the node does not gather the route as the root does: it has another
+	// routing table in force.
+	OtherRoute Decline = "OTHER_ROUTE"
 )
 
 // Reply is what an intermediate gives back; exactly one of the first three is set.
