--- a/internal/leafhttp/connections_test.go
+++ b/internal/leafhttp/connections_test.go
@@ -145,3 +145,28 @@
 	is.Equal(b.pool.resting(), 1)
 	is.Equal(b.pool.Open(), 1)
 }
+
+// A leaf whose record went may serve on: what it is at work on is awaited, and its connection closed then.
+func TestForgottenLeafEndsWhatItIsAtWorkOn(t *testing.T) {
+	is := is.New(t)
+	began, finish := make(chan struct{}), make(chan struct{})
+	b := newBench(t, DefaultConfig(), func(httpleaf.Request) httpleaf.Answer {
+		close(began)
+		<-finish
+		return httpleaf.Answer{Body: []byte("late")}
+	})
+	answered := make(chan *Response, 1)
+	b.pool.Start(b.target(), b.request(), time.Now().Add(time.Minute), func(response *Response, err error) {
+		if err != nil {
+			t.Error(err)
+		}
+		answered <- response
+	})
+	<-began
+	b.pool.Keep(func(string) bool { return false })
+	close(finish)
+	is.Equal(string((<-answered).Body), "late")
+	for b.pool.Open() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/leafmemory/writer.go
+++ b/internal/leafmemory/writer.go
@@ -35,6 +35,10 @@
 
 	wanted []leafset.Record
 	since  time.Time // when the leafs became what is wanted
+	// leafs and remembered are those last compared, isWritten what came of it: most looks find nothing
+	// new, and comparing thousands of leafs each second is a small node's dearest work at rest.
+	leafs, remembered *leafset.Set
+	isWritten         bool
 }
 
 // NewWriter makes a writer for the node of an id.
@@ -57,17 +61,25 @@
 // isDue reports whether the list differs from the leafs for so long that this node writes it.
 func (w *Writer) isDue(now time.Time) bool {
 	view := w.catalog.View()
-	current := records(view.Leafs)
-	if !slices.Equal(current, w.wanted) {
-		w.wanted, w.since = current, now
-		return false
-	}
-	if len(current) == 0 || len(current) > w.config.MaximumLeafs || slices.Equal(current, records(view.Remembered)) {
+	w.compare(view, now)
+	if len(w.wanted) == 0 || len(w.wanted) > w.config.MaximumLeafs || w.isWritten {
 		return false
 	}
 	return now.Sub(w.since) >= w.config.WriteDelay*time.Duration(1+w.rank(view))
 }
 
+// compare finds what is wanted, and whether it is written, if either changed since the last look.
+func (w *Writer) compare(view *catalog.View, now time.Time) {
+	if view.Leafs == w.leafs && view.Remembered == w.remembered {
+		return
+	}
+	w.leafs, w.remembered = view.Leafs, view.Remembered
+	if current := records(view.Leafs); !slices.Equal(current, w.wanted) {
+		w.wanted, w.since = current, now
+	}
+	w.isWritten = slices.Equal(w.wanted, records(view.Remembered))
+}
+
 // rank is how many registered nodes come before this one.
 func (w *Writer) rank(view *catalog.View) int {
 	own := xxhash.Sum64String(w.self)
