--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -31,6 +31,8 @@
 	machines []machines.Machine
 	lists    int
 	watches  int
+	// roles are those of the last watches, by node.
+	roles map[string]store.WatchRole
 	// staleLists counts the stale reads, which are answered by the state so many changes ago.
 	staleLists int
 	staleBy    int
@@ -87,9 +89,10 @@
 	return snapshot, nil
 }
 
-func (p platformView) Watch(ctx context.Context, after int64, _ store.WatchRole, receive func(store.Event) error) error {
+func (p platformView) Watch(ctx context.Context, after int64, role store.WatchRole, receive func(store.Event) error) error {
 	p.mutex.Lock()
 	p.watches++
+	p.roles[p.node] = role
 	isForgotten := after < p.forgotten
 	p.mutex.Unlock()
 	if isForgotten {
@@ -179,7 +182,7 @@
 
 func newFleet(t *testing.T, zones, perZone int) *fleet {
 	f := &fleet{
-		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}},
+		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}, roles: map[string]store.WatchRole{}},
 		network: peer.NewMemoryNetwork(1, time.Millisecond), nodes: map[string]*testNode{},
 	}
 	for zone := range zones {
@@ -417,3 +420,26 @@
 		is.Equal(fmt.Sprint(joined), fmt.Sprint(addresses))
 	}
 }
+
+// Where a zone has more nodes than watchers, its first watcher follows the store closely and the others
+// stand by; where all watch, each follows closely.
+func TestWatchersStandByInLargeZones(t *testing.T) {
+	for nodes, primaries := range map[int]int{2: 2, 12: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, nodes)
+			defer f.stopAll()
+			f.platform.write(t, "a", 1)
+			time.Sleep(time.Minute)
+			f.platform.mutex.Lock()
+			defer f.platform.mutex.Unlock()
+			count := 0
+			for id, node := range f.nodes {
+				if node.syncer.rank() != notAWatcher && f.platform.roles[id] == store.Primary {
+					count++
+				}
+			}
+			is.Equal(count, primaries)
+		})
+	}
+}
