--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -104,7 +104,7 @@
 			return err
 		}
 	}
-	role := s.role(s.rank())
+	role := roleOf(s.rank())
 	var heardAt atomic.Int64
 	heardAt.Store(time.Now().UnixNano())
 	stopped := make(chan struct{})
@@ -120,10 +120,9 @@
 	return err
 }
 
-// role gives how closely the watcher of a rank follows the store. In a zone where every node watches
-// there is nobody to stand by for, and each learns by itself soonest.
-func (s *Syncer) role(rank int) store.WatchRole {
-	if rank == 0 || len(s.members.Members()) <= s.config.WatchersPerZone {
+// roleOf gives how closely the watcher of a rank follows the store.
+func roleOf(rank int) store.WatchRole {
+	if rank == 0 {
 		return store.Primary
 	}
 	return store.Standby
@@ -132,7 +131,7 @@
 // changedRole reports whether this node is to watch in another role, or not at all.
 func (s *Syncer) changedRole(role store.WatchRole) bool {
 	rank := s.rank()
-	return rank == notAWatcher || s.role(rank) != role
+	return rank == notAWatcher || roleOf(rank) != role
 }
 
 // silence is how long a watch may be silent before it is opened anew.
