--- /dev/null
+++ b/internal/settings/page_test.go
@@ -0,0 +1,161 @@
+package settings
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// update writes the page of settings anew: go test ./internal/settings -run TestPageOfSettings -update
+var update = flag.Bool("update", false, "write docs/SETTINGS.md")
+
+const (
+	modulePath = "github.com/portgauge/portgauge/"
+	repository = "../.."
+	pagePath   = repository + "/docs/SETTINGS.md"
+)
+
+const pageHead = `# Settings
+
+Generated from the types (` + "`go test ./internal/settings -run TestPageOfSettings -update`" + `); the tests fail while it
+is not what they say. [OPERATIONS.md](OPERATIONS.md#settings) tells how settings are given.
+`
+
+// fieldDocs are the comments of the fields of a package's types, by "Type.Field".
+type fieldDocs map[string]string
+
+// parseDocs reads the comments of a package. A comment that names several fields is theirs all: those
+// that follow it without a comment or an empty line of their own.
+func parseDocs(t *testing.T, pkgPath string) fieldDocs {
+	t.Helper()
+	folder := filepath.Join(repository, strings.TrimPrefix(pkgPath, modulePath))
+	files, err := filepath.Glob(filepath.Join(folder, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	docs := fieldDocs{}
+	for _, file := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(parsed, func(node ast.Node) bool {
+			spec, isType := node.(*ast.TypeSpec)
+			if !isType {
+				return true
+			}
+			if structure, isStruct := spec.Type.(*ast.StructType); isStruct {
+				docs.add(spec.Name.Name, structure)
+			}
+			return false
+		})
+	}
+	return docs
+}
+
+func (d fieldDocs) add(typeName string, structure *ast.StructType) {
+	last := ""
+	for _, field := range structure.Fields.List {
+		text := strings.Join(strings.Fields(field.Doc.Text()), " ")
+		if text != "" {
+			last = text
+		}
+		for _, name := range field.Names {
+			if text == "" && strings.Contains(last, name.Name) {
+				text = last
+			}
+			d[typeName+"."+name.Name] = text
+		}
+	}
+}
+
+// page writes the tables of all settings, one for each group.
+type page struct {
+	t     *testing.T
+	docs  map[string]fieldDocs // by package
+	lines []string
+	bare  []string // settings without a comment
+}
+
+func (p *page) docOf(owner reflect.Type, field reflect.StructField) string {
+	if p.docs[owner.PkgPath()] == nil {
+		p.docs[owner.PkgPath()] = parseDocs(p.t, owner.PkgPath())
+	}
+	return p.docs[owner.PkgPath()][owner.Name()+"."+field.Name]
+}
+
+// group writes the table of one struct's own settings, then those of the groups in it. The prefix ends
+// with a dot unless it is empty.
+func (p *page) group(title, prefix string, value reflect.Value) {
+	p.lines = append(p.lines, "", "## "+title, "", "| setting | default | meaning |", "|---|---|---|")
+	owner := value.Type()
+	var groups []int
+	for i := range owner.NumField() {
+		field := owner.Field(i)
+		name := prefix + yamlName(field)
+		if field.Type.Kind() == reflect.Struct {
+			groups = append(groups, i)
+			continue
+		}
+		doc := p.docOf(owner, field)
+		if doc == "" {
+			p.bare = append(p.bare, name)
+		}
+		p.lines = append(p.lines, fmt.Sprintf("| `%s` | %s | %s |", name, shown(value.Field(i)), strings.ReplaceAll(doc, "|", "\\|")))
+	}
+	for _, i := range groups {
+		name := prefix + yamlName(owner.Field(i))
+		p.group(name, name+".", value.Field(i))
+	}
+}
+
+// yamlName gives the name of a field in a file.
+func yamlName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("yaml"), ",")
+	return name
+}
+
+// shown gives a default as it stands in a file.
+func shown(value reflect.Value) string {
+	if span, isSpan := value.Interface().(time.Duration); isSpan {
+		return span.String()
+	}
+	if value.IsZero() && value.Kind() != reflect.Bool && !value.CanInt() && !value.CanFloat() {
+		return ""
+	}
+	return fmt.Sprint(value.Interface())
+}
+
+// rendered gives the page, and the settings that it can say nothing of.
+func rendered(t *testing.T) (string, []string) {
+	p := &page{t: t, docs: map[string]fieldDocs{}}
+	p.group("At the top", "", reflect.ValueOf(Default()))
+	return pageHead + strings.Join(p.lines, "\n") + "\n", p.bare
+}
+
+// The page of settings is what the types say, names every setting, and says something of each.
+func TestPageOfSettings(t *testing.T) {
+	is := is.New(t)
+	content, bare := rendered(t)
+	if *update {
+		is.NoErr(os.WriteFile(pagePath, []byte(content), 0o644))
+	}
+	written, err := os.ReadFile(pagePath)
+	is.NoErr(err)
+	is.Equal(string(written), content) // run the command that the page names
+	is.Equal(len(bare), 0)             // settings without a comment
+	for _, path := range Paths() {
+		is.True(slices.ContainsFunc(strings.Split(content, "\n"), func(line string) bool { return strings.HasPrefix(line, "| `"+path+"` |") }))
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,7 +34,8 @@
 // Node is who the node is.
 type Node struct {
 	// ID is unique in the fleet; empty means one is made from zone and peer address.
-	ID   string `yaml:"id"`
+	ID string `yaml:"id"`
+	// Zone is where the node is, among those that may be cut off from each other.
 	Zone string `yaml:"zone"`
 	// Processors and ProcessorShare are how many processors the node has and its part of them; the
 	// product says how much work it can take beside others. 0 means that it does not say.
@@ -64,6 +65,7 @@
 
 // Platform is where the store and machine list are.
 type Platform struct {
+	// Address is the IP number and port of the store.
 	Address string `yaml:"address"`
 	// Dialect is the protocol of the platform, one of those that the program was built with.
 	Dialect string `yaml:"dialect"`
@@ -96,9 +98,10 @@
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform"`
 	// Seeds are peer addresses to join through, besides the machine list.
-	Seeds    []string `yaml:"seeds"`
-	LogLevel string   `yaml:"log_level"`
-	Stop     Stop     `yaml:"stop"`
+	Seeds []string `yaml:"seeds"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `yaml:"log_level"`
+	Stop     Stop   `yaml:"stop"`
 
 	Search          search.Config       `yaml:"search"`
 	Balancer        balancer.Config     `yaml:"balancer"`
