Read the store beside asking the seeds, not after

So it was the wait for the seeds, 0.25 to 0.5 s: after a power cut of all a node may be up before its seeds, and a seed without power gives no sign.

The store is read after 30 to 60 ms while the seeds are still asked; the first answer ends the other.

--- a/internal/configsync/first_state.go
+++ b/internal/configsync/first_state.go
@@ -30,20 +30,32 @@
 // will be a watcher or not: joining its zone takes longer, and until then it can't serve. It reports
 // false when the context ended.
 //
-// Seeds read the store at once. The others ask them for a while first, so that a fleet that starts
-// together reads the store a few times, not once a node: at 295 nodes that would be over 100 MB.
+// Seeds read the store at once. The others ask them first, and read the store too if none has answered
+// after a short delay: a seed may be dead, or start later than they. Whichever comes first ends the
+// other, so that a fleet that starts together mostly takes its state from peers: at 295 nodes reading
+// the store would be over 100 MB.
 func (s *Syncer) readFirst(ctx context.Context) bool {
-	if !s.isSeed() && !s.pullFirst(ctx) {
-		return false
+	first, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		select {
+		case <-s.ready:
+			stop()
+		case <-first.Done():
+		}
+	}()
+	if !s.isSeed() {
+		go s.pullFirst(first)
+		wait.For(first, s.firstReadDelay())
 	}
 	retryAfter := s.config.RetryPause
 	for read := s.readAtStart; !s.initialised.Load(); read = s.readStore {
-		err := read(ctx)
-		if err == nil {
+		err := read(first)
+		if err == nil || s.initialised.Load() {
 			break
 		}
 		s.storeLost(err)
-		if !pause(ctx, retryAfter) {
+		if !pause(first, retryAfter) && ctx.Err() != nil {
 			return false
 		}
 		retryAfter = s.backoff(retryAfter)
@@ -51,6 +63,11 @@
 	return ctx.Err() == nil
 }
 
+// firstReadDelay differs between nodes, so that those that start together don't read together.
+func (s *Syncer) firstReadDelay() time.Duration {
+	return time.Duration((0.5 + rand.Float64()/2) * float64(s.config.FirstReadDelay))
+}
+
 // currentSeeds gives the peer addresses to join through.
 func (s *Syncer) currentSeeds() []string {
 	s.mutex.Lock()
@@ -61,30 +78,22 @@
 // isSeed reports whether others are told to join through this node.
 func (s *Syncer) isSeed() bool { return slices.Contains(s.currentSeeds(), s.transport.Address()) }
 
-// pullFirst asks the seeds, and leaves time for a pull that follows on joining the zone, until the node
-// has its first state or is to read the store: after a time that differs between nodes. It reports
-// false when the context ended.
-func (s *Syncer) pullFirst(ctx context.Context) bool {
-	within := time.Duration((0.5 + rand.Float64()/2) * float64(s.config.FirstReadDelay))
-	readAt := time.Now().Add(within)
-	for !s.initialised.Load() && s.rank() == notAWatcher && time.Now().Before(readAt) {
+// pullFirst asks the seeds until the node has its first state or the context ends.
+func (s *Syncer) pullFirst(ctx context.Context) {
+	for !s.initialised.Load() {
 		seeds := s.currentSeeds()
 		if len(seeds) > 0 {
-			s.pullFirstFrom(ctx, seeds[rand.IntN(len(seeds))], readAt)
+			s.pullFirstFrom(ctx, seeds[rand.IntN(len(seeds))])
 		}
-		if s.initialised.Load() {
-			break
-		}
-		if !wait.For(ctx, min(firstPullPause, max(0, time.Until(readAt)))) {
-			return false
+		if !wait.For(ctx, firstPullPause) {
+			return
 		}
 	}
-	return ctx.Err() == nil
 }
 
-// pullFirstFrom asks one seed, at most until the node is to read the store.
-func (s *Syncer) pullFirstFrom(ctx context.Context, seed string, readAt time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, min(firstPullTimeout, time.Until(readAt)))
+// pullFirstFrom asks one seed.
+func (s *Syncer) pullFirstFrom(ctx context.Context, seed string) {
+	ctx, cancel := context.WithTimeout(ctx, firstPullTimeout)
 	defer cancel()
 	s.pullFrom(ctx, seed)
 }
@@ -100,6 +109,9 @@
 	}
 	s.catalog.Replace(snapshot)
 	if err := s.catchUp(ctx); err != nil {
+		if ctx.Err() != nil {
+			return err // over, or a peer was faster
+		}
 		s.logger.Info("stale state can't be brought up to date; reading the newest", zap.Error(err))
 		return s.readStore(ctx)
 	}
--- a/internal/configsync/start_test.go
+++ b/internal/configsync/start_test.go
@@ -116,3 +116,20 @@
 		is.Equal(f.nodes["z0-n0"].catalog.Revision(), revision)
 	})
 }
+
+// A node whose read of the store is not answered takes its state from a seed that starts later.
+func TestSeedThatStartsLaterIsStillAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 0)
+		defer f.stopAll()
+		revision := f.platform.write(t, "a", 1)
+		f.config.FirstReadDelay = 50 * time.Millisecond
+		f.platform.cutOff["z0-n1"] = true
+		f.start("z0-n1", "z0", "z0-n0")
+		time.Sleep(300 * time.Millisecond)
+		f.start("z0-n0", "z0", "z0-n0")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(f.nodes["z0-n1"].catalog.Revision(), revision)
+	})
+}
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -89,7 +89,7 @@
 listen: {callers: "%[3]s", operators: "%[4]s", peers: "%[5]s", advertise_peers: "%[6]s", front: "%[7]s", ready: "%[8]s", tree: "%[9]s", advertise_tree: "%[10]s"}
 platform: {address: "%[12]s", dialect: %[13]s, watch_wait: 1500ms}
 stop: {announce_delay: 500ms, drain_timeout: 2800ms}
-config_sync: {first_read_delay: 500ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
+config_sync: {first_read_delay: 60ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
 retry_budget: {ratio: 0.2, window: 10s, allowance: 56}
 seeds: ["%[14]s"]
 `
