--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -12,8 +12,8 @@
 	WatchersPerZone int `yaml:"watchers_per_zone"`
 	// FanOut is how many nodes a node hands a change to.
 	FanOut int `yaml:"fan_out"`
-	// FirstReadDelay is how long a node that starts waits for configuration from peers, at most,
-	// before it reads the store whether it will be a watcher or not. Large fleets want seconds.
+	// FirstReadDelay is how long a node that starts only asks its seeds, at most, before it reads the
+	// store beside that, whether it will be a watcher or not.
 	FirstReadDelay time.Duration `yaml:"first_read_delay"`
 	// BatchDelay is how long a watcher collects changes before it pushes them.
 	BatchDelay time.Duration `yaml:"batch_delay"`
