--- /dev/null
+++ b/internal/configsync/fleet_test.go
@@ -0,0 +1,232 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/machines"
+	"github.com/portgauge/portgauge/internal/membership"
+	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+var errDown = errors.New("store is down")
+
+// memoryPlatform is a store and machine list in memory.
+type memoryPlatform struct {
+	store.Store
+	mutex    sync.Mutex
+	log      []catalog.Change
+	changed  chan struct{}
+	machines []machines.Machine
+	lists    int
+	watches  int
+	// roles are those of the last watches, by node.
+	roles map[string]store.WatchRole
+	// staleLists counts the stale reads, which are answered by the state so many changes ago.
+	staleLists int
+	staleBy    int
+	// forgotten is the revision up to which changes are no longer kept.
+	forgotten int64
+	// cutOff holds the nodes that don't reach the platform.
+	cutOff map[string]bool
+	// forgetful says that watches tell where the store is, and not of changes.
+	forgetful bool
+}
+
+// platformView is the platform as one node reaches it.
+type platformView struct {
+	*memoryPlatform
+	node string
+}
+
+func (p *memoryPlatform) write(t *testing.T, name string, limit uint32) int64 {
+	t.Helper()
+	value, err := catalog.NewEnvelope("c", &adminv1.ServiceSpec{Name: name, ConcurrencyLimit: limit}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	revision := int64(len(p.log) + 1)
+	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: catalog.ServiceKey(name), Value: value, Revision: revision}, Previous: revision - 1})
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return revision
+}
+
+func (p platformView) List(_ context.Context, consistency store.Consistency) (catalog.Snapshot, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.cutOff[p.node] {
+		return catalog.Snapshot{}, errDown
+	}
+	known := p.log
+	if consistency == store.Stale {
+		p.staleLists++
+		known = known[:max(0, len(known)-p.staleBy)]
+	} else {
+		p.lists++
+	}
+	entries := map[string]catalog.Entry{}
+	for _, change := range known {
+		entries[change.Entry.Key] = change.Entry
+	}
+	snapshot := catalog.Snapshot{Revision: int64(len(known))}
+	for _, entry := range entries {
+		snapshot.Entries = append(snapshot.Entries, entry)
+	}
+	return snapshot, nil
+}
+
+func (p platformView) Watch(ctx context.Context, after int64, role store.WatchRole, receive func(store.Event) error) error {
+	p.mutex.Lock()
+	p.watches++
+	p.roles[p.node] = role
+	isForgotten := after < p.forgotten
+	p.mutex.Unlock()
+	if isForgotten {
+		return store.ErrHistoryGone
+	}
+	for isFirst := true; ; isFirst = false {
+		p.mutex.Lock()
+		missed, changed, down := p.log[after:], p.changed, p.cutOff[p.node]
+		newest, forgetful := int64(len(p.log)), p.forgetful
+		p.mutex.Unlock()
+		if down {
+			return errDown
+		}
+		if isFirst && len(missed) == 0 {
+			if err := receive(store.Event{Current: newest}); err != nil {
+				return err
+			}
+		}
+		if forgetful && after < newest {
+			missed, after = nil, newest
+			if err := receive(store.Event{Current: newest}); err != nil {
+				return err
+			}
+		}
+		for _, change := range missed {
+			if err := receive(store.Event{Change: &change, Current: newest}); err != nil {
+				return err
+			}
+			after = change.Entry.Revision
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(500 * time.Millisecond):
+			if err := receive(store.Event{Current: after}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (p platformView) ListMachines(_ context.Context, query machines.Query) (machines.List, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.cutOff[p.node] {
+		return machines.List{}, errDown
+	}
+	var list machines.List
+	for _, machine := range p.machines {
+		if (query.Zone == "" || machine.Zone == query.Zone) && (query.Role == "" || machine.Role == query.Role) {
+			list.Machines = append(list.Machines, machine)
+		}
+	}
+	return list, nil
+}
+
+// leafNotes records notices of leaving leafs.
+type leafNotes struct {
+	mutex   sync.Mutex
+	leaving map[string]time.Time
+}
+
+func (n *leafNotes) SetLeaving(leafID string, until time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.leaving[leafID] = until
+}
+
+// testNode is the control side of one node.
+type testNode struct {
+	id      string
+	catalog *catalog.Catalog
+	syncer  *Syncer
+	leafs   *leafNotes
+	stop    context.CancelFunc
+}
+
+// fleet is many nodes over one platform on a memory network, in virtual time.
+type fleet struct {
+	t        *testing.T
+	config   Config
+	platform *memoryPlatform
+	network  *peer.MemoryNetwork
+	nodes    map[string]*testNode
+}
+
+func newFleet(t *testing.T, zones, perZone int) *fleet {
+	f := &fleet{
+		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}, roles: map[string]store.WatchRole{}},
+		network: peer.NewMemoryNetwork(1, time.Millisecond), nodes: map[string]*testNode{},
+	}
+	for zone := range zones {
+		for number := range perZone {
+			id := fmt.Sprintf("z%d-n%d", zone, number)
+			f.platform.machines = append(f.platform.machines, machines.Machine{ID: id, Address: id, Zone: fmt.Sprintf("z%d", zone), State: machines.Live, Role: machines.RoleNode})
+		}
+	}
+	for _, machine := range f.platform.machines {
+		f.start(machine.ID, machine.Zone)
+	}
+	return f
+}
+
+func (f *fleet) start(id, zone string, seeds ...string) {
+	transport := f.network.Attach(id)
+	view := platformView{f.platform, id}
+	node := &testNode{id: id, catalog: catalog.New(nil), leafs: &leafNotes{leaving: map[string]time.Time{}}}
+	node.syncer = New(Parts{
+		Config: f.config, Catalog: node.catalog, Store: view, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
+	})
+	self := peer.Member{ID: id, Address: id, Zone: zone, Incarnation: time.Now().UnixMilli()}
+	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, 1)
+	node.syncer.SetMembership(members)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	node.stop = cancel
+	transport.Serve(NewPeerHandler(node.syncer, nil))
+	go node.syncer.Run(ctx)
+	go members.Run(ctx)
+	f.nodes[id] = node
+}
+
+func (f *fleet) stopAll() {
+	for _, node := range f.nodes {
+		node.stop()
+	}
+	time.Sleep(time.Minute)
+}
+
+// lagging gives the nodes that do not have a revision in force.
+func (f *fleet) lagging(revision int64) []string {
+	var lagging []string
+	for id, node := range f.nodes {
+		if node.catalog.Revision() < revision {
+			lagging = append(lagging, id)
+		}
+	}
+	return lagging
+}
