--- a/internal/servingtree/client.go
+++ b/internal/servingtree/client.go
@@ -194,6 +194,13 @@
 	return call
 }
 
+// find gives a call that is under way; nil when it is gone.
+func (s *session) find(number uint64) *Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[number]
+}
+
 // run opens the connection and reads it to its end.
 func (s *session) run() {
 	ctx, cancel := context.WithTimeout(context.Background(), s.client.cfg.ConnectTimeout)
@@ -255,9 +262,7 @@
 		}
 		return
 	}
-	s.mu.Lock()
-	call := s.calls[l.Number]
-	s.mu.Unlock()
+	call := s.find(l.Number)
 	if call == nil || !l.Accepted {
 		return
 	}
@@ -269,9 +274,7 @@
 
 // receivePart takes what is in of a reply before its end.
 func (s *session) receivePart(l line) {
-	s.mu.Lock()
-	call := s.calls[l.Number]
-	s.mu.Unlock()
+	call := s.find(l.Number)
 	if call == nil || l.Reply.Answer == nil {
 		return
 	}
