Evacuate a zone; go by the leafs of the moment at each later attempt, and right before a request is sent

And attempts that wait, for a connection or for a replica, went by the leafs of when their request was planned: a leaf that drained or was evacuated meanwhile could be asked as long as the request lived (up to 5 s). Ruled out for the second: nodes that learn late; the leafs' own logs don't tell, so leafs_changed now does.

Change: evacuations are a state of the catalog, pushed, pulled and remembered like leafs; leafset.Ready leaves the zone's leafs out, the memory of lost leafs too. The scatter asks for the replicas anew at each attempt that is not made at once; a connection asks leafmemory.MayAsk right before it sends. zone evacuate, restore and list, and the admin calls.

--- a/cmd/portgauge/main.go
+++ b/cmd/portgauge/main.go
@@ -17,6 +17,7 @@
 	Snapshot snapshotCommand `cmd:"" help:"Publish and list index snapshots."`
 	Routes   routesCommand   `cmd:"" help:"Check, change and show the routes of the front."`
 	Leaf     leafCommand     `cmd:"" help:"Add and remove the leafs that routes are served by."`
+	Zone     zoneCommand     `cmd:"" help:"Evacuate and restore the leafs of a zone."`
 	Search   searchCommand   `cmd:"" help:"Run one search and print its rows and coverage."`
 	Settings settingsCommand `cmd:"" help:"Check a settings file, or show all settings."`
 	Demo     demoCommand     `cmd:"" help:"Run a node with stand-in back ends in this process, break one, show what answers say."`
--- a/gen/portgauge/admin/v1/adminv1connect/admin.connect.go
+++ b/gen/portgauge/admin/v1/adminv1connect/admin.connect.go
@@ -65,6 +65,15 @@
 	AdminServiceApplyLeafProcedure = "/portgauge.admin.v1.AdminService/ApplyLeaf"
 	// AdminServiceDeleteLeafProcedure is the fully-qualified name of the AdminService's DeleteLeaf RPC.
 	AdminServiceDeleteLeafProcedure = "/portgauge.admin.v1.AdminService/DeleteLeaf"
+	// AdminServiceEvacuateZoneProcedure is the fully-qualified name of the AdminService's EvacuateZone
+	// RPC.
+	AdminServiceEvacuateZoneProcedure = "/portgauge.admin.v1.AdminService/EvacuateZone"
+	// AdminServiceRestoreZoneProcedure is the fully-qualified name of the AdminService's RestoreZone
+	// RPC.
+	AdminServiceRestoreZoneProcedure = "/portgauge.admin.v1.AdminService/RestoreZone"
+	// AdminServiceListEvacuatedZonesProcedure is the fully-qualified name of the AdminService's
+	// ListEvacuatedZones RPC.
+	AdminServiceListEvacuatedZonesProcedure = "/portgauge.admin.v1.AdminService/ListEvacuatedZones"
 )
 
 // AdminServiceClient is a client for the portgauge.admin.v1.AdminService service.
@@ -87,6 +96,10 @@
 	// ApplyLeaf adds or replaces the record of a leaf that routes are served by.
 	ApplyLeaf(context.Context, *connect.Request[v1.ApplyLeafRequest]) (*connect.Response[v1.ApplyLeafResponse], error)
 	DeleteLeaf(context.Context, *connect.Request[v1.DeleteLeafRequest]) (*connect.Response[v1.DeleteLeafResponse], error)
+	// EvacuateZone has all nodes send nothing more to the leafs of a zone, until RestoreZone.
+	EvacuateZone(context.Context, *connect.Request[v1.EvacuateZoneRequest]) (*connect.Response[v1.EvacuateZoneResponse], error)
+	RestoreZone(context.Context, *connect.Request[v1.RestoreZoneRequest]) (*connect.Response[v1.RestoreZoneResponse], error)
+	ListEvacuatedZones(context.Context, *connect.Request[v1.ListEvacuatedZonesRequest]) (*connect.Response[v1.ListEvacuatedZonesResponse], error)
 }
 
 // NewAdminServiceClient constructs a client for the portgauge.admin.v1.AdminService service. By
@@ -172,23 +185,44 @@
 			connect.WithSchema(adminServiceMethods.ByName("DeleteLeaf")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuateZone: connect.NewClient[v1.EvacuateZoneRequest, v1.EvacuateZoneResponse](
+			httpClient,
+			baseURL+AdminServiceEvacuateZoneProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("EvacuateZone")),
+			connect.WithClientOptions(opts...),
+		),
+		restoreZone: connect.NewClient[v1.RestoreZoneRequest, v1.RestoreZoneResponse](
+			httpClient,
+			baseURL+AdminServiceRestoreZoneProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("RestoreZone")),
+			connect.WithClientOptions(opts...),
+		),
+		listEvacuatedZones: connect.NewClient[v1.ListEvacuatedZonesRequest, v1.ListEvacuatedZonesResponse](
+			httpClient,
+			baseURL+AdminServiceListEvacuatedZonesProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("ListEvacuatedZones")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // adminServiceClient implements AdminServiceClient.
 type adminServiceClient struct {
-	applyService    *connect.Client[v1.ApplyServiceRequest, v1.ApplyServiceResponse]
-	getService      *connect.Client[v1.GetServiceRequest, v1.GetServiceResponse]
-	listServices    *connect.Client[v1.ListServicesRequest, v1.ListServicesResponse]
-	deleteService   *connect.Client[v1.DeleteServiceRequest, v1.DeleteServiceResponse]
-	watchServices   *connect.Client[v1.WatchServicesRequest, v1.WatchServicesResponse]
-	getStatus       *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
-	publishSnapshot *connect.Client[v1.PublishSnapshotRequest, v1.PublishSnapshotResponse]
-	listSnapshots   *connect.Client[v1.ListSnapshotsRequest, v1.ListSnapshotsResponse]
-	applyRoutes     *connect.Client[v1.ApplyRoutesRequest, v1.ApplyRoutesResponse]
-	getRoutes       *connect.Client[v1.GetRoutesRequest, v1.GetRoutesResponse]
-	applyLeaf       *connect.Client[v1.ApplyLeafRequest, v1.ApplyLeafResponse]
-	deleteLeaf      *connect.Client[v1.DeleteLeafRequest, v1.DeleteLeafResponse]
+	applyService       *connect.Client[v1.ApplyServiceRequest, v1.ApplyServiceResponse]
+	getService         *connect.Client[v1.GetServiceRequest, v1.GetServiceResponse]
+	listServices       *connect.Client[v1.ListServicesRequest, v1.ListServicesResponse]
+	deleteService      *connect.Client[v1.DeleteServiceRequest, v1.DeleteServiceResponse]
+	watchServices      *connect.Client[v1.WatchServicesRequest, v1.WatchServicesResponse]
+	getStatus          *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
+	publishSnapshot    *connect.Client[v1.PublishSnapshotRequest, v1.PublishSnapshotResponse]
+	listSnapshots      *connect.Client[v1.ListSnapshotsRequest, v1.ListSnapshotsResponse]
+	applyRoutes        *connect.Client[v1.ApplyRoutesRequest, v1.ApplyRoutesResponse]
+	getRoutes          *connect.Client[v1.GetRoutesRequest, v1.GetRoutesResponse]
+	applyLeaf          *connect.Client[v1.ApplyLeafRequest, v1.ApplyLeafResponse]
+	deleteLeaf         *connect.Client[v1.DeleteLeafRequest, v1.DeleteLeafResponse]
+	evacuateZone       *connect.Client[v1.EvacuateZoneRequest, v1.EvacuateZoneResponse]
+	restoreZone        *connect.Client[v1.RestoreZoneRequest, v1.RestoreZoneResponse]
+	listEvacuatedZones *connect.Client[v1.ListEvacuatedZonesRequest, v1.ListEvacuatedZonesResponse]
 }
 
 // ApplyService calls portgauge.admin.v1.AdminService.ApplyService.
@@ -251,6 +285,21 @@
 	return c.deleteLeaf.CallUnary(ctx, req)
 }
 
+// EvacuateZone calls portgauge.admin.v1.AdminService.EvacuateZone.
+func (c *adminServiceClient) EvacuateZone(ctx context.Context, req *connect.Request[v1.EvacuateZoneRequest]) (*connect.Response[v1.EvacuateZoneResponse], error) {
+	return c.evacuateZone.CallUnary(ctx, req)
+}
+
+// RestoreZone calls portgauge.admin.v1.AdminService.RestoreZone.
+func (c *adminServiceClient) RestoreZone(ctx context.Context, req *connect.Request[v1.RestoreZoneRequest]) (*connect.Response[v1.RestoreZoneResponse], error) {
+	return c.restoreZone.CallUnary(ctx, req)
+}
+
+// ListEvacuatedZones calls portgauge.admin.v1.AdminService.ListEvacuatedZones.
+func (c *adminServiceClient) ListEvacuatedZones(ctx context.Context, req *connect.Request[v1.ListEvacuatedZonesRequest]) (*connect.Response[v1.ListEvacuatedZonesResponse], error) {
+	return c.listEvacuatedZones.CallUnary(ctx, req)
+}
+
 // AdminServiceHandler is an implementation of the portgauge.admin.v1.AdminService service.
 type AdminServiceHandler interface {
 	// ApplyService creates or replaces a service by compare-and-swap.
@@ -271,6 +320,10 @@
 	// ApplyLeaf adds or replaces the record of a leaf that routes are served by.
 	ApplyLeaf(context.Context, *connect.Request[v1.ApplyLeafRequest]) (*connect.Response[v1.ApplyLeafResponse], error)
 	DeleteLeaf(context.Context, *connect.Request[v1.DeleteLeafRequest]) (*connect.Response[v1.DeleteLeafResponse], error)
+	// EvacuateZone has all nodes send nothing more to the leafs of a zone, until RestoreZone.
+	EvacuateZone(context.Context, *connect.Request[v1.EvacuateZoneRequest]) (*connect.Response[v1.EvacuateZoneResponse], error)
+	RestoreZone(context.Context, *connect.Request[v1.RestoreZoneRequest]) (*connect.Response[v1.RestoreZoneResponse], error)
+	ListEvacuatedZones(context.Context, *connect.Request[v1.ListEvacuatedZonesRequest]) (*connect.Response[v1.ListEvacuatedZonesResponse], error)
 }
 
 // NewAdminServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -352,6 +405,24 @@
 		connect.WithSchema(adminServiceMethods.ByName("DeleteLeaf")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceEvacuateZoneHandler := connect.NewUnaryHandler(
+		AdminServiceEvacuateZoneProcedure,
+		svc.EvacuateZone,
+		connect.WithSchema(adminServiceMethods.ByName("EvacuateZone")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceRestoreZoneHandler := connect.NewUnaryHandler(
+		AdminServiceRestoreZoneProcedure,
+		svc.RestoreZone,
+		connect.WithSchema(adminServiceMethods.ByName("RestoreZone")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceListEvacuatedZonesHandler := connect.NewUnaryHandler(
+		AdminServiceListEvacuatedZonesProcedure,
+		svc.ListEvacuatedZones,
+		connect.WithSchema(adminServiceMethods.ByName("ListEvacuatedZones")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/portgauge.admin.v1.AdminService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AdminServiceApplyServiceProcedure:
@@ -378,6 +449,12 @@
 			adminServiceApplyLeafHandler.ServeHTTP(w, r)
 		case AdminServiceDeleteLeafProcedure:
 			adminServiceDeleteLeafHandler.ServeHTTP(w, r)
+		case AdminServiceEvacuateZoneProcedure:
+			adminServiceEvacuateZoneHandler.ServeHTTP(w, r)
+		case AdminServiceRestoreZoneProcedure:
+			adminServiceRestoreZoneHandler.ServeHTTP(w, r)
+		case AdminServiceListEvacuatedZonesProcedure:
+			adminServiceListEvacuatedZonesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -434,3 +511,15 @@
 func (UnimplementedAdminServiceHandler) DeleteLeaf(context.Context, *connect.Request[v1.DeleteLeafRequest]) (*connect.Response[v1.DeleteLeafResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.DeleteLeaf is not implemented"))
 }
+
+func (UnimplementedAdminServiceHandler) EvacuateZone(context.Context, *connect.Request[v1.EvacuateZoneRequest]) (*connect.Response[v1.EvacuateZoneResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.EvacuateZone is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) RestoreZone(context.Context, *connect.Request[v1.RestoreZoneRequest]) (*connect.Response[v1.RestoreZoneResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.RestoreZone is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) ListEvacuatedZones(context.Context, *connect.Request[v1.ListEvacuatedZonesRequest]) (*connect.Response[v1.ListEvacuatedZonesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.ListEvacuatedZones is not implemented"))
+}
--- a/internal/api/admin_handler.go
+++ b/internal/api/admin_handler.go
@@ -86,6 +86,21 @@
 	return reply(h.admin.DeleteLeaf(ctx, request.Msg))
 }
 
+// EvacuateZone implements AdminServiceHandler.
+func (h *adminHandler) EvacuateZone(ctx context.Context, request *connect.Request[adminv1.EvacuateZoneRequest]) (*connect.Response[adminv1.EvacuateZoneResponse], error) {
+	return reply(h.admin.EvacuateZone(ctx, request.Msg))
+}
+
+// RestoreZone implements AdminServiceHandler.
+func (h *adminHandler) RestoreZone(ctx context.Context, request *connect.Request[adminv1.RestoreZoneRequest]) (*connect.Response[adminv1.RestoreZoneResponse], error) {
+	return reply(h.admin.RestoreZone(ctx, request.Msg))
+}
+
+// ListEvacuatedZones implements AdminServiceHandler.
+func (h *adminHandler) ListEvacuatedZones(context.Context, *connect.Request[adminv1.ListEvacuatedZonesRequest]) (*connect.Response[adminv1.ListEvacuatedZonesResponse], error) {
+	return connect.NewResponse(h.admin.ListEvacuatedZones()), nil
+}
+
 // WatchServices implements AdminServiceHandler.
 func (h *adminHandler) WatchServices(ctx context.Context, request *connect.Request[adminv1.WatchServicesRequest], stream *connect.ServerStream[adminv1.WatchServicesResponse]) error {
 	changes, cancel := h.catalog.Subscribe(watchBuffer)
--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -24,9 +24,10 @@
 	Processors float64 `json:"processors,omitempty"`
 }
 
-// isTransient reports whether a key holds the record of a process, which ends with it.
+// isTransient reports whether a key stands only while something lasts, a process or an evacuation, and
+// is then removed without a tombstone that must be kept.
 func isTransient(key string) bool {
-	return strings.HasPrefix(key, leafPrefix) || strings.HasPrefix(key, nodePrefix)
+	return strings.HasPrefix(key, leafPrefix) || strings.HasPrefix(key, nodePrefix) || strings.HasPrefix(key, evacuationPrefix)
 }
 
 // draft is a view that is not yet in force. Parts of the view before it are copied only when
@@ -67,6 +68,8 @@
 		err = target.compileLeaf(strings.TrimPrefix(entry.Key, leafPrefix), entry)
 	case strings.HasPrefix(entry.Key, nodePrefix):
 		err = target.compileNode(strings.TrimPrefix(entry.Key, nodePrefix), entry)
+	case strings.HasPrefix(entry.Key, evacuationPrefix):
+		target.leafEditor().SetEvacuated(strings.TrimPrefix(entry.Key, evacuationPrefix), !entry.Deleted)
 	}
 	if err != nil && c.rejected != nil {
 		c.rejected(entry.Key, err)
@@ -110,12 +113,18 @@
 	return nil
 }
 
-func (d *draft) compileLeaf(id string, entry Entry) error {
+// leafEditor gives the editor of the draft's leafs.
+func (d *draft) leafEditor() *leafset.Editor {
 	if d.leafs == nil {
 		d.leafs = d.view.Leafs.Edit()
 	}
+	return d.leafs
+}
+
+func (d *draft) compileLeaf(id string, entry Entry) error {
+	leafs := d.leafEditor()
 	if entry.Deleted {
-		d.leafs.Remove(id)
+		leafs.Remove(id)
 		return nil
 	}
 	document, err := DecodeDocument(entry)
@@ -126,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	d.leafs.Put(&leafset.Leaf{Record: record, Revision: entry.Revision})
+	leafs.Put(&leafset.Leaf{Record: record, Revision: entry.Revision})
 	return nil
 }
 
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -20,6 +20,8 @@
 	snapshotPrefix = "snapshot/"
 	leafPrefix     = "leaf/"
 	nodePrefix     = "node/"
+	// evacuationPrefix begins the keys of zones whose leafs must get nothing while the key stands.
+	evacuationPrefix = "evacuation/"
 	// RoutesKey is the store key of the routing configuration.
 	RoutesKey = "routes"
 	// RememberedKey is the store key of the list of leafs that the fleet wrote down.
@@ -40,6 +42,9 @@
 // NodeKey is the store key of a node's own record.
 func NodeKey(id string) string { return nodePrefix + id }
 
+// EvacuationKey is the store key that stands while a zone is evacuated.
+func EvacuationKey(zone string) string { return evacuationPrefix + zone }
+
 // Entry is the value of one key at the revision that wrote it; a tombstone has Deleted set.
 type Entry struct {
 	Key      string          `json:"key"`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,6 +222,7 @@
 	w.query.Leaf.AtMostOnce = entry.Repeatability == routing.AtMostOnce
 	plan := scatter.Plan{
 		Shards:          make([]scatter.Shard, len(w.services)),
+		Refresh:         w.candidates,
 		Deadline:        w.query.deadline,
 		Groups:          scatterGroups(w.groups),
 		Sufficient:      max(1, w.query.required),
@@ -268,7 +269,7 @@
 	return latency
 }
 
-// candidates gives the leafs of a shard that may be asked, and keeps how.
+// candidates gives the leafs of a shard that may be asked now, and keeps how.
 func (w *gathering) candidates(shard int) []balancer.Candidate {
 	service := w.services[shard]
 	return w.gateway.partsOf(service, w.isGathered(), w.query.service(service).MaximumConnections, &w.targets[shard])
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -110,11 +110,12 @@
 // begin sends the request of the exchange that holds the connection.
 func (c *connection) begin(e *Exchange) {
 	remaining := time.Until(e.deadline)
-	if remaining <= 0 {
-		// Nothing was sent, so the connection stays good.
-		c.wrote()
-		c.giveBack(e, true)
-		e.end(nil, &NeverSentError{Cause: errDeadlinePassed})
+	switch {
+	case remaining <= 0:
+		c.decline(e, errDeadlinePassed)
+		return
+	case c.pool.isBarred(e.target.Incarnation):
+		c.decline(e, errBarred)
 		return
 	}
 	if e.request.AtMostOnce && !c.quiet() {
@@ -141,6 +142,13 @@
 	}
 }
 
+// decline ends an exchange that holds the connection before anything was sent; the connection stays good.
+func (c *connection) decline(e *Exchange, cause error) {
+	c.wrote()
+	c.giveBack(e, true)
+	e.end(nil, &NeverSentError{Cause: cause})
+}
+
 // assign gives the connection to an exchange, whose request is from then on being written. The
 // pool's mutex must be held.
 func (c *connection) assign(e *Exchange) {
--- a/internal/leafhttp/connections_test.go
+++ b/internal/leafhttp/connections_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,3 +171,41 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A request that waits for a connection is not sent once its leaf must get nothing any more.
+func TestWaitingRequestIsNotSentToABarredLeaf(t *testing.T) {
+	is := is.New(t)
+	var barred atomic.Bool
+	answer := make(chan struct{})
+	b := newBench(t, DefaultConfig(), func(httpleaf.Request) httpleaf.Answer {
+		<-answer
+		return httpleaf.Answer{Body: []byte("x")}
+	})
+	b.pool.SetMayAsk(func(string) bool { return !barred.Load() })
+	target := b.target()
+	target.Connections = 1
+	ended := make(chan error, 2)
+	start := func() {
+		b.pool.Start(target, b.request(), time.Now().Add(time.Minute), func(_ *Response, err error) { ended <- err })
+	}
+	start()
+	for len(b.leaf.Asked()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	start() // waits for the connection of the first
+	barred.Store(true)
+	close(answer)
+	var neverSent *NeverSentError
+	first, second := <-ended, <-ended
+	if first != nil {
+		first, second = second, first
+	}
+	is.NoErr(first)
+	is.True(errors.As(second, &neverSent))
+	is.Equal(len(b.leaf.Asked()), 1)
+	barred.Store(false)
+	_, err := b.ask(t.Context(), target, b.request(), time.Now().Add(time.Minute))
+	is.NoErr(err) // the connection stayed good
+	opened, _ := b.leaf.Connections()
+	is.Equal(opened, 1)
+}
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -26,6 +26,8 @@
 	dialect httpdialect.Dialect
 	// opened is told of each connection opened.
 	opened func()
+	// mayAsk reports whether a leaf may be sent a request now; nil allows all.
+	mayAsk func(incarnation string) bool
 
 	mutex  sync.Mutex
 	leafs  map[string]*leafConnections // by incarnation
@@ -58,6 +60,13 @@
 	return &Pool{config: config, dialect: dialect, opened: opened, leafs: map[string]*leafConnections{}}
 }
 
+// SetMayAsk sets what is asked right before a request is sent, so that one that waited for a connection is
+// not sent to a leaf that must get nothing any more. It must be set before the pool is used.
+func (p *Pool) SetMayAsk(mayAsk func(incarnation string) bool) { p.mayAsk = mayAsk }
+
+// isBarred reports whether a leaf must get nothing.
+func (p *Pool) isBarred(incarnation string) bool { return p.mayAsk != nil && !p.mayAsk(incarnation) }
+
 // CanSpare reports whether a leaf may be tried on a spare connection now.
 func (p *Pool) CanSpare(incarnation string) bool {
 	p.mutex.Lock()
--- a/internal/leafmemory/leafmemory_test.go
+++ b/internal/leafmemory/leafmemory_test.go
@@ -115,3 +115,46 @@
 	is.NoErr(DefaultConfig().Validate())
 	is.Equal(len(failure.Faults(Config{Hold: -1, TrustAfterStart: -1, MaximumLeafs: -1}.Validate())), 4)
 }
+
+// An evacuated zone's leafs are no last resort, be they lost a moment ago or written down.
+func TestEvacuatedLeafsAreNoLastResort(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	inZone := func(id, zone string) leafset.Record {
+		made := record(id, leafset.Ready)
+		made.Zone = zone
+		return made
+	}
+	put(t, known, catalog.LeafKey("a"), inZone("a", "east"))
+	put(t, known, catalog.RememberedKey, leafset.List{Leafs: []leafset.Record{inZone("a", "east"), inZone("b", "west")}})
+	memory := New(DefaultConfig(), known)
+	is.True(memory.MayAsk("a"))
+	put(t, known, catalog.EvacuationKey("east"), struct{}{})
+	is.True(!memory.MayAsk("a"))
+	leafs, _ := memory.Candidates("s")
+	is.Equal(len(leafs), 1) // by the list that was written down
+	is.Equal(leafs[0].ID, "b")
+	put(t, known, catalog.LeafKey("a"), nil)
+	is.True(!memory.MayAsk("a"))
+	leafs, _ = memory.Candidates("s")
+	is.Equal(len(leafs), 1)
+	put(t, known, catalog.EvacuationKey("east"), nil)
+	is.True(memory.MayAsk("a")) // lost a moment ago, and its zone is back
+}
+
+// What may be sent to a leaf ends with its drain, its end and what is remembered of it.
+func TestLeafThatWentMayBeAskedForAWhile(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	put(t, known, catalog.LeafKey("a"), record("a", leafset.Ready))
+	now := time.Now()
+	memory := New(DefaultConfig(), known)
+	memory.now = func() time.Time { return now }
+	now = now.Add(DefaultConfig().TrustAfterStart)
+	is.True(memory.MayAsk("a"))
+	is.True(!memory.MayAsk("other"))
+	put(t, known, catalog.LeafKey("a"), record("a", leafset.Draining))
+	is.True(memory.MayAsk("a"))
+	now = now.Add(DefaultConfig().Hold + time.Millisecond)
+	is.True(!memory.MayAsk("a"))
+}
--- a/internal/leafmemory/memory.go
+++ b/internal/leafmemory/memory.go
@@ -8,6 +8,7 @@
 package leafmemory
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -71,7 +72,8 @@
 }
 
 // Candidates gives the leafs of a service that may be asked, and whether they are only what is
-// left of it: ready ones, or, where there is none, those that were ready a moment ago.
+// left of it: ready ones, or, where there is none, those that were ready a moment ago. Leafs of an
+// evacuated zone are never among them.
 func (m *Memory) Candidates(service string) (leafs []*leafset.Leaf, lastResort bool) {
 	view := m.catalog.View()
 	m.notice(view.Leafs)
@@ -79,15 +81,42 @@
 	if len(ready) > 0 {
 		return ready, false
 	}
-	if recent := m.recent(service); len(recent) > 0 {
+	isEvacuated := func(leaf *leafset.Leaf) bool { return view.Leafs.IsEvacuated(leaf.Zone) }
+	if recent := slices.DeleteFunc(m.recent(service), isEvacuated); len(recent) > 0 {
 		return recent, true
 	}
 	if m.now().Sub(m.started) < m.config.TrustAfterStart {
-		return view.Remembered.Of(service), true
+		return slices.DeleteFunc(slices.Clone(view.Remembered.Of(service)), isEvacuated), true
 	}
 	return nil, true
 }
 
+// MayAsk reports whether a leaf may be sent a request now. What was planned a while ago may not be
+// sent any more: meanwhile the leaf began to drain, went, or its zone was evacuated.
+func (m *Memory) MayAsk(id string) bool {
+	view := m.catalog.View()
+	if leaf, found := view.Leafs.ByID(id); found && leaf.State == leafset.Ready {
+		return !view.Leafs.IsEvacuated(leaf.Zone)
+	}
+	m.notice(view.Leafs)
+	leaf, found := m.held(id)
+	if !found && m.now().Sub(m.started) < m.config.TrustAfterStart {
+		leaf, found = view.Remembered.ByID(id)
+	}
+	return found && !view.Leafs.IsEvacuated(leaf.Zone)
+}
+
+// held gives a leaf that was lost a moment ago.
+func (m *Memory) held(id string) (*leafset.Leaf, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	lost, found := m.lost[id]
+	if !found || m.now().Sub(lost.at) > m.config.Hold {
+		return nil, false
+	}
+	return lost.leaf, true
+}
+
 // notice finds which leafs were lost since the last look.
 func (m *Memory) notice(current *leafset.Set) {
 	m.mutex.Lock()
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -79,11 +79,12 @@
 	byService map[string][]*Leaf // each sorted by id
 	ready     map[string][]*Leaf // of byService, those that take work; services with all of them left out
 	byID      map[string]*Leaf
+	evacuated map[string]bool // zones whose leafs must get nothing
 }
 
 // Empty gives a set without leafs.
 func Empty() *Set {
-	return &Set{byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}}
+	return &Set{byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}, evacuated: map[string]bool{}}
 }
 
 // Of gives the leafs of a service. The slice is shared: callers must not change it.
@@ -98,6 +99,15 @@
 	return s.byService[service]
 }
 
+// IsEvacuated reports whether operators want nothing sent to the leafs of a zone.
+func (s *Set) IsEvacuated(zone string) bool { return s.evacuated[zone] }
+
+// EvacuatedZones gives the zones that are evacuated, sorted.
+func (s *Set) EvacuatedZones() []string { return slices.Sorted(maps.Keys(s.evacuated)) }
+
+// IsUsable reports whether a leaf takes work: it is ready, and its zone is not evacuated.
+func (s *Set) IsUsable(leaf *Leaf) bool { return leaf.State == Ready && !s.evacuated[leaf.Zone] }
+
 // ByID gives a leaf; false when discovery knows none of that id.
 func (s *Set) ByID(id string) (*Leaf, bool) {
 	leaf, found := s.byID[id]
@@ -120,11 +130,13 @@
 type Editor struct {
 	set   *Set
 	owned map[string]bool // services whose slice is the copy's own
+	// evacuationsChanged says that the ready leafs of every service must be found anew.
+	evacuationsChanged bool
 }
 
 // Edit starts a copy.
 func (s *Set) Edit() *Editor {
-	copied := &Set{byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID)}
+	copied := &Set{byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID), evacuated: s.evacuated}
 	return &Editor{set: copied, owned: map[string]bool{}}
 }
 
@@ -152,20 +164,43 @@
 	e.set.byService[known.Service] = leafs
 }
 
+// SetEvacuated notes whether a zone is evacuated.
+func (e *Editor) SetEvacuated(zone string, evacuated bool) {
+	if e.set.evacuated[zone] == evacuated {
+		return
+	}
+	e.set.evacuated = maps.Clone(e.set.evacuated)
+	e.evacuationsChanged = true
+	if evacuated {
+		e.set.evacuated[zone] = true
+		return
+	}
+	delete(e.set.evacuated, zone)
+}
+
 // Done gives the changed set; the editor must not be used after it.
 func (e *Editor) Done() *Set {
-	for service := range e.owned {
-		leafs := e.set.byService[service]
-		if !slices.ContainsFunc(leafs, isNotReady) {
-			delete(e.set.ready, service)
-			continue
+	if e.evacuationsChanged {
+		for service := range e.set.byService {
+			e.findReady(service)
 		}
-		e.set.ready[service] = slices.DeleteFunc(slices.Clone(leafs), isNotReady)
+	}
+	for service := range e.owned {
+		e.findReady(service)
 	}
 	return e.set
 }
 
-func isNotReady(leaf *Leaf) bool { return leaf.State != Ready }
+// findReady finds which leafs of a service take work.
+func (e *Editor) findReady(service string) {
+	isUnusable := func(leaf *Leaf) bool { return !e.set.IsUsable(leaf) }
+	leafs := e.set.byService[service]
+	if !slices.ContainsFunc(leafs, isUnusable) {
+		delete(e.set.ready, service)
+		return
+	}
+	e.set.ready[service] = slices.DeleteFunc(slices.Clone(leafs), isUnusable)
+}
 
 func (e *Editor) own(service string) []*Leaf {
 	if !e.owned[service] {
--- a/internal/leafset/leafset_test.go
+++ b/internal/leafset/leafset_test.go
@@ -53,3 +53,29 @@
 	_, err = ParseList([]byte("["), 1)
 	is.True(err != nil)
 }
+
+// The leafs of an evacuated zone are known, and take nothing until the evacuation ends.
+func TestEvacuatedLeafsTakeNothing(t *testing.T) {
+	is := is.New(t)
+	editor := Empty().Edit()
+	editor.Put(&Leaf{Record: Record{ID: "1", Service: "s", Zone: "a", State: Ready}})
+	editor.Put(&Leaf{Record: Record{ID: "2", Service: "s", Zone: "b", State: Ready}})
+	before := editor.Done()
+	editor = before.Edit()
+	editor.SetEvacuated("a", true)
+	editor.Put(&Leaf{Record: Record{ID: "3", Service: "t", Zone: "a", State: Ready}})
+	during := editor.Done()
+	is.Equal(len(before.Ready("s")), 2)
+	is.Equal(len(during.Ready("s")), 1)
+	is.Equal(during.Ready("s")[0].ID, "2")
+	is.Equal(len(during.Ready("t")), 0)
+	is.Equal(len(during.Of("s")), 2)
+	is.Equal(during.EvacuatedZones(), []string{"a"})
+	editor = during.Edit()
+	editor.SetEvacuated("a", false)
+	after := editor.Done()
+	is.Equal(len(after.Ready("s")), 2)
+	is.Equal(len(after.Ready("t")), 1)
+	is.True(during.IsEvacuated("a"))
+	is.True(!after.IsEvacuated("a"))
+}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -26,6 +26,7 @@
 // Names of events that change what the node believes.
 const (
 	eventEntryChanged = "entry_changed"
+	eventLeafsChanged = "leafs_changed"
 	eventLeafEjected  = "leaf_ejected"
 	eventLeafReturned = "leaf_returned"
 	eventLeafJudged   = "leaf_judged"
@@ -39,8 +40,6 @@
 	Gone     bool      `json:"gone,omitempty"`
 	// Version is the operators' number of the routes in force after the change.
 	Version int64 `json:"config_version,omitempty"`
-	// State is the leaf's own word, for records of leafs.
-	State leafset.State `json:"state,omitempty"`
 }
 
 type leafEvent struct {
@@ -61,6 +60,40 @@
 	Told          bool               `json:"told"`
 }
 
+// leafsEvent says which leafs a node began or ceased to send work to, and where its evacuations stand: of
+// hundreds of leafs that change together, each is named.
+type leafsEvent struct {
+	Time     time.Time `json:"time"`
+	Event    string    `json:"event"`
+	Revision int64     `json:"revision"`
+	Ready    []string  `json:"ready,omitempty"`
+	Draining []string  `json:"draining,omitempty"`
+	Gone     []string  `json:"gone,omitempty"`
+	// LeftOut is how many more leafs changed than one line names.
+	LeftOut int `json:"left_out,omitempty"`
+	// Evacuated are the zones whose leafs get nothing.
+	Evacuated []string `json:"evacuated,omitempty"`
+}
+
+// mostNamedLeafs bounds the leafs that one line names; at 12 bytes an id it is 6 KB at most.
+const mostNamedLeafs = 512
+
+// add notes the change of a leaf.
+func (e *leafsEvent) add(id string, state leafset.State, gone bool) {
+	if len(e.Ready)+len(e.Draining)+len(e.Gone) >= mostNamedLeafs {
+		e.LeftOut++
+		return
+	}
+	switch {
+	case gone:
+		e.Gone = append(e.Gone, id)
+	case state == leafset.Ready:
+		e.Ready = append(e.Ready, id)
+	default:
+		e.Draining = append(e.Draining, id)
+	}
+}
+
 // changeBacklog is how many changes of configuration may wait to be logged.
 const changeBacklog = 128
 
@@ -71,24 +104,56 @@
 	for {
 		select {
 		case change := <-changes:
-			for _, entry := range change.Entries() {
-				j.entryChanged(entry)
-			}
+			j.changed(withWaiting(change, changes))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// withWaiting gives the entries of a change and of those that wait behind it.
+func withWaiting(change catalog.Change, changes <-chan catalog.Change) []catalog.Entry {
+	entries := change.Entries()
+	for {
+		select {
+		case next := <-changes:
+			entries = append(entries, next.Entries()...)
+		default:
+			return entries
+		}
+	}
+}
+
+// changed logs the leafs among some changed entries in one line, and the other entries one by one.
+func (j *beliefJournal) changed(entries []catalog.Entry) {
+	view := j.catalog.View()
+	leafs := leafsEvent{Time: time.Now(), Event: eventLeafsChanged, Revision: view.Revision, Evacuated: view.Leafs.EvacuatedZones()}
+	count := 0
+	for _, entry := range entries {
+		id, isLeaf := strings.CutPrefix(entry.Key, catalog.LeafKey(""))
+		if !isLeaf {
+			j.entryChanged(entry)
+			continue
+		}
+		count++
+		leaf, found := view.Leafs.ByID(id)
+		if !found {
+			leafs.add(id, "", true)
+			continue
+		}
+		leafs.add(id, leaf.State, false)
+	}
+	if count > 0 {
+		j.log.Write(decisionlog.Failed, leafs)
+	}
+}
+
 func (j *beliefJournal) entryChanged(entry catalog.Entry) {
 	event := entryEvent{Time: time.Now(), Event: eventEntryChanged, Key: entry.Key, Revision: entry.Revision, Gone: entry.Deleted}
 	view := j.catalog.View()
 	if entry.Key == catalog.RoutesKey && view.Routes != nil {
 		event.Version = view.Routes.Version
 	}
-	if leaf, found := view.Leafs.ByID(strings.TrimPrefix(entry.Key, catalog.LeafKey(""))); found {
-		event.State = leaf.State
-	}
 	j.log.Write(decisionlog.Failed, event)
 }
 
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -131,8 +131,9 @@
 	return connshare.New(config.ConnectionShare, census, self)
 }
 
-func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
+func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, memory *leafmemory.Memory, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
 	pool := leafhttp.New(config.LeafHTTP, dialect, metrics.LeafConnections.Inc)
+	pool.SetMayAsk(memory.MayAsk)
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
--- a/internal/scatter/plan.go
+++ b/internal/scatter/plan.go
@@ -92,6 +92,10 @@
 	Shards []Shard
 	// Groups are disjoint sets of the shards, each asked as one first; see Group.
 	Groups []Group
+	// Refresh gives the replicas of a shard as they are now, by its index; nil keeps those of the plan. It is
+	// called before each attempt that is not made at once: meanwhile a replica may have gone, or begun to
+	// drain, and others may have come.
+	Refresh func(shard int) []balancer.Candidate
 	// Deadline is when every open shard is given up.
 	Deadline time.Time
 	// SoftDeadline is from when Sufficient replies are enough; zero means never.
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -28,8 +28,10 @@
 	grouped      int // open shards that are asked in a group
 	shards       []shardState[Reply]
 	open         int // shards without an outcome
-	summary      Summary
-	began        time.Time
+	// isPlanFresh says that the plan's replicas were found just now.
+	isPlanFresh bool
+	summary     Summary
+	began       time.Time
 	// heldSince is when hedges first had to wait for this node; zero while they never had to.
 	heldSince time.Time
 }
@@ -115,11 +117,13 @@
 	s.began = time.Now()
 	defer s.cancelOutstanding()
 	s.startGroups()
+	s.isPlanFresh = true
 	for index := range s.shards {
 		if !s.shards[index].isGrouped {
 			s.launchFirst(index)
 		}
 	}
+	s.isPlanFresh = false
 	timer := time.NewTimer(s.untilNext())
 	defer timer.Stop()
 	for s.open > 0 && !s.enough() && !s.hopeless() {
@@ -236,7 +240,7 @@
 // taken again if no attempt is out there.
 func (s *Scatter[Reply]) choose(index int) balancer.Choice {
 	shard := &s.shards[index]
-	candidates := s.plan.Shards[index].Candidates
+	candidates := s.candidates(index)
 	choice := s.balancer.Choose(candidates, shard.tried)
 	if choice.Leaf != nil || s.plan.ReplicaWait == 0 || len(shard.tried) == len(shard.inFlight) {
 		return choice
@@ -248,6 +252,14 @@
 	return s.balancer.Choose(candidates, busy)
 }
 
+// candidates gives the replicas of a shard.
+func (s *Scatter[Reply]) candidates(index int) []balancer.Candidate {
+	if s.plan.Refresh == nil || s.isPlanFresh {
+		return s.plan.Shards[index].Candidates
+	}
+	return s.plan.Refresh(index)
+}
+
 // admit counts an attempt into its shard.
 func (s *Scatter[Reply]) admit(index int, leaf *balancer.Leaf, now time.Time) {
 	shard := &s.shards[index]
--- a/internal/search/scatter.go
+++ b/internal/search/scatter.go
@@ -44,6 +44,7 @@
 		NoHedges:        s.service.Spec.GetHedge().GetDisabled(),
 		MaximumAttempts: s.engine.config.MaximumAttempts,
 	}
+	plan.Refresh = func(shard int) []balancer.Candidate { return s.candidatesFor(s.parts[shard]) }
 	for index, part := range s.parts {
 		plan.Shards[index] = scatter.Shard{Candidates: s.candidatesFor(part), Policy: s.policy}
 	}
@@ -68,13 +69,15 @@
 	if s.query.atMostOnce && s.query.callerNamed {
 		leafIDs = []string{designatedLeaf(s.query.id, leafIDs)}
 	}
+	evacuated := s.engine.catalog.View().Leafs
 	candidates := make([]balancer.Candidate, 0, len(leafIDs))
 	for _, leafID := range leafIDs {
 		leaf, known := s.service.Leafs[leafID]
 		if !known {
 			continue
 		}
-		candidates = append(candidates, balancer.Candidate{LeafID: leafID, Zone: leaf.GetZone(), Leaving: leaf.GetLeaving()})
+		isLeaving := leaf.GetLeaving() || evacuated.IsEvacuated(leaf.GetZone())
+		candidates = append(candidates, balancer.Candidate{LeafID: leafID, Zone: leaf.GetZone(), Leaving: isLeaving})
 	}
 	return candidates
 }
