Cold leafs get no more than they bear, summed over all nodes

A bound kept by each node alone is broken or wasteful at 76 nodes. Change: internal/warmup. A few nodes a leaf, by rendezvous and those of its zone first, have shares of its rate with room for twice as many senders (nodes that know of another fleet for a moment); the others ask siblings. Taken right before a request is sent, hedges and repeats too. Open: a service whose leafs are all cold at once is served by few nodes only; a cold leaf's own word in health answers is not read, since health checks have their price.

--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"maps"
 	"strings"
+	"time"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
 	"github.com/portgauge/portgauge/internal/failure"
@@ -35,6 +36,7 @@
 type draft struct {
 	view       *View
 	leafs      *leafset.Editor // nil while no leaf changed
+	before     *leafset.Set    // the leafs in force before the draft
 	ownsNodes  bool
 	ownService bool
 }
@@ -42,7 +44,7 @@
 func newDraft(current *View, revision int64) *draft {
 	next := *current
 	next.Revision = revision
-	return &draft{view: &next}
+	return &draft{view: &next, before: current.Leafs}
 }
 
 func (d *draft) done() *View {
@@ -135,7 +137,11 @@
 	if err != nil {
 		return err
 	}
-	leafs.Put(&leafset.Leaf{Record: record, Revision: entry.Revision})
+	known, found := d.before.ByID(id)
+	if !found || known.Revision != entry.Revision {
+		known = leafset.NewLeaf(record, entry.Revision, time.Now())
+	}
+	leafs.Put(known)
 	return nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/routing"
 	"github.com/portgauge/portgauge/internal/scatter"
+	"github.com/portgauge/portgauge/internal/warmup"
 )
 
 // notReadyRetryAfter is what callers of a node without routes are told.
@@ -43,7 +44,9 @@
 	Balancer *balancer.Balancer
 	Budgets  *retrybudget.Budgets
 	Leafs    LeafCaller
-	Journal  Journal
+	// Warmup says which cold leafs this node may ask; nil means all.
+	Warmup  *warmup.Limiter
+	Journal Journal
 	// Self is this node's own record.
 	Self catalog.NodeRecord
 	// Fleet and Intermediates let other nodes gather; nil means that this one does it all itself.
@@ -61,6 +64,7 @@
 	balancer *balancer.Balancer
 	budgets  *retrybudget.Budgets
 	leafs    LeafCaller
+	warmup   *warmup.Limiter
 	journal  Journal
 
 	latencies *latencyBook
@@ -76,7 +80,7 @@
 func New(parts Parts) *Gateway {
 	g := &Gateway{
 		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, dealer: parts.Dealer, balancer: parts.Balancer,
-		budgets: parts.Budgets, leafs: parts.Leafs, journal: parts.Journal,
+		budgets: parts.Budgets, leafs: parts.Leafs, warmup: parts.Warmup, journal: parts.Journal,
 		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
 	}
 	if parts.Config.ServingTree && parts.Fleet != nil && parts.Intermediates != nil {
@@ -287,6 +291,9 @@
 		if part.Connections == 0 && !g.leafs.CanSpare(leaf.ID) {
 			continue
 		}
+		if g.warmup != nil && !g.warmup.HasRoom(leaf) {
+			continue
+		}
 		*targets = append(*targets, leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare})
 		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0, LastResort: part.LastResort})
 	}
--- a/internal/gateway/refresh_test.go
+++ b/internal/gateway/refresh_test.go
@@ -14,6 +14,8 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/leafhttp"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/warmup"
 )
 
 // Attempts that are made later than the first go by the leafs as they are then: one that drains or whose
@@ -55,3 +57,31 @@
 		})
 	}
 }
+
+// coldFleet is a fleet of one node that the others know of.
+type coldFleet struct{ alone }
+
+func (coldFleet) IsRegistered() bool { return true }
+
+// What a cold leaf can't take goes to a sibling.
+func TestColdLeafsSiblingTakesTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leafs := &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return time.Millisecond, answered(200, leaf), nil
+		}}
+		g, _ := newGateway(t, leafs)
+		g.warmup = warmup.New(warmup.DefaultConfig(), g.catalog, coldFleet{}, catalog.NodeRecord{ID: "n"})
+		put(t, g.catalog, catalog.LeafKey("s0a"), leafset.Record{
+			ID: "s0a", Service: "s0", Address: "127.0.0.1:1", State: leafset.Ready, WarmupMillis: 60_000,
+		})
+		put(t, g.catalog, catalog.RoutesKey, routing.Configuration{Version: 2, Routes: []routing.Route{{
+			Host: "h", Prefix: "/single/", Service: "s0", Repeatability: routing.Repeatable,
+		}}, Services: []routing.Service{{Name: "s0", ColdRequestsPerSecond: 4}}})
+		for range 20 {
+			answer, err := g.Serve(t.Context(), ask("/single/1"))
+			is.NoErr(err)
+			is.Equal(string(answer.Body), "s0b") // this node's share has no request yet
+		}
+	})
+}
--- a/internal/leafhttp/errors.go
+++ b/internal/leafhttp/errors.go
@@ -76,7 +76,7 @@
 var errDeadlinePassed = errors.New("the deadline passed before the request was sent")
 
 // errBarred refuses to send a request to a leaf that must get nothing any more.
-var errBarred = errors.New("the leaf left, drains, or its zone is evacuated")
+var errBarred = errors.New("the leaf left, drains, is too cold, or its zone is evacuated")
 
 // errSurplus ends a resting connection on which bytes came that nobody asked for.
 var errSurplus = errors.New("bytes that belong to no request")
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/portgauge/portgauge/internal/failure"
 )
@@ -41,6 +42,18 @@
 	Record
 	// Revision is the store's revision that wrote the record.
 	Revision int64
+	// ColdUntil is until when the leaf bears few requests, by this node's clock; zero when it is warm. Word
+	// of it is as old as the way from the store, so that the leaf is warm a little sooner.
+	ColdUntil time.Time
+}
+
+// NewLeaf makes a leaf from a record that this node learned of at a time.
+func NewLeaf(record Record, revision int64, learned time.Time) *Leaf {
+	leaf := &Leaf{Record: record, Revision: revision}
+	if record.WarmupMillis > 0 {
+		leaf.ColdUntil = learned.Add(time.Duration(record.WarmupMillis) * time.Millisecond)
+	}
+	return leaf
 }
 
 // List is many records, as they are written down together.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 			newDealer,
 			newHTTPPool,
 			newBudgets,
+			newWarmup,
 			newDecisionLog,
 			newJournal,
 			newBeliefJournal,
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -34,6 +34,7 @@
 	"github.com/portgauge/portgauge/internal/settings"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/telemetry"
+	"github.com/portgauge/portgauge/internal/warmup"
 )
 
 func newLevel(config settings.Settings) (zap.AtomicLevel, error) {
@@ -131,13 +132,17 @@
 	return connshare.New(config.ConnectionShare, census, self)
 }
 
-func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, memory *leafmemory.Memory, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
+func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, memory *leafmemory.Memory, cold *warmup.Limiter, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
 	pool := leafhttp.New(config.LeafHTTP, dialect, metrics.LeafConnections.Inc)
-	pool.SetMayAsk(memory.MayAsk)
+	pool.SetMayAsk(func(incarnation string) bool { return memory.MayAsk(incarnation) && cold.Take(incarnation) })
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
 
+func newWarmup(config settings.Settings, known *catalog.Catalog, census *registry.Census, self catalog.NodeRecord) *warmup.Limiter {
+	return warmup.New(config.Warmup, known, census, self)
+}
+
 func newBudgets(config settings.Settings, known *catalog.Catalog, census *registry.Census) *retrybudget.Budgets {
 	return retrybudget.New(config.RetryBudget, func(service string) float64 {
 		routes := known.View().Routes
@@ -165,6 +170,7 @@
 	Balancer      *balancer.Balancer
 	Budgets       *retrybudget.Budgets
 	Leafs         *leafhttp.Pool
+	Warmup        *warmup.Limiter
 	Journal       gateway.Journal
 	Self          catalog.NodeRecord
 	Fleet         *registry.Census
@@ -174,7 +180,7 @@
 func newGateway(parts gatewayParts) *gateway.Gateway {
 	return gateway.New(gateway.Parts{
 		Config: parts.Config.Gateway, Dialect: parts.Dialect, Catalog: parts.Catalog, Memory: parts.Memory, Dealer: parts.Dealer,
-		Balancer: parts.Balancer, Budgets: parts.Budgets, Leafs: parts.Leafs, Journal: parts.Journal,
+		Balancer: parts.Balancer, Budgets: parts.Budgets, Leafs: parts.Leafs, Warmup: parts.Warmup, Journal: parts.Journal,
 		Self: parts.Self, Fleet: parts.Fleet, Intermediates: parts.Intermediates,
 	})
 }
--- a/internal/registry/census.go
+++ b/internal/registry/census.go
@@ -60,6 +60,12 @@
 	return c.isGatherer
 }
 
+// IsRegistered reports whether the others know of this node, as far as it knows itself.
+func (c *Census) IsRegistered() bool {
+	_, registered := c.catalog.View().Nodes[c.self]
+	return registered
+}
+
 // refresh looks at the configuration in force. The lock must be held.
 func (c *Census) refresh() {
 	view := c.catalog.View()
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -75,6 +75,9 @@
 	// MaximumConnections is how many connections a leaf accepts from all callers together;
 	// 0 means that there is no limit.
 	MaximumConnections int `json:"maximum_connections,omitempty"`
+	// ColdRequestsPerSecond is how many requests a second a leaf bears from all callers together while it
+	// is cold, as after its start; 0 means that there is no limit.
+	ColdRequestsPerSecond float64 `json:"cold_requests_per_second,omitempty"`
 }
 
 // Limits bound what callers may send, and how long they may take; 0 means the default.
@@ -150,6 +153,7 @@
 	for index, service := range c.Services {
 		checks.Refuse(service.Name == "", indexed("services", index)+".name", "must not be empty")
 		checks.Refuse(service.MaximumConnections < 0, indexed("services", index)+".maximum_connections", "must not be negative")
+		checks.Refuse(service.ColdRequestsPerSecond < 0, indexed("services", index)+".cold_requests_per_second", "must not be negative")
 	}
 	return checks.Err()
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
+	"github.com/portgauge/portgauge/internal/warmup"
 )
 
 // Node is who the node is.
@@ -117,6 +118,7 @@
 	RetryBudget     retrybudget.Config  `yaml:"retry_budget"`
 	Registry        registry.Config     `yaml:"registry"`
 	LeafGossip      leafgossip.Config   `yaml:"leaf_gossip"`
+	Warmup          warmup.Config       `yaml:"warmup"`
 	ServingTree     servingtree.Config  `yaml:"serving_tree"`
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
 }
@@ -146,6 +148,7 @@
 		RetryBudget:     retrybudget.DefaultConfig(),
 		Registry:        registry.DefaultConfig(),
 		LeafGossip:      leafgossip.DefaultConfig(),
+		Warmup:          warmup.DefaultConfig(),
 		ServingTree:     servingtree.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
 	}
@@ -204,6 +207,7 @@
 	checks.Add("retry_budget", s.RetryBudget.Validate())
 	checks.Add("registry", s.Registry.Validate())
 	checks.Add("leaf_gossip", s.LeafGossip.Validate())
+	checks.Add("warmup", s.Warmup.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
 	return checks.Err()
 }
--- /dev/null
+++ b/internal/settings/template_test.go
@@ -0,0 +1,34 @@
+package settings
+
+import (
+	"os"
+	"regexp"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/warmup"
+)
+
+// gap is a place that the platform fills in.
+var gap = regexp.MustCompile(`\{\{[^}]*\}\}`)
+
+// A platform that does not know a field of the template leaves nothing in its place: the default holds then.
+func TestTemplateFieldsThatThePlatformDoesNotKnowKeepTheirDefaults(t *testing.T) {
+	is := is.New(t)
+	parsed, err := Parse("settings.yaml", []byte("node: {zone: z}\nwarmup:\n  excess: \n  slack: \n"))
+	is.NoErr(err)
+	is.Equal(parsed.Warmup, warmup.DefaultConfig())
+}
+
+// The template names only fields that exist.
+func TestTemplateHasKnownFields(t *testing.T) {
+	is := is.New(t)
+	template, err := os.ReadFile(repository + "/deploy/settings.yaml")
+	is.NoErr(err)
+	filled := regexp.MustCompile(`"\{\{[^}]*\}\}:?[^"]*"`).ReplaceAll(template, []byte(`"10.0.0.1:80"`))
+	filled = regexp.MustCompile(`\{\{Seeds\|json\}\}`).ReplaceAll(filled, []byte("[]"))
+	filled = gap.ReplaceAll(filled, []byte("1"))
+	_, err = Parse("settings.yaml", filled)
+	is.NoErr(err)
+}
