Weighted parts keep their share; what no leaf can serve is refused at once, with when to come back

Cause: a part of a weighted route without a candidate leaf was passed over, so that its requests moved to another part; and a request whose leafs are all gone, drain or are evacuated was held until its deadline. Change: shares go by the weights alone. Before any leaf is asked, a request is refused as not run where too few services have a leaf; its caller, and that of leafs that can't be reached, is told to come back within the last part of the third of its time that callers wait.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,11 +124,7 @@
 	case len(entry.Gathered) > 0:
 		return entry.Gathered
 	case len(entry.Weighted) > 0:
-		chosen := g.shares.Next(entry, func(service string) bool {
-			leafs, _ := g.memory.Candidates(service)
-			return len(leafs) > 0
-		})
-		return []string{entry.Weighted[chosen].Service}
+		return []string{entry.Weighted[g.shares.Next(entry)].Service}
 	}
 	return []string{entry.Service}
 }
@@ -174,6 +170,9 @@
 
 func (w *gathering) serve(ctx context.Context) (*Answer, error) {
 	w.countRequests()
+	if err := w.refuseWithoutLeafs(); err != nil {
+		return nil, err
+	}
 	plan := w.plan()
 	if err := w.refuse(plan); err != nil {
 		return nil, err
@@ -373,11 +372,20 @@
 	}
 	failed := failure.New(code, execution, "%d of %d shards are missing: %s", len(w.outcomes)-w.summary.Replies, len(w.outcomes), reason)
 	if execution == failure.NotRun {
-		failed = failed.WithRetryAfter(w.gateway.config.RetryAfter)
+		failed = failed.WithRetryAfter(w.retryAfter(reason))
 	}
 	return failed
 }
 
+// retryAfter says when the caller of a request that did not run should come back. Leafs that were full have
+// a place again once a request ends there; leafs that could not be reached may take long.
+func (w *gathering) retryAfter(reason scatter.Reason) time.Duration {
+	if reason == reasonNotSent || reason == noLeaf {
+		return w.query.latestReturn()
+	}
+	return w.gateway.config.RetryAfter
+}
+
 func (w *gathering) firstReason() scatter.Reason {
 	for _, outcome := range w.outcomes {
 		if outcome.Reply == nil {
--- /dev/null
+++ b/internal/gateway/impossible.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/scatter"
+)
+
+// noLeaf is the reason of a service for which no leaf is known.
+const noLeaf = scatter.Reason(balancer.NoReplica)
+
+// refuseWithoutLeafs gives a failure where so many services have no leaf that the answer could not be a
+// success: all are gone, drain or are evacuated. Waiting for one would only hold the caller, who can come
+// back to this node or another.
+func (w *gathering) refuseWithoutLeafs() error {
+	if w.collected != nil {
+		return nil // a part of a request is for its root to judge
+	}
+	required := max(1, w.query.required)
+	leafs := w.gateway.catalog.View().Leafs
+	without := 0
+	for _, service := range w.services {
+		if len(leafs.Ready(service)) > 0 {
+			continue
+		}
+		if remembered, _ := w.gateway.memory.Candidates(service); len(remembered) == 0 {
+			without++
+		}
+	}
+	if len(w.services)-without >= required {
+		return nil
+	}
+	failed := failure.New(failure.Overloaded, failure.NotRun, "%d of %d services have no leaf, %d are needed: %s", without, len(w.services), required, noLeaf)
+	return failed.WithRetryAfter(w.query.latestReturn())
+}
+
+// Callers follow the time that they are told up to a third of the time they have. Those who are told it
+// together come back spread over its last part.
+const (
+	returnParts     = 3
+	leastReturnPart = 0.7
+)
+
+// defaultReturn is what callers are told who don't say how long they wait.
+const defaultReturn = time.Second
+
+// latestReturn gives about the latest time after which the caller still comes back, for troubles that take
+// as long as they take: it may come back only once or twice.
+func (q *query) latestReturn() time.Duration {
+	left := q.Patience - time.Since(q.Arrived)
+	if q.Patience == 0 || left <= 0 {
+		left = returnParts * defaultReturn
+	}
+	part := leastReturnPart + (1-leastReturnPart)*rand.Float64()
+	return time.Duration(part * float64(left/returnParts))
+}
--- /dev/null
+++ b/internal/gateway/impossible_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/routing"
+)
+
+// A request that no leaf can serve is refused at once, as not run, with a time that its caller will wait; one
+// for which enough leafs are left is served.
+func TestRequestWithoutLeafsIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leafs := &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return time.Millisecond, answered(200, records(leaf)), nil
+		}}
+		g, _ := newGateway(t, leafs)
+		time.Sleep(time.Minute) // long after the start
+		lose := func(service int) {
+			for _, replica := range []string{"a", "b"} {
+				put(t, g.catalog, catalog.LeafKey(fmt.Sprintf("s%d%s", service, replica)), nil)
+			}
+			g.memory.IDs() // notices the loss
+			time.Sleep(time.Minute)
+		}
+		for _, service := range []int{0, 1} {
+			lose(service)
+		}
+		answer, err := g.Serve(t.Context(), ask("/pages/1"))
+		is.NoErr(err) // 8 of 10 parts are needed
+		is.Equal(answer.Missing, 2)
+		lose(2)
+		for _, path := range []string{"/pages/1", "/single/1", "/once/1"} {
+			before := len(leafs.asked)
+			started := time.Now()
+			request := ask(path)
+			_, err = g.Serve(t.Context(), request)
+			failed := failure.From(err)
+			is.Equal(failed.Execution, failure.NotRun)
+			is.Equal(failed.Code, failure.Overloaded)
+			is.True(failed.RetryAfter > request.Patience/6 && failed.RetryAfter <= request.Patience/3)
+			is.Equal(time.Since(started), time.Duration(0))
+			is.Equal(len(leafs.asked), before)
+		}
+	})
+}
+
+// Callers of leafs that can't be reached are told to come back as late as they will.
+func TestUnreachableLeafsGiveCallersTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, _ := newGateway(t, &scriptedLeafs{answer: func(string) (time.Duration, *leafhttp.Response, error) {
+			return time.Millisecond, nil, &leafhttp.NeverSentError{Cause: errors.New("refused")}
+		}})
+		request := ask("/once/1")
+		_, err := g.Serve(t.Context(), request)
+		is.Equal(failure.From(err).Execution, failure.NotRun)
+		is.True(failure.From(err).RetryAfter > request.Patience/6)
+	})
+}
+
+// A weighted part without leafs keeps its share: its requests are refused, and none goes to another part.
+func TestWeightedPartWithoutLeafsKeepsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leafs := &scriptedLeafs{answer: func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return time.Millisecond, answered(200, leaf), nil
+		}}
+		g, _ := newGateway(t, leafs)
+		time.Sleep(time.Minute)
+		put(t, g.catalog, catalog.RoutesKey, routing.Configuration{Version: 2, Routes: []routing.Route{{
+			Host: "h", Prefix: "/split/", Repeatability: routing.Repeatable,
+			Weighted: []routing.WeightedService{{Service: "s0", Weight: 3}, {Service: "gone", Weight: 1}},
+		}}})
+		refusals := 0
+		for range 400 {
+			_, err := g.Serve(t.Context(), ask("/split/1"))
+			if err != nil {
+				is.Equal(failure.From(err).Execution, failure.NotRun)
+				refusals++
+			}
+		}
+		is.True(refusals >= 99 && refusals <= 101)
+	})
+}
--- a/internal/routing/weights.go
+++ b/internal/routing/weights.go
@@ -22,9 +22,10 @@
 // maximumKeptRoutes bounds the routes whose credits are kept; beyond it all start anew.
 const maximumKeptRoutes = 4096
 
-// Next gives the index of the part of a weighted route that takes the next request. Parts for
-// which usable is false earn nothing and are passed over, unless none is usable.
-func (s *Shares) Next(entry *Entry, usable func(service string) bool) int {
+// Next gives the index of the part of a weighted route that takes the next request. A part that is short
+// of room, or has no leaf, keeps its share: operators weigh services that are not alike, as two versions,
+// and what one can't take must not go to another.
+func (s *Shares) Next(entry *Entry) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	credits, found := s.routes[entry.WeightKey]
@@ -35,13 +36,9 @@
 		credits = firstCredits(entry.Weighted)
 		s.routes[entry.WeightKey] = credits
 	}
-	anyUsable := false
-	for _, part := range entry.Weighted {
-		anyUsable = anyUsable || (part.Weight > 0 && usable(part.Service))
-	}
 	best, total := -1, 0.0
 	for index, part := range entry.Weighted {
-		if part.Weight <= 0 || (anyUsable && !usable(part.Service)) {
+		if part.Weight <= 0 {
 			continue
 		}
 		credits[index] += part.Weight
