Keep a route to its regions: leafs, and the nodes that gather its requests

Change: routes[].regions, and regions in the settings (the region of each zone). Leafs elsewhere are no candidates, and zones elsewhere are not passed on to; a node elsewhere reads only what its own callers sent. Taking out either check fails the test.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,8 @@
 	Journal Journal
 	// Self is this node's own record.
 	Self catalog.NodeRecord
+	// Regions gives the region of each zone; a zone that it lacks is in none.
+	Regions map[string]string
 	// Fleet and Intermediates let other nodes gather; nil means that this one does it all itself.
 	Fleet         Fleet
 	Intermediates Intermediates
@@ -66,6 +69,7 @@
 	leafs    LeafCaller
 	warmup   *warmup.Limiter
 	journal  Journal
+	regions  map[string]string // by zone
 
 	latencies *latencyBook
 	patience  *patienceBook
@@ -80,7 +84,7 @@
 func New(parts Parts) *Gateway {
 	g := &Gateway{
 		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, dealer: parts.Dealer, balancer: parts.Balancer,
-		budgets: parts.Budgets, leafs: parts.Leafs, warmup: parts.Warmup, journal: parts.Journal,
+		budgets: parts.Budgets, leafs: parts.Leafs, warmup: parts.Warmup, journal: parts.Journal, regions: parts.Regions,
 		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
 	}
 	if parts.Config.ServingTree && parts.Fleet != nil && parts.Intermediates != nil {
@@ -275,7 +279,17 @@
 // candidates gives the leafs of a shard that may be asked now, and keeps how.
 func (w *gathering) candidates(shard int) []balancer.Candidate {
 	service := w.services[shard]
-	return w.gateway.partsOf(service, w.isGathered(), w.query.service(service).MaximumConnections, &w.targets[shard])
+	limit := w.query.service(service).MaximumConnections
+	candidates := w.gateway.partsOf(service, w.isGathered(), limit, &w.targets[shard])
+	if len(w.query.entry.Regions) == 0 {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(candidate balancer.Candidate) bool { return !w.allowsZone(candidate.Zone) })
+}
+
+// allowsZone reports whether leafs of a zone may run the request.
+func (w *gathering) allowsZone(zone string) bool {
+	return w.query.entry.AllowsRegion(w.gateway.regions[zone])
 }
 
 // partsOf gives the leafs of a service that this node may ask, and adds to targets how. The limit
--- a/internal/gateway/impossible.go
+++ b/internal/gateway/impossible.go
@@ -2,10 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/balancer"
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/scatter"
 )
 
@@ -13,7 +15,7 @@
 const noLeaf = scatter.Reason(balancer.NoReplica)
 
 // refuseWithoutLeafs gives a failure where so many services have no leaf that the answer could not be a
-// success: all are gone, drain or are evacuated. Waiting for one would only hold the caller, who can come
+// success: all are gone, drain, are evacuated or in regions that the route is not allowed. Waiting for one would only hold the caller, who can come
 // back to this node or another.
 func (w *gathering) refuseWithoutLeafs() error {
 	if w.collected != nil {
@@ -23,10 +25,11 @@
 	leafs := w.gateway.catalog.View().Leafs
 	without := 0
 	for _, service := range w.services {
-		if len(leafs.Ready(service)) > 0 {
+		isAllowed := func(leaf *leafset.Leaf) bool { return w.allowsZone(leaf.Zone) }
+		if slices.ContainsFunc(leafs.Ready(service), isAllowed) {
 			continue
 		}
-		if remembered, _ := w.gateway.memory.Candidates(service); len(remembered) == 0 {
+		if remembered, _ := w.gateway.memory.Candidates(service); !slices.ContainsFunc(remembered, isAllowed) {
 			without++
 		}
 	}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -12,7 +12,8 @@
 // placement knows in which zones the leafs of gathered routes are; safe for concurrent use.
 type placement struct {
 	catalog *catalog.Catalog
-	zone    string // this node's own
+	zone    string            // this node's own
+	regions map[string]string // by zone
 
 	mu    sync.Mutex
 	leafs *leafset.Set // those that parts were found by
@@ -27,15 +28,16 @@
 	shards []int
 }
 
-func newPlacement(known *catalog.Catalog, zone string) *placement {
-	return &placement{catalog: known, zone: zone, parts: map[*routing.Entry][]routePart{}}
+func newPlacement(known *catalog.Catalog, zone string, regions map[string]string) *placement {
+	return &placement{catalog: known, zone: zone, regions: regions, parts: map[*routing.Entry][]routePart{}}
 }
 
 // mostPlaced bounds the routes whose parts are kept.
 const mostPlaced = 1024
 
 // of gives the parts of a gathered route: the services with a leaf in the own zone, and the others,
-// by the zones that have most of them. The slices are shared: callers must not change them.
+// by the zones that have most of them. Only leafs in regions that the route is allowed count, so that no
+// node elsewhere reads its requests. The slices are shared: callers must not change them.
 func (p *placement) of(entry *routing.Entry) []routePart {
 	leafs := p.catalog.View().Leafs
 	p.mu.Lock()
@@ -59,7 +61,9 @@
 	for index, service := range entry.Gathered {
 		zones[index] = map[string]bool{}
 		for _, leaf := range leafs.Ready(service) {
-			zones[index][leaf.Zone] = true
+			if entry.AllowsRegion(p.regions[leaf.Zone]) {
+				zones[index][leaf.Zone] = true
+			}
 		}
 		if zones[index][p.zone] {
 			own.shards = append(own.shards, index)
--- /dev/null
+++ b/internal/gateway/regions_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+)
+
+// newRegionTree starts a node in each zone; the route is kept to some regions.
+func newRegionTree(t *testing.T, regions ...string) *tree {
+	t.Helper()
+	built := newTree(t, near("n1"), far("f1"), catalog.NodeRecord{ID: "r1", Zone: zoneFarther})
+	var gathered []string
+	for index := range shardCount {
+		gathered = append(gathered, fmt.Sprintf("s%d", index))
+	}
+	for _, node := range built.nodes {
+		built.putRoutes(node, 2, gathered, regions...)
+	}
+	return built
+}
+
+// A route that is kept to a region is served by its leafs alone, also when those fail and others would do;
+// a node elsewhere reads the request only if it took it itself.
+func TestRouteIsKeptToItsRegions(t *testing.T) {
+	for _, root := range []string{"n1", "f1", "r1"} {
+		t.Run("taken by "+root, func(t *testing.T) {
+			is := is.New(t)
+			built := newRegionTree(t, regionWest)
+			built.whole(built.ask(root))
+			for _, node := range built.nodes {
+				node.leafs.treat(func(leaf string) (time.Duration, *leafhttp.Response, error) {
+					return 0, nil, &leafhttp.BrokenAnswerError{Cause: errSilent}
+				})
+			}
+			_, err := built.ask(root)
+			is.True(err != nil)
+			for id := range built.nodes {
+				for _, leaf := range built.seen.by(id) {
+					is.True(!strings.HasSuffix(leaf, zoneFarther)) // its only leafs in the south
+				}
+			}
+			if root != "r1" {
+				is.Equal(len(built.seen.by("r1")), 0)
+				for _, pass := range built.nodes[root].journal.passes {
+					is.True(pass.Intermediate != "r1")
+				}
+			}
+		})
+	}
+}
+
+// A route whose region holds too few of its services is refused at once.
+func TestRouteWithoutLeafsInItsRegionsIsRefused(t *testing.T) {
+	is := is.New(t)
+	built := newRegionTree(t, regionSouth)
+	_, err := built.ask("n1")
+	is.Equal(failure.From(err).Execution, failure.NotRun)
+	is.True(failure.From(err).RetryAfter > 0)
+	for id := range built.nodes {
+		is.Equal(len(built.seen.by(id)), 0)
+	}
+}
+
+// Without regions of its own a route is served everywhere.
+func TestRouteWithoutRegionsIsServedEverywhere(t *testing.T) {
+	built := newRegionTree(t)
+	built.whole(built.ask("n1"))
+	built.whole(built.ask("r1"))
+}
--- a/internal/gateway/root.go
+++ b/internal/gateway/root.go
@@ -63,7 +63,7 @@
 func newRoot(parts Parts) *root {
 	return &root{
 		self: parts.Self, fleet: parts.Fleet, intermediates: parts.Intermediates,
-		placement: newPlacement(parts.Catalog, parts.Self.Zone), standing: newStanding(),
+		placement: newPlacement(parts.Catalog, parts.Self.Zone, parts.Regions), standing: newStanding(),
 		hop: lagTracker{lag: firstHop},
 	}
 }
--- a/internal/gateway/tree_fleet_test.go
+++ b/internal/gateway/tree_fleet_test.go
@@ -109,6 +109,9 @@
 	zoneNear    = "near"
 	zoneFar     = "far"
 	zoneFarther = "farther"
+
+	regionWest  = "west"
+	regionSouth = "south"
 )
 
 // nearShards is how many services have a leaf in the near zone.
@@ -165,15 +168,17 @@
 		Balancer: balancer.New(balancer.DefaultConfig(), node.record.Zone),
 		Budgets:  treeBudgets(),
 		Leafs:    node.leafs, Journal: node.journal, Self: node.record, Fleet: census, Intermediates: client,
+		Regions: map[string]string{zoneNear: regionWest, zoneFar: regionWest, zoneFarther: regionSouth},
 	})
 	node.server = servingtree.NewServer(servingtree.DefaultConfig(), node.gateway)
 	go node.server.Serve(node.listener)
 }
 
-func (b *tree) putRoutes(node *treeNode, version int64, gathered []string) {
+func (b *tree) putRoutes(node *treeNode, version int64, gathered []string, regions ...string) {
 	put(b.t, node.catalog, catalog.RoutesKey, routing.Configuration{Version: version, Routes: []routing.Route{{
 		Name: "pages", Host: "h", Prefix: "/pages/", Gathered: gathered, TopRecords: 2 * shardCount, MinimumCoverage: 0.8,
 		Repeatability: routing.Repeatable, MaximumAttempts: 2, TimeoutMillis: 60_000, ObjectiveMillis: treeObjective.Milliseconds(),
+		Regions: regions,
 	}}})
 }
 
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -181,7 +181,7 @@
 	return gateway.New(gateway.Parts{
 		Config: parts.Config.Gateway, Dialect: parts.Dialect, Catalog: parts.Catalog, Memory: parts.Memory, Dealer: parts.Dealer,
 		Balancer: parts.Balancer, Budgets: parts.Budgets, Leafs: parts.Leafs, Warmup: parts.Warmup, Journal: parts.Journal,
-		Self: parts.Self, Fleet: parts.Fleet, Intermediates: parts.Intermediates,
+		Self: parts.Self, Regions: parts.Config.Regions, Fleet: parts.Fleet, Intermediates: parts.Intermediates,
 	})
 }
 
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -57,6 +57,9 @@
 	TimeoutMillis int64 `json:"timeout_millis"`
 	// ObjectiveMillis is the time within which an answer has its full worth.
 	ObjectiveMillis int64 `json:"objective_millis"`
+	// Regions are those whose leafs may run the requests, and whose nodes may read them for another; empty
+	// means all.
+	Regions []string `json:"regions,omitempty"`
 	// Priority ranks requests when there is too much work; 0 is the most urgent.
 	Priority int `json:"priority"`
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -91,7 +91,12 @@
 }
 
 func gatherKey(entry *Entry) uint64 {
-	return xxhash.Sum64String(fmt.Sprintf("%q %d %d %s", entry.Gathered, entry.TopRecords, entry.Attempts, entry.Repeatability))
+	return xxhash.Sum64String(fmt.Sprintf("%q %d %d %s %q", entry.Gathered, entry.TopRecords, entry.Attempts, entry.Repeatability, entry.Regions))
+}
+
+// AllowsRegion reports whether leafs of a region may run the route's requests.
+func (e *Entry) AllowsRegion(region string) bool {
+	return len(e.Regions) == 0 || slices.Contains(e.Regions, region)
 }
 
 // coverageTolerance absorbs the rounding of a share written in decimals.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,8 @@
 	Node     Node     `yaml:"node"`
 	Listen   Listen   `yaml:"listen"`
 	Platform Platform `yaml:"platform"`
+	// Regions gives the region of each zone, for routes that are kept to some regions.
+	Regions map[string]string `yaml:"regions"`
 	// Seeds are peer addresses to join through, besides the machine list.
 	Seeds []string `yaml:"seeds"`
 	// LogLevel is debug, info, warn or error.
