--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -128,6 +128,9 @@
 			checks.Refuse(true, path, "is not a setting (%s line %d)", name, key.Line)
 			continue
 		}
+		if path == regionsPath {
+			continue // its keys are zones
+		}
 		refuseUnknown(checks, name, node.Content[index+1], path+".", known)
 	}
 }
@@ -229,7 +232,7 @@
 	var paths []string
 	for index := 0; index+1 < len(node.Content); index += 2 {
 		path := prefix + node.Content[index].Value
-		if node.Content[index+1].Kind == yaml.MappingNode {
+		if isGroup(path, node.Content[index+1]) {
 			paths = append(paths, pathsOf(node.Content[index+1], path+".")...)
 			continue
 		}
@@ -238,6 +241,14 @@
 	return paths
 }
 
+// regionsPath is the one setting that is a table of its own.
+const regionsPath = "regions"
+
+// isGroup reports whether the value at a path is a group of settings.
+func isGroup(path string, value *yaml.Node) bool {
+	return value.Kind == yaml.MappingNode && path != regionsPath
+}
+
 // reloadable are the settings that a running node can change.
 var reloadable = map[string]bool{"log_level": true, "seeds": true}
 
@@ -271,7 +282,7 @@
 func collectValues(node *yaml.Node, prefix string, found map[string]string) {
 	for index := 0; index+1 < len(node.Content); index += 2 {
 		path, value := prefix+node.Content[index].Value, node.Content[index+1]
-		if value.Kind == yaml.MappingNode {
+		if isGroup(path, value) {
 			collectValues(value, path+".", found)
 			continue
 		}
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -28,7 +28,12 @@
 	is.NoErr(err)
 	filled := regexp.MustCompile(`"\{\{[^}]*\}\}:?[^"]*"`).ReplaceAll(template, []byte(`"10.0.0.1:80"`))
 	filled = regexp.MustCompile(`\{\{Seeds\|json\}\}`).ReplaceAll(filled, []byte("[]"))
+	filled = regexp.MustCompile(`\{\{Zones\|json\}\}`).ReplaceAll(filled, []byte(`{"z": "west"}`))
 	filled = gap.ReplaceAll(filled, []byte("1"))
-	_, err = Parse("settings.yaml", filled)
+	parsed, err := Parse("settings.yaml", filled)
 	is.NoErr(err)
+	is.Equal(parsed.Regions, map[string]string{"z": "west"})
+	changed := parsed
+	changed.Regions = nil
+	is.Equal(Differences(parsed, changed), []string{"regions"})
 }
