--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -19,6 +19,7 @@
 	Experiment experimentCommand `cmd:"" help:"Measure the node against a baseline in one run."`
 	Soak       soakCommand       `cmd:"" help:"Bring about random faults around real nodes and judge the promises."`
 	Variants   variantsCommand   `cmd:"" help:"Play deployments and days drawn from a seed on the users' bench."`
+	Compare    compareCommand    `cmd:"" help:"Play policies on the same days and seeds of the users' bench."`
 	Replay     replayCommand     `cmd:"" help:"Replay traces over real processes and judge their outcomes."`
 }
 
--- a/internal/httpdialect/httpdialect.go
+++ b/internal/httpdialect/httpdialect.go
@@ -16,7 +16,8 @@
 	ExpectedIncarnation string
 	// NotExecuted marks a leaf's answer to a request that it did not run.
 	NotExecuted string
-	// ServerLoad holds a leaf's running and waiting requests and its slots, joined by commas.
+	// ServerLoad holds a leaf's running and waiting requests and its slots, and perhaps how long its work
+	// takes now in hundredths of the usual, joined by commas.
 	ServerLoad string
 	// PartStamps lists the signatures of a gathered answer's parts.
 	PartStamps string
--- a/internal/leafhttp/answer.go
+++ b/internal/leafhttp/answer.go
@@ -86,20 +86,31 @@
 	}
 }
 
-// loadFields is the number of figures in a leaf's word on its load.
-const loadFields = 3
+// leastLoadFields and mostLoadFields are how many figures a leaf's word on its load has: the last is left
+// out by leafs that don't know how slow their machine is.
+const (
+	leastLoadFields = 3
+	mostLoadFields  = 4
+)
+
+// usualPace is the pace, in hundredths, of a leaf whose work takes its usual time.
+const usualPace = 100
 
+// parseLoad reads a leaf's word on its load; nil when it is not understood.
 func parseLoad(text string) *Load {
-	var figures [loadFields]int
-	for index := range figures {
-		field, rest, more := strings.Cut(text, ",")
+	fields := strings.Split(text, ",")
+	if len(fields) < leastLoadFields || len(fields) > mostLoadFields {
+		return nil
+	}
+	figures := [mostLoadFields]int{mostLoadFields - 1: usualPace}
+	for index, field := range fields {
 		figure, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil || figure < 0 || more != (index < loadFields-1) {
+		if err != nil || figure < 0 {
 			return nil
 		}
-		figures[index], text = figure, rest
+		figures[index] = figure
 	}
-	return &Load{Running: figures[0], Waiting: figures[1], Slots: figures[2]}
+	return &Load{Running: figures[0], Waiting: figures[1], Slots: figures[2], Pace: float64(figures[3]) / usualPace}
 }
 
 // idleLimit reads how long the leaf lets a connection rest from its Keep-Alive header.
