--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -48,6 +48,7 @@
 		{"leaf link one way", (*injector).oneWayLeaf},
 		{"leaf link reset", (*injector).resetLeaf},
 		{"leaf replaced", (*injector).replaceLeaf},
+		{"leafs of a zone evacuated", (*injector).evacuateZone},
 		{"configuration changed", (*injector).changeConfiguration},
 		{"configurations in a row", (*injector).changeOften},
 	}
@@ -236,6 +237,31 @@
 	return func() { i.world.store.Remove(leafKey(id)) }
 }
 
+// evacuateZone has the leafs of a zone get nothing.
+func (i *injector) evacuateZone(time.Duration) func() {
+	zone := zoneName(i.random.IntN(zoneCount))
+	i.world.store.Put(evacuationKey(zone), struct{}{})
+	i.world.mu.Lock()
+	defer i.world.mu.Unlock()
+	number := len(i.world.evacuations)
+	i.world.evacuations = append(i.world.evacuations, evacuation{zone: zone, from: time.Now()})
+	return func() { i.world.restoreZone(number) }
+}
+
+// restoreZone ends an evacuation; the zone is restored only if no other one of it lasts.
+func (w *world) restoreZone(number int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ended := &w.evacuations[number]
+	ended.until = time.Now()
+	for _, other := range w.evacuations {
+		if other.zone == ended.zone && other.until.IsZero() {
+			return
+		}
+	}
+	w.store.Remove(evacuationKey(ended.zone))
+}
+
 func (i *injector) changeConfiguration(time.Duration) func() {
 	next := singleName
 	if i.world.switched() == singleName {
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -43,7 +43,7 @@
 	ran := w.runs()
 	return []Verdict{
 		judgeOnce(seen, ran), judgeRefusals(seen, ran), judgeAsked(seen, ran), judgeSingles(w, seen), judgeGathered(w, seen),
-		judgeConfiguration(w, seen), judgeDraining(w), judgeStops(seen), judgeRecovery(seen, calm),
+		judgeConfiguration(w, seen), judgeDraining(w), judgeEvacuations(w), judgeStops(seen), judgeRecovery(seen, calm),
 	}
 }
 
@@ -191,6 +191,29 @@
 	return v
 }
 
+func judgeEvacuations(w *world) Verdict {
+	v := Verdict{Promise: "the leafs of an evacuated zone get nothing after its bound"}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, span := range w.evacuations {
+		due := span.from.Add(drainBound)
+		for id, state := range w.leafs {
+			if state.zone != span.zone {
+				continue
+			}
+			late := 0
+			for _, asked := range state.leaf.Asked() {
+				isLate := asked.At.After(due) && (span.until.IsZero() || asked.At.Before(span.until))
+				if isLate && w.isCalmAt(asked.At) {
+					late++
+				}
+			}
+			v.check(late == 0, "%s got %d requests more than %v after the evacuation of %s", id, late, drainBound, span.zone)
+		}
+	}
+	return v
+}
+
 // stopWindow is how long before a planned stop requests are looked at that were under way.
 const stopWindow = time.Second
 
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -168,3 +168,34 @@
 		is.NoErr(get())
 	}
 }
+
+// A request to an evacuated leaf is late after the bound, until the zone is restored.
+func TestJudgeFindsRequestsToEvacuatedLeafs(t *testing.T) {
+	is := is.New(t)
+	w := still(t)
+	id := "leaf-1"
+	state := w.leafs[id]
+	request, err := http.NewRequest(http.MethodGet, "http://"+state.leaf.Address()+"/x", nil)
+	is.NoErr(err)
+	request.Header.Set(w.dialect.RequestID, "r")
+	request.Header.Set(w.dialect.ExpectedIncarnation, id)
+	response, err := http.DefaultClient.Do(request)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	now := time.Now()
+	cases := map[string]struct {
+		span   evacuation
+		broken bool
+	}{
+		"lasts":            {evacuation{zone: state.zone, from: now.Add(-time.Minute)}, true},
+		"within its bound": {evacuation{zone: state.zone, from: now.Add(-drainBound / 2)}, false},
+		"over before":      {evacuation{zone: state.zone, from: now.Add(-time.Hour), until: now.Add(-time.Minute)}, false},
+		"of another zone":  {evacuation{zone: "another", from: now.Add(-time.Minute)}, false},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			w.evacuations = []evacuation{one.span}
+			is.New(t).Equal(len(judgeEvacuations(w).Broken) > 0, one.broken)
+		})
+	}
+}
--- a/internal/lab/soak/records.go
+++ b/internal/lab/soak/records.go
@@ -20,6 +20,8 @@
 
 func leafKey(id string) string { return "servers/" + id }
 
+func evacuationKey(zone string) string { return "op/evacuate/" + zone }
+
 // leafRecord is a leaf as it stands in the users' store.
 type leafRecord struct {
 	Service, Address, Zone, State string
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -53,7 +53,17 @@
 	version int
 	// changes are the configurations that were put in force, in order.
 	changes []change
-	nextID  int
+	// evacuations are those of zones, in order.
+	evacuations []evacuation
+	nextID      int
+}
+
+// evacuation is a span in which the leafs of a zone must get nothing.
+type evacuation struct {
+	zone string
+	from time.Time
+	// until is zero while it lasts.
+	until time.Time
 }
 
 // change is a configuration and when the store took it.
