A leaf is lost from when that came into force, not from when a node next looked for it

Ruled out: requests that waited (5 ms from the caller to the leaf). Change: leafset notes each loss as it comes into force; the memory has no state of its own any more. TestLossCountsFromWhenItCameIntoForce fails without it, in its three forms. TestLeafThatWentMayBeAskedForAWhile plays the same in virtual time, since losses have their own clock now.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -154,7 +154,7 @@
 	draft := newDraft(emptyView(snapshot.Revision), snapshot.Revision)
 	// Routes that can't be read must not leave the node without any.
 	draft.view.Routes = current.Routes
-	draft.before = current.Leafs
+	draft.before, draft.leafs = current.Leafs, leafset.Replace(current.Leafs)
 	for _, entry := range snapshot.Entries {
 		c.keep(entry)
 		c.compile(draft, entry)
--- a/internal/leafmemory/leafmemory_test.go
+++ b/internal/leafmemory/leafmemory_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -144,17 +145,50 @@
 
 // What may be sent to a leaf ends with its drain, its end and what is remembered of it.
 func TestLeafThatWentMayBeAskedForAWhile(t *testing.T) {
-	is := is.New(t)
-	known := catalog.New(nil)
-	put(t, known, catalog.LeafKey("a"), record("a", leafset.Ready))
-	now := time.Now()
-	memory := New(DefaultConfig(), known)
-	memory.now = func() time.Time { return now }
-	now = now.Add(DefaultConfig().TrustAfterStart)
-	is.True(memory.MayAsk("a"))
-	is.True(!memory.MayAsk("other"))
-	put(t, known, catalog.LeafKey("a"), record("a", leafset.Draining))
-	is.True(memory.MayAsk("a"))
-	now = now.Add(DefaultConfig().Hold + time.Millisecond)
-	is.True(!memory.MayAsk("a"))
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		known := catalog.New(nil)
+		put(t, known, catalog.LeafKey("a"), record("a", leafset.Ready))
+		memory := New(DefaultConfig(), known)
+		time.Sleep(DefaultConfig().TrustAfterStart)
+		is.True(memory.MayAsk("a"))
+		is.True(!memory.MayAsk("other"))
+		put(t, known, catalog.LeafKey("a"), record("a", leafset.Draining))
+		is.True(memory.MayAsk("a"))
+		time.Sleep(DefaultConfig().Hold + time.Millisecond)
+		is.True(!memory.MayAsk("a"))
+		put(t, known, catalog.LeafKey("a"), record("a", leafset.Ready))
+		is.True(memory.MayAsk("a"))
+	})
+}
+
+// The time of a loss is that at which it came into force, be the service asked then or not: a node that
+// serves few requests would otherwise ask a leaf that drained long ago.
+func TestLossCountsFromWhenItCameIntoForce(t *testing.T) {
+	losses := map[string]func(known *catalog.Catalog){
+		"drained":      func(known *catalog.Catalog) { put(t, known, catalog.LeafKey("a"), record("a", leafset.Draining)) },
+		"gone":         func(known *catalog.Catalog) { put(t, known, catalog.LeafKey("a"), nil) },
+		"not in state": func(known *catalog.Catalog) { known.Replace(catalog.Snapshot{Revision: known.Revision() + 1}) },
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				known := catalog.New(nil)
+				put(t, known, catalog.LeafKey("a"), record("a", leafset.Ready))
+				memory, other := New(DefaultConfig(), known), New(DefaultConfig(), known)
+				time.Sleep(time.Minute)
+				lose(known)
+				time.Sleep(DefaultConfig().Hold / 2)
+				leafs, _ := memory.Candidates("s")
+				is.Equal(len(leafs), 1)
+				is.True(memory.MayAsk("a"))
+				time.Sleep(DefaultConfig().Hold)
+				leafs, _ = other.Candidates("s") // it was asked nothing since the loss
+				is.Equal(len(leafs), 0)
+				is.True(!other.MayAsk("a"))
+				is.Equal(len(other.IDs()), known.View().Leafs.Len())
+			})
+		})
+	}
 }
--- a/internal/leafmemory/memory.go
+++ b/internal/leafmemory/memory.go
@@ -9,7 +9,6 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/catalog"
@@ -51,24 +50,11 @@
 	catalog *catalog.Catalog
 	now     func() time.Time
 	started time.Time
-
-	mutex sync.Mutex
-	seen  *leafset.Set
-	lost  map[string]lostLeaf // by id
-}
-
-// lostLeaf is a leaf that was ready and is not any more.
-type lostLeaf struct {
-	leaf *leafset.Leaf
-	at   time.Time
 }
 
 // New makes a memory of a node that starts now.
 func New(config Config, known *catalog.Catalog) *Memory {
-	return &Memory{
-		config: config, catalog: known, now: time.Now, started: time.Now(),
-		seen: known.View().Leafs, lost: map[string]lostLeaf{},
-	}
+	return &Memory{config: config, catalog: known, now: time.Now, started: time.Now()}
 }
 
 // Candidates gives the leafs of a service that may be asked, and whether they are only what is
@@ -76,16 +62,16 @@
 // evacuated zone are never among them.
 func (m *Memory) Candidates(service string) (leafs []*leafset.Leaf, lastResort bool) {
 	view := m.catalog.View()
-	m.notice(view.Leafs)
 	ready := view.Leafs.Ready(service)
 	if len(ready) > 0 {
 		return ready, false
 	}
 	isEvacuated := func(leaf *leafset.Leaf) bool { return view.Leafs.IsEvacuated(leaf.Zone) }
-	if recent := slices.DeleteFunc(m.recent(service), isEvacuated); len(recent) > 0 {
+	recent := view.Leafs.LostSince(service, m.heldSince())
+	if recent = slices.DeleteFunc(recent, isEvacuated); len(recent) > 0 {
 		return recent, true
 	}
-	if m.now().Sub(m.started) < m.config.TrustAfterStart {
+	if m.isNew() {
 		return slices.DeleteFunc(slices.Clone(view.Remembered.Of(service)), isEvacuated), true
 	}
 	return nil, true
@@ -95,76 +81,28 @@
 // sent any more: meanwhile the leaf began to drain, went, or its zone was evacuated.
 func (m *Memory) MayAsk(id string) bool {
 	view := m.catalog.View()
-	if leaf, found := view.Leafs.ByID(id); found && leaf.State == leafset.Ready {
-		return !view.Leafs.IsEvacuated(leaf.Zone)
+	leaf, found := view.Leafs.ByID(id)
+	if !found || leaf.State != leafset.Ready {
+		leaf, found = view.Leafs.LostByID(id, m.heldSince())
 	}
-	m.notice(view.Leafs)
-	leaf, found := m.held(id)
-	if !found && m.now().Sub(m.started) < m.config.TrustAfterStart {
+	if !found && m.isNew() {
 		leaf, found = view.Remembered.ByID(id)
 	}
 	return found && !view.Leafs.IsEvacuated(leaf.Zone)
 }
 
-// held gives a leaf that was lost a moment ago.
-func (m *Memory) held(id string) (*leafset.Leaf, bool) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	lost, found := m.lost[id]
-	if !found || m.now().Sub(lost.at) > m.config.Hold {
-		return nil, false
-	}
-	return lost.leaf, true
-}
-
-// notice finds which leafs were lost since the last look.
-func (m *Memory) notice(current *leafset.Set) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	if current == m.seen {
-		return
-	}
-	now := m.now()
-	for _, id := range m.seen.IDs() {
-		before, _ := m.seen.ByID(id)
-		after, found := current.ByID(id)
-		if before.State == leafset.Ready && (!found || after.State != leafset.Ready) {
-			m.lost[id] = lostLeaf{leaf: before, at: now}
-		}
-	}
-	for id, lost := range m.lost {
-		if now.Sub(lost.at) > m.config.Hold {
-			delete(m.lost, id)
-		}
-	}
-	m.seen = current
-}
-
-func (m *Memory) recent(service string) []*leafset.Leaf {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	now := m.now()
-	var leafs []*leafset.Leaf
-	for _, lost := range m.lost {
-		if lost.leaf.Service == service && now.Sub(lost.at) <= m.config.Hold {
-			leafs = append(leafs, lost.leaf)
-		}
-	}
-	return leafs
-}
-
 // IDs gives every leaf that may still be asked, be it by the memory alone.
 func (m *Memory) IDs() []string {
 	view := m.catalog.View()
-	m.notice(view.Leafs)
-	ids := view.Leafs.IDs()
-	if m.now().Sub(m.started) < m.config.TrustAfterStart {
+	ids := append(view.Leafs.IDs(), view.Leafs.LostIDs(m.heldSince())...)
+	if m.isNew() {
 		ids = append(ids, view.Remembered.IDs()...)
 	}
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	for id := range m.lost {
-		ids = append(ids, id)
-	}
 	return ids
 }
+
+// heldSince is since when a leaf must have been ready to be asked still.
+func (m *Memory) heldSince() time.Time { return m.now().Add(-m.config.Hold) }
+
+// isNew reports whether the node started so short a while ago that it believes the list written down.
+func (m *Memory) isNew() bool { return m.now().Sub(m.started) < m.config.TrustAfterStart }
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -93,11 +93,21 @@
 	ready     map[string][]*Leaf // of byService, those that take work; services with all of them left out
 	byID      map[string]*Leaf
 	evacuated map[string]bool // zones whose leafs must get nothing
+	lost      map[string]lost // by id; leafs that were ready until a moment ago
 }
 
+// lost is a leaf that was ready until a moment ago, and since when it is not.
+type lost struct {
+	leaf *Leaf
+	at   time.Time
+}
+
+// lostKept is how long a set remembers leafs that were lost.
+const lostKept = 15 * time.Second
+
 // Empty gives a set without leafs.
 func Empty() *Set {
-	return &Set{byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}, evacuated: map[string]bool{}}
+	return &Set{byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}, evacuated: map[string]bool{}, lost: map[string]lost{}}
 }
 
 // Of gives the leafs of a service. The slice is shared: callers must not change it.
@@ -121,6 +131,38 @@
 // IsUsable reports whether a leaf takes work: it is ready, and its zone is not evacuated.
 func (s *Set) IsUsable(leaf *Leaf) bool { return leaf.State == Ready && !s.evacuated[leaf.Zone] }
 
+// LostSince gives the leafs of a service that ceased to be ready at a time or later, by when that came into
+// force here, in no order. What was lost over 15 seconds ago is forgotten.
+func (s *Set) LostSince(service string, since time.Time) []*Leaf {
+	var leafs []*Leaf
+	for _, one := range s.lost {
+		if one.leaf.Service == service && !one.at.Before(since) {
+			leafs = append(leafs, one.leaf)
+		}
+	}
+	return leafs
+}
+
+// LostByID gives a leaf that ceased to be ready at a time or later.
+func (s *Set) LostByID(id string, since time.Time) (*Leaf, bool) {
+	one, found := s.lost[id]
+	if !found || one.at.Before(since) {
+		return nil, false
+	}
+	return one.leaf, true
+}
+
+// LostIDs gives the ids of all leafs that ceased to be ready at a time or later, in no order.
+func (s *Set) LostIDs(since time.Time) []string {
+	var ids []string
+	for id, one := range s.lost {
+		if !one.at.Before(since) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // ByID gives a leaf; false when discovery knows none of that id.
 func (s *Set) ByID(id string) (*Leaf, bool) {
 	leaf, found := s.byID[id]
@@ -145,17 +187,34 @@
 	owned map[string]bool // services whose slice is the copy's own
 	// evacuationsChanged says that the ready leafs of every service must be found anew.
 	evacuationsChanged bool
+	ownsLost           bool
+	// replaced is the set that a whole new one takes the place of; nil for changes of a set.
+	replaced *Set
+}
+
+// Replace starts a set from nothing that takes the place of another: what it lacks was lost.
+func Replace(before *Set) *Editor {
+	editor := Empty().Edit()
+	editor.set.lost = before.lost
+	editor.replaced = before
+	return editor
 }
 
 // Edit starts a copy.
 func (s *Set) Edit() *Editor {
-	copied := &Set{byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID), evacuated: s.evacuated}
+	copied := &Set{byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID), evacuated: s.evacuated, lost: s.lost}
 	return &Editor{set: copied, owned: map[string]bool{}}
 }
 
 // Put adds a leaf or replaces the one of its id.
 func (e *Editor) Put(leaf *Leaf) {
-	e.Remove(leaf.ID)
+	known := e.drop(leaf.ID)
+	switch {
+	case leaf.State == Ready:
+		e.find(leaf.ID)
+	case known != nil && known.State == Ready:
+		e.lose(known)
+	}
 	e.set.byID[leaf.ID] = leaf
 	leafs := e.own(leaf.Service)
 	at, _ := slices.BinarySearchFunc(leafs, leaf.ID, func(known *Leaf, id string) int { return strings.Compare(known.ID, id) })
@@ -164,17 +223,50 @@
 
 // Remove drops the leaf of an id, if there is one.
 func (e *Editor) Remove(id string) {
+	if known := e.drop(id); known != nil && known.State == Ready {
+		e.lose(known)
+	}
+}
+
+// lose remembers a leaf that was ready until now.
+func (e *Editor) lose(known *Leaf) {
+	e.ownLost()
+	e.set.lost[known.ID] = lost{leaf: known, at: time.Now()}
+}
+
+// find forgets that a leaf was lost.
+func (e *Editor) find(id string) {
+	if _, wasLost := e.set.lost[id]; wasLost {
+		e.ownLost()
+		delete(e.set.lost, id)
+	}
+}
+
+// ownLost makes the copy's lost leafs its own, without those that were lost long ago.
+func (e *Editor) ownLost() {
+	if e.ownsLost {
+		return
+	}
+	e.ownsLost = true
+	oldest := time.Now().Add(-lostKept)
+	e.set.lost = maps.Clone(e.set.lost)
+	maps.DeleteFunc(e.set.lost, func(_ string, one lost) bool { return one.at.Before(oldest) })
+}
+
+// drop takes the leaf of an id out and gives it; nil when there is none.
+func (e *Editor) drop(id string) *Leaf {
 	known, found := e.set.byID[id]
 	if !found {
-		return
+		return nil
 	}
 	delete(e.set.byID, id)
 	leafs := slices.DeleteFunc(e.own(known.Service), func(leaf *Leaf) bool { return leaf.ID == id })
 	if len(leafs) == 0 {
 		delete(e.set.byService, known.Service)
-		return
+		return known
 	}
 	e.set.byService[known.Service] = leafs
+	return known
 }
 
 // SetEvacuated notes whether a zone is evacuated.
@@ -193,6 +285,9 @@
 
 // Done gives the changed set; the editor must not be used after it.
 func (e *Editor) Done() *Set {
+	if e.replaced != nil {
+		e.loseReplaced()
+	}
 	if e.evacuationsChanged {
 		for service := range e.set.byService {
 			e.findReady(service)
@@ -204,6 +299,16 @@
 	return e.set
 }
 
+// loseReplaced remembers the ready leafs of the replaced set that are not ready in the new one.
+func (e *Editor) loseReplaced() {
+	for id, before := range e.replaced.byID {
+		now, found := e.set.byID[id]
+		if before.State == Ready && (!found || now.State != Ready) {
+			e.lose(before)
+		}
+	}
+}
+
 // findReady finds which leafs of a service take work.
 func (e *Editor) findReady(service string) {
 	isUnusable := func(leaf *Leaf) bool { return !e.set.IsUsable(leaf) }
