Decode the state, messages between nodes and log lines by goccy/go-json

Ruled out: the start of the program itself (about 10 ms of a core). Change: the library instead of encoding/json where the state and messages between nodes are decoded.

--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -1,11 +1,12 @@
 package catalog
 
 import (
-	"encoding/json"
 	"maps"
 	"strings"
 	"time"
 
+	json "github.com/goccy/go-json"
+
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -6,8 +6,7 @@
 package catalog
 
 import (
-	"encoding/json"
-
+	json "github.com/goccy/go-json"
 	"google.golang.org/protobuf/proto"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -8,11 +8,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"sync/atomic"
 	"time"
 
+	json "github.com/goccy/go-json"
 	"golang.org/x/time/rate"
 
 	"github.com/portgauge/portgauge/internal/failure"
--- a/internal/leafmemory/writer.go
+++ b/internal/leafmemory/writer.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	json "github.com/goccy/go-json"
 	"go.uber.org/zap"
 
 	"github.com/portgauge/portgauge/internal/catalog"
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -4,12 +4,13 @@
 package leafset
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
+	json "github.com/goccy/go-json"
+
 	"github.com/portgauge/portgauge/internal/failure"
 )
 
--- a/internal/peer/batch.go
+++ b/internal/peer/batch.go
@@ -1,7 +1,7 @@
 package peer
 
 import (
-	"encoding/json"
+	json "github.com/goccy/go-json"
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/compression"
--- a/internal/peer/line.go
+++ b/internal/peer/line.go
@@ -2,10 +2,11 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"io"
 	"net"
 
+	json "github.com/goccy/go-json"
+
 	"github.com/portgauge/portgauge/internal/compression"
 )
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	json "github.com/goccy/go-json"
 )
 
 // Handler takes the messages that arrive at a node. Calls come concurrently.
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -6,10 +6,11 @@
 package routing
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
+	json "github.com/goccy/go-json"
+
 	"github.com/portgauge/portgauge/internal/failure"
 )
 
--- a/internal/servingtree/wire.go
+++ b/internal/servingtree/wire.go
@@ -2,10 +2,11 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"net"
 	"sync"
 	"time"
+
+	json "github.com/goccy/go-json"
 )
 
 // wire writes and reads the lines of one connection. Lines may be written by many goroutines and are
