--- a/internal/api/admin_handler.go
+++ b/internal/api/admin_handler.go
@@ -109,7 +109,7 @@
 	if after := request.Msg.GetAfterRevision(); after > 0 {
 		missed, _ := h.catalog.Since(after)
 		for _, change := range missed {
-			if err := stream.Send(watchResponse(change)); err != nil {
+			if err := sendChange(stream, change); err != nil {
 				return err
 			}
 			sent = change.Entry.Revision
@@ -123,7 +123,7 @@
 			if change.Entry.Revision <= sent {
 				continue
 			}
-			if err := stream.Send(watchResponse(change)); err != nil {
+			if err := sendChange(stream, change); err != nil {
 				return err
 			}
 			sent = change.Entry.Revision
@@ -131,8 +131,18 @@
 	}
 }
 
-func watchResponse(change catalog.Change) *adminv1.WatchServicesResponse {
-	return &adminv1.WatchServicesResponse{Revision: change.Entry.Revision, Key: change.Entry.Key, Deleted: change.Entry.Deleted}
+// sendChange sends each key of a change.
+func sendChange(stream *connect.ServerStream[adminv1.WatchServicesResponse], change catalog.Change) error {
+	for _, entry := range change.Entries() {
+		if entry.Key == catalog.MarkerKey {
+			continue // it only moves the revision on
+		}
+		response := &adminv1.WatchServicesResponse{Revision: change.Entry.Revision, Key: entry.Key, Deleted: entry.Deleted}
+		if err := stream.Send(response); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // GetStatus implements AdminServiceHandler.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -158,11 +158,9 @@
 	for _, entry := range snapshot.Entries {
 		c.keep(entry)
 		c.compile(draft, entry)
-		if entry.Revision > current.Revision {
-			c.publish(Change{Entry: entry})
-		}
 	}
 	c.view.Store(draft.done())
+	c.publish(difference)
 	c.rememberReplaced(current.Revision, difference)
 	return true
 }
@@ -248,7 +246,7 @@
 	return entry, found
 }
 
-// Subscribe gives each change from now on, until the returned function is called. A
+// Subscribe gives each change from now on, what a whole state changed as one, until the returned function is called. A
 // subscriber that does not keep up loses changes; each has its revision, so it can tell.
 func (c *Catalog) Subscribe(buffer int) (<-chan Change, func()) {
 	c.mutex.Lock()
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -27,6 +27,7 @@
 const (
 	eventEntryChanged = "entry_changed"
 	eventLeafsChanged = "leafs_changed"
+	eventNodesChanged = "nodes_changed"
 	eventLeafEjected  = "leaf_ejected"
 	eventLeafReturned = "leaf_returned"
 	eventLeafJudged   = "leaf_judged"
@@ -75,12 +76,35 @@
 	Evacuated []string `json:"evacuated,omitempty"`
 }
 
-// mostNamedLeafs bounds the leafs that one line names; at 12 bytes an id it is 6 KB at most.
-const mostNamedLeafs = 512
+// nodesEvent says which nodes of the fleet registered themselves, and which are gone.
+type nodesEvent struct {
+	Time       time.Time `json:"time"`
+	Event      string    `json:"event"`
+	Revision   int64     `json:"revision"`
+	Registered []string  `json:"registered,omitempty"`
+	Gone       []string  `json:"gone,omitempty"`
+	// LeftOut is how many more nodes changed than one line names.
+	LeftOut int `json:"left_out,omitempty"`
+}
+
+// add notes the change of a node.
+func (e *nodesEvent) add(id string, registered bool) {
+	switch {
+	case len(e.Registered)+len(e.Gone) >= mostNamed:
+		e.LeftOut++
+	case registered:
+		e.Registered = append(e.Registered, id)
+	default:
+		e.Gone = append(e.Gone, id)
+	}
+}
+
+// mostNamed bounds the leafs or nodes that one line names; at 12 bytes an id it is 6 KB at most.
+const mostNamed = 512
 
 // add notes the change of a leaf.
 func (e *leafsEvent) add(id string, state leafset.State, gone bool) {
-	if len(e.Ready)+len(e.Draining)+len(e.Gone) >= mostNamedLeafs {
+	if len(e.Ready)+len(e.Draining)+len(e.Gone) >= mostNamed {
 		e.LeftOut++
 		return
 	}
@@ -124,28 +148,40 @@
 	}
 }
 
-// changed logs the leafs among some changed entries in one line, and the other entries one by one.
+// changed logs the leafs among some changed entries in one line, the nodes in another, and the other entries
+// one by one.
 func (j *beliefJournal) changed(entries []catalog.Entry) {
 	view := j.catalog.View()
 	leafs := leafsEvent{Time: time.Now(), Event: eventLeafsChanged, Revision: view.Revision, Evacuated: view.Leafs.EvacuatedZones()}
-	count := 0
+	nodes := nodesEvent{Time: leafs.Time, Event: eventNodesChanged, Revision: view.Revision}
+	hasLeafs, hasNodes := false, false
 	for _, entry := range entries {
-		id, isLeaf := strings.CutPrefix(entry.Key, catalog.LeafKey(""))
-		if !isLeaf {
-			j.entryChanged(entry)
+		if id, isLeaf := strings.CutPrefix(entry.Key, catalog.LeafKey("")); isLeaf {
+			hasLeafs = true
+			leaf, found := view.Leafs.ByID(id)
+			if !found {
+				leafs.add(id, "", true)
+				continue
+			}
+			leafs.add(id, leaf.State, false)
 			continue
 		}
-		count++
-		leaf, found := view.Leafs.ByID(id)
-		if !found {
-			leafs.add(id, "", true)
+		if id, isNode := strings.CutPrefix(entry.Key, catalog.NodeKey("")); isNode {
+			hasNodes = true
+			_, registered := view.Nodes[id]
+			nodes.add(id, registered)
 			continue
 		}
-		leafs.add(id, leaf.State, false)
+		if entry.Key != catalog.MarkerKey {
+			j.entryChanged(entry)
+		}
 	}
-	if count > 0 {
+	if hasLeafs {
 		j.log.Write(decisionlog.Failed, leafs)
 	}
+	if hasNodes {
+		j.log.Write(decisionlog.Failed, nodes)
+	}
 }
 
 func (j *beliefJournal) entryChanged(entry catalog.Entry) {
