--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -43,7 +43,7 @@
 	// onBelief is told of changes of what this node believes of a leaf.
 	onBelief func(Belief)
 
-	mutex   sync.RWMutex
+	mu      sync.RWMutex
 	leafs   map[string]*Leaf
 	keys    map[LeafKey]*Leaf
 	leaving map[string]time.Time // until when, by the machine list's or a peer's word
@@ -264,14 +264,14 @@
 }
 
 func (b *Balancer) leaf(id, zone string, now time.Time) *Leaf {
-	b.mutex.RLock()
+	b.mu.RLock()
 	leaf, found := b.leafs[id]
-	b.mutex.RUnlock()
+	b.mu.RUnlock()
 	if found {
 		return leaf
 	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if leaf, found = b.leafs[id]; found {
 		return leaf
 	}
@@ -301,15 +301,15 @@
 // SetLeaving records the word of the machine list or a peer that a leaf must get no new work
 // until a time.
 func (b *Balancer) SetLeaving(leafID string, until time.Time) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.leaving[leafID] = until
 }
 
 // isLeaving reports whether such word holds.
 func (b *Balancer) isLeaving(leafID string, now time.Time) bool {
-	b.mutex.RLock()
-	defer b.mutex.RUnlock()
+	b.mu.RLock()
+	defer b.mu.RUnlock()
 	until, found := b.leaving[leafID]
 	return found && now.Before(until)
 }
@@ -347,8 +347,8 @@
 
 // Forget drops leafs that no service has any more.
 func (b *Balancer) Forget(known map[string]bool) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := b.now()
 	for id, leaf := range b.leafs {
 		if !known[id] {
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -43,7 +43,7 @@
 	Zone string
 	key  LeafKey
 
-	mutex         sync.Mutex
+	mu            sync.Mutex
 	inFlight      int
 	limit         float64
 	latency       float64 // moving average in seconds; 0 before the first sample
@@ -90,8 +90,8 @@
 
 // start counts an attempt in; it marks the attempt as the trial of an ejected leaf.
 func (l *Leaf) start(now time.Time) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.inFlight++
 	if l.silentSince.IsZero() {
 		l.silentSince = now
@@ -114,8 +114,8 @@
 
 // finish counts an attempt out and learns from its outcome.
 func (l *Leaf) finish(config Config, outcome Outcome, took, typical time.Duration, now time.Time) learned {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	wasEjected := !l.ejectedUntil.IsZero()
 	l.inFlight--
 	l.trial = false
@@ -245,8 +245,8 @@
 
 // report takes the leaf's own word on its load.
 func (l *Leaf) report(config Config, load Load, now time.Time) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if load.Slots > 0 {
 		l.reported, l.reportedAt, l.inFlightThen = load, now, l.inFlight
 	}
@@ -280,8 +280,8 @@
 }
 
 func (l *Leaf) standing(config Config, now time.Time) standing {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	result := standing{
 		draining: now.Before(l.drainingUntil),
 		ejected:  !l.ejectedUntil.IsZero() && (l.trial || now.Before(l.ejectedUntil)),
@@ -306,8 +306,8 @@
 // queue gives how many times its usual time one more attempt takes because others wait there, by
 // the leaf's word of a short while ago; false when the leaf can't be asked.
 func (l *Leaf) queue(config Config, now time.Time) (times float64, usable bool) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	isEjected := !l.ejectedUntil.IsZero() && (l.trial || now.Before(l.ejectedUntil))
 	if now.Before(l.drainingUntil) || isEjected || l.stalled(now) {
 		return 0, false
--- a/internal/balancer/observation.go
+++ b/internal/balancer/observation.go
@@ -88,9 +88,9 @@
 
 // Late tells that an attempt at a leaf is late: others should know if the leaf is silent.
 func (b *Balancer) Late(leafID string) {
-	b.mutex.RLock()
+	b.mu.RLock()
 	leaf, found := b.leafs[leafID]
-	b.mutex.RUnlock()
+	b.mu.RUnlock()
 	if found {
 		b.tell(leaf, leaf.silenceNews(b.now()))
 	}
@@ -98,9 +98,9 @@
 
 // Hear takes what another node saw.
 func (b *Balancer) Hear(seen Observation) {
-	b.mutex.RLock()
+	b.mu.RLock()
 	leaf, found := b.keys[seen.Leaf]
-	b.mutex.RUnlock()
+	b.mu.RUnlock()
 	if found {
 		b.believe(leaf.hear(seen, b.now()))
 	}
@@ -108,8 +108,8 @@
 
 // silenceNews gives the leaf's silence, if others were not told of it a moment ago.
 func (l *Leaf) silenceNews(now time.Time) *Observation {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	silence := l.silence(now)
 	if silence == 0 || now.Sub(l.silenceTold) < silencePause {
 		return nil
@@ -120,8 +120,8 @@
 
 // hear takes what another node saw. An answer that this node got meanwhile outweighs a silence.
 func (l *Leaf) hear(seen Observation, now time.Time) *Belief {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if seen.Silence > 0 {
 		return l.hearSilence(seen.Silence, now)
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -58,7 +58,7 @@
 	view      atomic.Pointer[View]
 	confirmed atomic.Int64
 
-	mutex       sync.Mutex
+	mu          sync.Mutex
 	entries     map[string]Entry
 	recent      []Change
 	recentSize  int
@@ -103,8 +103,8 @@
 // together, so that a key changed many times is decoded once. It reports whether the last of
 // them is now in force.
 func (c *Catalog) ApplyAll(changes []Change) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	current := c.view.Load()
 	revision := current.Revision
 	var applied []Change
@@ -143,8 +143,8 @@
 // Replace takes a whole state if it is newer than the one in force, and reports whether. What it
 // changed is kept as one change, so that other nodes can be given just that.
 func (c *Catalog) Replace(snapshot Snapshot) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	current := c.view.Load()
 	if snapshot.Revision <= current.Revision {
 		return false
@@ -213,8 +213,8 @@
 
 // Since gives the changes after a revision, or false when they are no longer kept.
 func (c *Catalog) Since(revision int64) ([]Change, bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if revision >= c.view.Load().Revision {
 		return nil, true
 	}
@@ -229,8 +229,8 @@
 
 // Snapshot gives the whole state at the revision in force, tombstones included.
 func (c *Catalog) Snapshot() Snapshot {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	snapshot := Snapshot{Revision: c.view.Load().Revision, Entries: make([]Entry, 0, len(c.entries))}
 	for _, entry := range c.entries {
 		snapshot.Entries = append(snapshot.Entries, entry)
@@ -240,8 +240,8 @@
 
 // Entry gives the entry in force under a key.
 func (c *Catalog) Entry(key string) (Entry, bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	entry, found := c.entries[key]
 	return entry, found
 }
@@ -249,15 +249,15 @@
 // Subscribe gives each change from now on, what a whole state changed as one, until the returned function is called. A
 // subscriber that does not keep up loses changes; each has its revision, so it can tell.
 func (c *Catalog) Subscribe(buffer int) (<-chan Change, func()) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	id := c.nextID
 	c.nextID++
 	changes := make(chan Change, buffer)
 	c.subscribers[id] = changes
 	return changes, func() {
-		c.mutex.Lock()
-		defer c.mutex.Unlock()
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		delete(c.subscribers, id)
 	}
 }
--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -42,9 +42,9 @@
 			f.platform.write(t, fmt.Sprintf("service-%d", number), 1)
 		}
 		time.Sleep(15 * time.Second)
-		f.platform.mutex.Lock()
+		f.platform.mu.Lock()
 		f.platform.forgetful = true
-		f.platform.mutex.Unlock()
+		f.platform.mu.Unlock()
 		revision := f.platform.write(t, "a", 1)
 		time.Sleep(500 * time.Millisecond)
 		is.Equal(len(f.lagging(revision)), 0)
@@ -69,16 +69,16 @@
 			}
 		}
 		f.network.Freeze(frozen, true)
-		f.platform.mutex.Lock()
+		f.platform.mu.Lock()
 		f.platform.cutOff[frozen] = true
-		f.platform.mutex.Unlock()
+		f.platform.mu.Unlock()
 		revision := f.platform.write(t, "a", 1)
 		time.Sleep(4 * time.Second)
 		is.Equal(f.lagging(revision), []string{frozen})
 		f.network.Freeze(frozen, false)
-		f.platform.mutex.Lock()
+		f.platform.mu.Lock()
 		f.platform.cutOff[frozen] = false
-		f.platform.mutex.Unlock()
+		f.platform.mu.Unlock()
 		time.Sleep(4 * time.Second)
 		is.Equal(len(f.lagging(revision)), 0)
 	})
@@ -106,11 +106,11 @@
 		f := newFleet(t, 2, 6)
 		defer f.stopAll()
 		time.Sleep(15 * time.Second)
-		f.platform.mutex.Lock()
+		f.platform.mu.Lock()
 		for id := range f.nodes {
 			f.platform.cutOff[id] = id[:2] == "z1"
 		}
-		f.platform.mutex.Unlock()
+		f.platform.mu.Unlock()
 		time.Sleep(2 * time.Second)
 		revision := f.platform.write(t, "a", 1)
 		time.Sleep(4 * time.Second)
@@ -142,14 +142,14 @@
 		defer f.stopAll()
 		time.Sleep(20 * time.Second)
 		before(f)
-		f.platform.mutex.Lock()
+		f.platform.mu.Lock()
 		f.platform.machines = append(f.platform.machines, machines.Machine{ID: "leaf-1", Zone: "z0", Role: machines.RoleLeaf, State: machines.Leaving})
-		f.platform.mutex.Unlock()
+		f.platform.mu.Unlock()
 		time.Sleep(4 * time.Second)
 		for _, node := range f.nodes {
-			node.leafs.mutex.Lock()
+			node.leafs.mu.Lock()
 			_, told := node.leafs.leaving["leaf-1"]
-			node.leafs.mutex.Unlock()
+			node.leafs.mu.Unlock()
 			is.True(told) // node.id was not told
 		}
 	})
@@ -210,8 +210,8 @@
 			defer f.stopAll()
 			f.platform.write(t, "a", 1)
 			time.Sleep(time.Minute)
-			f.platform.mutex.Lock()
-			defer f.platform.mutex.Unlock()
+			f.platform.mu.Lock()
+			defer f.platform.mu.Unlock()
 			count := 0
 			for id, node := range f.nodes {
 				if node.syncer.rank() != notAWatcher && f.platform.roles[id] == store.Primary {
--- a/internal/configsync/contacts.go
+++ b/internal/configsync/contacts.go
@@ -30,8 +30,8 @@
 
 // Notices implements membership.Listener.
 func (s *Syncer) Notices() []peer.LeafNotice {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var chosen []peer.LeafNotice
 	now := time.Now()
 	for leafID, known := range s.notices {
@@ -63,8 +63,8 @@
 // note records word of a leaving leaf; a renewal of some length is passed on anew.
 func (s *Syncer) note(leafID string, until time.Time) {
 	s.leafs.SetLeaving(leafID, until)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	known, found := s.notices[leafID]
 	if !found {
 		s.notices[leafID] = &notice{until: until}
@@ -83,8 +83,8 @@
 // claimPush reports whether a notice is due to be pushed by this watcher, and counts it as
 // pushed.
 func (s *Syncer) claimPush(leafID string, until time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	known, found := s.notices[leafID]
 	if !found || !s.isRenewal(until, known.pushedUntil) {
 		return false
@@ -160,8 +160,8 @@
 			drawn[machine.Zone] = append(drawn[machine.Zone], machine.Address)
 		}
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for zone, addresses := range drawn {
 		s.contacts[zone] = addresses
 	}
@@ -223,8 +223,8 @@
 
 // Contacts gives the nodes known in other zones.
 func (s *Syncer) Contacts() []peer.Contact {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var contacts []peer.Contact
 	for zone, addresses := range s.contacts {
 		for _, address := range addresses {
@@ -236,8 +236,8 @@
 
 func (s *Syncer) addContacts(contacts []peer.Contact) {
 	own := s.members.Self().Zone
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, contact := range contacts {
 		known := s.contacts[contact.Zone]
 		if contact.Zone == own || len(known) >= contactsPerZone || slices.Contains(known, contact.Address) {
--- a/internal/configsync/first_state.go
+++ b/internal/configsync/first_state.go
@@ -70,8 +70,8 @@
 
 // currentSeeds gives the peer addresses to join through.
 func (s *Syncer) currentSeeds() []string {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return slices.Clone(s.seeds)
 }
 
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -23,7 +23,7 @@
 // memoryPlatform is a store and machine list in memory.
 type memoryPlatform struct {
 	store.Store
-	mutex    sync.Mutex
+	mu       sync.Mutex
 	log      []catalog.Change
 	changed  chan struct{}
 	machines []machines.Machine
@@ -54,8 +54,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	revision := int64(len(p.log) + 1)
 	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: catalog.ServiceKey(name), Value: value, Revision: revision}, Previous: revision - 1})
 	close(p.changed)
@@ -64,8 +64,8 @@
 }
 
 func (p platformView) List(_ context.Context, consistency store.Consistency) (catalog.Snapshot, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.cutOff[p.node] {
 		return catalog.Snapshot{}, errDown
 	}
@@ -88,19 +88,19 @@
 }
 
 func (p platformView) Watch(ctx context.Context, after int64, role store.WatchRole, receive func(store.Event) error) error {
-	p.mutex.Lock()
+	p.mu.Lock()
 	p.watches++
 	p.roles[p.node] = role
 	isForgotten := after < p.forgotten
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if isForgotten {
 		return store.ErrHistoryGone
 	}
 	for isFirst := true; ; isFirst = false {
-		p.mutex.Lock()
+		p.mu.Lock()
 		missed, changed, down := p.log[after:], p.changed, p.cutOff[p.node]
 		newest, forgetful := int64(len(p.log)), p.forgetful
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		if down {
 			return errDown
 		}
@@ -134,8 +134,8 @@
 }
 
 func (p platformView) ListMachines(_ context.Context, query machines.Query) (machines.List, error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.cutOff[p.node] {
 		return machines.List{}, errDown
 	}
@@ -150,13 +150,13 @@
 
 // leafNotes records notices of leaving leafs.
 type leafNotes struct {
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	leaving map[string]time.Time
 }
 
 func (n *leafNotes) SetLeaving(leafID string, until time.Time) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.leaving[leafID] = until
 }
 
--- a/internal/configsync/push.go
+++ b/internal/configsync/push.go
@@ -131,8 +131,8 @@
 }
 
 func (s *Syncer) notePushed(changes []catalog.Change) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, change := range changes {
 		s.pushed = max(s.pushed, change.Entry.Revision)
 	}
--- a/internal/configsync/start_test.go
+++ b/internal/configsync/start_test.go
@@ -20,11 +20,11 @@
 		f.nodes["z0-n3"].stop()
 		f.network.Remove("z0-n3")
 		time.Sleep(time.Second)
-		f.platform.mutex.Lock()
+		f.platform.mu.Lock()
 		for id := range f.nodes {
 			f.platform.cutOff[id] = true
 		}
-		f.platform.mutex.Unlock()
+		f.platform.mu.Unlock()
 		f.start("z0-n3", "z0", "z0-n0")
 		time.Sleep(5 * time.Second)
 		is.Equal(f.nodes["z0-n3"].catalog.Revision(), revision)
@@ -67,8 +67,8 @@
 				node := f.nodes["z0-n0"]
 				is.Equal(node.catalog.Revision(), revision)
 				is.Equal(node.catalog.View().Services["a"].Spec.GetConcurrencyLimit(), uint32(2))
-				f.platform.mutex.Lock()
-				defer f.platform.mutex.Unlock()
+				f.platform.mu.Lock()
+				defer f.platform.mu.Unlock()
 				is.Equal(f.platform.staleLists, 1)
 				is.Equal(f.platform.lists, one.lists)
 			})
@@ -94,8 +94,8 @@
 		}
 		time.Sleep(250 * time.Millisecond)
 		is.Equal(len(f.lagging(revision)), 0)
-		f.platform.mutex.Lock()
-		defer f.platform.mutex.Unlock()
+		f.platform.mu.Lock()
+		defer f.platform.mu.Unlock()
 		is.Equal(f.platform.staleLists, len(seeds))
 		is.Equal(f.platform.lists, 0)
 	})
--- a/internal/configsync/status.go
+++ b/internal/configsync/status.go
@@ -18,7 +18,7 @@
 func (s *Syncer) Status(ctx context.Context, revision int64) []ZoneStatus {
 	own := ZoneStatus{Zone: s.members.Self().Zone, StatusReply: s.HandleStatus(ctx, peer.StatusQuery{Revision: revision, WholeZone: true})}
 	statuses := []ZoneStatus{own}
-	var mutex sync.Mutex
+	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for zone, addresses := range s.contactsByZone() {
 		asked.Go(func() {
@@ -26,8 +26,8 @@
 			if !found {
 				return
 			}
-			mutex.Lock()
-			defer mutex.Unlock()
+			mu.Lock()
+			defer mu.Unlock()
 			statuses = append(statuses, ZoneStatus{Zone: zone, StatusReply: reply})
 		})
 	}
@@ -74,7 +74,7 @@
 	if query.WholeZone {
 		subtree = s.otherAddresses()
 	}
-	var mutex sync.Mutex
+	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for _, branch := range split(subtree, s.config.FanOut) {
 		asked.Go(func() {
@@ -82,8 +82,8 @@
 			if !found {
 				return
 			}
-			mutex.Lock()
-			defer mutex.Unlock()
+			mu.Lock()
+			defer mu.Unlock()
 			total.Nodes += reply.Nodes
 			total.InForce += reply.InForce
 			total.LowestRevision = min(total.LowestRevision, reply.LowestRevision)
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -54,7 +54,7 @@
 	transport peer.Transport
 	leafs     LeafNoticer
 	logger    *zap.Logger
-	seeds     []string // guarded by mutex
+	seeds     []string // guarded by mu
 	relayed   func(kind string)
 	members   *membership.Membership
 
@@ -69,7 +69,7 @@
 	pushes      chan catalog.Change
 	wholeStates wholeStates
 
-	mutex    sync.Mutex
+	mu       sync.Mutex
 	contacts map[string][]string // peer addresses of other zones
 	notices  map[string]*notice  // by leaf id
 	pushed   int64               // newest revision received or sent by push
@@ -107,8 +107,8 @@
 
 // SetSeeds changes the peer addresses to join through.
 func (s *Syncer) SetSeeds(seeds []string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.seeds = seeds
 }
 
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -242,9 +242,9 @@
 		return
 	}
 	time.AfterFunc(time.Duration(rank)*s.config.BackupDelay, func() {
-		s.mutex.Lock()
+		s.mu.Lock()
 		seen := s.pushed >= change.Entry.Revision
-		s.mutex.Unlock()
+		s.mu.Unlock()
 		if !seen {
 			s.offerPush(change)
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,8 +75,8 @@
 
 // keepFailure remembers a leaf's own failure, to be passed on if no other leaf does better.
 func (w *gathering) keepFailure(response *leafhttp.Response) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.lastFailure = response
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,8 +153,8 @@
 	collected *collected
 	outcomes  []scatter.Outcome[leafhttp.Response]
 
-	// mutex guards the rest, which attempts and groups set as they end.
-	mutex       sync.Mutex
+	// mu guards the rest, which attempts and groups set as they end.
+	mu          sync.Mutex
 	lastFailure *leafhttp.Response
 	groupsEnded []GroupRecord
 	// refusal is that of a node that all of the request was passed on to.
@@ -358,9 +358,9 @@
 func (w *gathering) singleAnswer() (*Answer, error) {
 	reply := w.outcomes[0].Reply
 	if reply == nil {
-		w.mutex.Lock()
+		w.mu.Lock()
 		reply = w.lastFailure
-		w.mutex.Unlock()
+		w.mu.Unlock()
 	}
 	if reply == nil {
 		return nil, w.failed()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -31,7 +31,7 @@
 
 // silentJournal takes everything and remembers the records.
 type silentJournal struct {
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	records []RequestRecord
 	passes  []GroupRecord
 }
@@ -40,29 +40,29 @@
 func (j *silentJournal) Attempted(string, scatter.Kind) {}
 func (j *silentJournal) AttemptEnded(AttemptRecord)     {}
 func (j *silentJournal) Served(record RequestRecord) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	j.records = append(j.records, record)
 }
 
 func (j *silentJournal) Passed(record GroupRecord) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	j.passes = append(j.passes, record)
 }
 
 // scriptedLeafs answers attempts by a function of the leaf, in virtual time.
 type scriptedLeafs struct {
 	answer func(leaf string) (time.Duration, *leafhttp.Response, error)
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	asked  []string
 	warmed []string
 }
 
 func (s *scriptedLeafs) Start(target leafhttp.Target, _ *leafhttp.Request, _ time.Time, done leafhttp.Done) context.CancelCauseFunc {
-	s.mutex.Lock()
+	s.mu.Lock()
 	s.asked = append(s.asked, target.Incarnation)
-	s.mutex.Unlock()
+	s.mu.Unlock()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	go func() {
 		delay, response, err := s.answer(target.Incarnation)
@@ -79,14 +79,14 @@
 func (s *scriptedLeafs) CanSpare(string) bool { return true }
 
 func (s *scriptedLeafs) warmedCount() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return len(s.warmed)
 }
 
 func (s *scriptedLeafs) Warm(targets []leafhttp.Target) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.warmed = append(s.warmed, targets[0].Incarnation)
 }
 
--- a/internal/gateway/passing.go
+++ b/internal/gateway/passing.go
@@ -58,8 +58,8 @@
 
 // groupRecords gives what came of the groups that ended.
 func (w *gathering) groupRecords() []GroupRecord {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return w.groupsEnded
 }
 
@@ -130,8 +130,8 @@
 	}
 	p.root.standing.learn(node, record.Outcome)
 	w.gateway.journal.Passed(record)
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.groupsEnded = append(w.groupsEnded, record)
 }
 
@@ -296,8 +296,8 @@
 	if len(part.shards) < len(w.services) {
 		return
 	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.refusal = failed.Err()
 }
 
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -11,7 +11,7 @@
 // with less is known to have spent time already: on a connection, or on an earlier try. It is
 // safe for concurrent use.
 type patienceBook struct {
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	routes map[string]*usualPatience
 }
 
@@ -38,8 +38,8 @@
 func (b *patienceBook) spent(entry *routing.Entry, patience time.Duration) time.Duration {
 	key := entry.Host + entry.Prefix
 	now := time.Now()
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	usual, found := b.routes[key]
 	if !found || now.Sub(usual.since) > patienceMemory {
 		if len(b.routes) >= maximumPatiences {
--- a/internal/gateway/policy.go
+++ b/internal/gateway/policy.go
@@ -22,7 +22,7 @@
 type latencyBook struct {
 	window time.Duration
 
-	mutex sync.Mutex
+	mu    sync.Mutex
 	kinds map[string]*kindLatency
 }
 
@@ -30,7 +30,7 @@
 type kindLatency struct {
 	latencies *hedging.Latencies
 
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	median time.Duration
 	// least is about the lowest median: what the work takes while nothing waits.
 	least time.Duration
@@ -48,8 +48,8 @@
 
 // of gives the latencies of a kind, which start with a guess of the median.
 func (b *latencyBook) of(kind string, guess time.Duration) *kindLatency {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	known, found := b.kinds[kind]
 	if !found {
 		known = &kindLatency{latencies: hedging.NewLatencies(b.window, minimumSamples), median: guess}
@@ -63,8 +63,8 @@
 		return
 	}
 	if median, known := k.latencies.Quantile(medianPercent); known {
-		k.mutex.Lock()
-		defer k.mutex.Unlock()
+		k.mu.Lock()
+		defer k.mu.Unlock()
 		k.median = median
 		rising := time.Duration(leastRise * float64(k.least))
 		if k.least == 0 || median < rising {
@@ -76,15 +76,15 @@
 
 // unloaded gives what the work takes while nothing waits; 0 while that is not known.
 func (k *kindLatency) unloaded() time.Duration {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return k.least
 }
 
 // longestUnloaded gives the longest of what gathered kinds of work take while nothing waits.
 func (b *latencyBook) longestUnloaded() time.Duration {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	longest := time.Duration(0)
 	for kind, latency := range b.kinds {
 		if strings.HasPrefix(kind, gatheredKind) {
@@ -95,8 +95,8 @@
 }
 
 func (k *kindLatency) typical() time.Duration {
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	return k.median
 }
 
--- a/internal/gateway/tree_fleet_test.go
+++ b/internal/gateway/tree_fleet_test.go
@@ -220,8 +220,8 @@
 // outcomes gives those of the groups that a node passed on.
 func (b *tree) outcomes(node string) []GroupOutcome {
 	journal := b.nodes[node].journal
-	journal.mutex.Lock()
-	defer journal.mutex.Unlock()
+	journal.mu.Lock()
+	defer journal.mu.Unlock()
 	var outcomes []GroupOutcome
 	for _, pass := range journal.passes {
 		outcomes = append(outcomes, pass.Outcome)
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -159,11 +159,11 @@
 // wrote notes that the request under way is all written. If its answer was faster than that, the
 // connection is given back now.
 func (c *connection) wrote() {
-	c.pool.mutex.Lock()
+	c.pool.mu.Lock()
 	c.writing = false
 	target := c.answeredFor
 	c.answeredFor = nil
-	c.pool.mutex.Unlock()
+	c.pool.mu.Unlock()
 	if target != nil {
 		c.rest(*target)
 	}
@@ -191,9 +191,9 @@
 // the leaf closed it, and the socket gives that before the error.
 func (c *connection) sendBody(body []byte) {
 	if _, err := c.socket.Write(body); err != nil {
-		c.pool.mutex.Lock()
+		c.pool.mu.Lock()
 		c.writeErr = err
-		c.pool.mutex.Unlock()
+		c.pool.mu.Unlock()
 		return
 	}
 	c.wrote()
@@ -226,8 +226,8 @@
 
 // exchange gives the exchange under way; nil while the connection rests.
 func (c *connection) exchange() *Exchange {
-	c.pool.mutex.Lock()
-	defer c.pool.mutex.Unlock()
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
 	return c.current
 }
 
@@ -235,9 +235,9 @@
 // rest. It reports whether the connection is still in use.
 func (c *connection) giveBack(e *Exchange, reusable bool) bool {
 	p := c.pool
-	p.mutex.Lock()
+	p.mu.Lock()
 	if c.dropped {
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		return false
 	}
 	c.current, e.conn, e.finished, c.answered = nil, nil, true, true
@@ -250,17 +250,17 @@
 	if !reusable {
 		c.dropped = true
 		p.lost(c.incarnation, leaf)
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		c.close()
 		return false
 	}
 	if c.writing {
 		c.answeredFor = &e.target
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		return true
 	}
 	next := c.restOrTake(leaf, e.target)
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if next != nil {
 		c.begin(next)
 	}
@@ -270,19 +270,19 @@
 // rest lets a connection rest that nobody uses any more.
 func (c *connection) rest(target Target) {
 	p := c.pool
-	p.mutex.Lock()
+	p.mu.Lock()
 	if c.dropped {
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		return
 	}
 	leaf := p.leafs[c.incarnation]
 	if p.closed || leaf.forgotten {
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		c.fail(errClosed)
 		return
 	}
 	next := c.restOrTake(leaf, target)
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if next != nil {
 		c.begin(next)
 	}
@@ -304,7 +304,7 @@
 // fail ends the connection, and the exchange under way with an answer that did not come.
 func (c *connection) fail(cause error) {
 	p := c.pool
-	p.mutex.Lock()
+	p.mu.Lock()
 	e := c.current
 	c.current = nil
 	if c.writeErr != nil {
@@ -321,7 +321,7 @@
 		}
 		p.lost(c.incarnation, leaf)
 	}
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	c.close()
 	if e != nil {
 		e.end(nil, &BrokenAnswerError{Cause: cause})
--- a/internal/leafhttp/connections_test.go
+++ b/internal/leafhttp/connections_test.go
@@ -57,8 +57,8 @@
 
 // resting gives the number of connections that rest.
 func (p *Pool) resting() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	count := 0
 	for _, leaf := range p.leafs {
 		count += len(leaf.idle)
@@ -136,9 +136,9 @@
 		time.Sleep(time.Millisecond)
 	}
 	e := &Exchange{pool: b.pool, target: b.target(), request: b.request(), done: func(*Response, error) {}}
-	b.pool.mutex.Lock()
+	b.pool.mu.Lock()
 	held, _ := b.pool.reserve(e)
-	b.pool.mutex.Unlock()
+	b.pool.mu.Unlock()
 	is.True(held != nil)
 	is.True(held.giveBack(e, true)) // the answer
 	is.Equal(b.pool.resting(), 0)
--- a/internal/leafhttp/early_test.go
+++ b/internal/leafhttp/early_test.go
@@ -208,15 +208,15 @@
 		pool: pool, target: leaf.target(), request: b.longRequest(len(longBody)), deadline: time.Now().Add(time.Minute),
 		done: func(response *Response, err error) { ended <- end{response, err} },
 	}
-	pool.mutex.Lock()
+	pool.mu.Lock()
 	_, mayOpen := pool.reserve(e)
-	pool.mutex.Unlock()
+	pool.mu.Unlock()
 	is.True(mayOpen)
 	held, err := dial(t.Context(), pool, e.target)
 	is.NoErr(err)
-	pool.mutex.Lock()
+	pool.mu.Lock()
 	held.assign(e)
-	pool.mutex.Unlock()
+	pool.mu.Unlock()
 	// The same steps as in begin, with the reader held up until the writer met the reset.
 	e.request.encode(&held.outgoing, pool.dialect, e.target.Incarnation, time.Minute)
 	_, err = held.socket.Write(held.outgoing.Bytes())
--- a/internal/leafhttp/exchange.go
+++ b/internal/leafhttp/exchange.go
@@ -35,14 +35,14 @@
 // cancels the attempt, see Exchange.Cancel.
 func (p *Pool) Start(target Target, request *Request, deadline time.Time, done Done) context.CancelCauseFunc {
 	e := &Exchange{pool: p, target: target, request: request, deadline: deadline, done: done}
-	p.mutex.Lock()
+	p.mu.Lock()
 	if p.closed {
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		e.end(nil, &NeverSentError{Cause: errClosed})
 		return e.Cancel
 	}
 	held, mayOpen := p.reserve(e)
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	switch {
 	case held != nil:
 		held.begin(e)
@@ -56,26 +56,26 @@
 // the cause is ErrSuperseded: then the answer is awaited a little longer, to keep the connection.
 func (e *Exchange) Cancel(cause error) {
 	p := e.pool
-	p.mutex.Lock()
+	p.mu.Lock()
 	if e.ended || e.finished {
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		return
 	}
 	held := e.conn
 	if held == nil {
 		p.stopWaiting(e)
-		p.mutex.Unlock()
+		p.mu.Unlock()
 		e.end(nil, &NeverSentError{Cause: cause})
 		return
 	}
 	if p.config.LingerTimeout > 0 && errors.Is(cause, ErrSuperseded) {
 		e.lingering = held.socket.SetReadDeadline(time.Now().Add(p.config.LingerTimeout)) == nil
 		if e.lingering {
-			p.mutex.Unlock()
+			p.mu.Unlock()
 			return
 		}
 	}
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	held.fail(cause)
 }
 
@@ -84,10 +84,10 @@
 	p := e.pool
 	ctx, cancel := context.WithDeadline(context.Background(), e.deadline)
 	defer cancel()
-	p.mutex.Lock()
+	p.mu.Lock()
 	e.stopDial = cancel
 	gone := e.ended
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if gone {
 		p.countOut(e.target.Incarnation, nil)
 		return
@@ -99,13 +99,13 @@
 		return
 	}
 	p.opened()
-	p.mutex.Lock()
+	p.mu.Lock()
 	e.stopDial = nil
 	taken := !e.ended
 	if taken {
 		held.assign(e)
 	}
-	p.mutex.Unlock()
+	p.mu.Unlock()
 	if taken {
 		held.begin(e)
 	} else {
@@ -116,10 +116,10 @@
 
 // end tells of the end of the exchange, once.
 func (e *Exchange) end(response *Response, err error) {
-	e.pool.mutex.Lock()
+	e.pool.mu.Lock()
 	ended := e.ended
 	e.ended, e.conn = true, nil
-	e.pool.mutex.Unlock()
+	e.pool.mu.Unlock()
 	if !ended {
 		e.done(response, err)
 	}
--- a/internal/leafhttp/leafhttp_test.go
+++ b/internal/leafhttp/leafhttp_test.go
@@ -191,10 +191,10 @@
 			config := DefaultConfig()
 			config.LingerTimeout = 300 * time.Millisecond
 			first := true
-			var mutex sync.Mutex
+			var mu sync.Mutex
 			b := newBench(t, config, func(httpleaf.Request) httpleaf.Answer {
-				mutex.Lock()
-				defer mutex.Unlock()
+				mu.Lock()
+				defer mu.Unlock()
 				answer := httpleaf.Answer{Body: []byte("x")}
 				if first {
 					answer.Delay, first = one.delay, false
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -29,7 +29,7 @@
 	// mayAsk reports whether a leaf may be sent a request now; nil allows all.
 	mayAsk func(incarnation string) bool
 
-	mutex  sync.Mutex
+	mu     sync.Mutex
 	leafs  map[string]*leafConnections // by incarnation
 	closed bool
 }
@@ -69,8 +69,8 @@
 
 // CanSpare reports whether a leaf may be tried on a spare connection now.
 func (p *Pool) CanSpare(incarnation string) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	leaf, found := p.leafs[incarnation]
 	return !found || time.Since(leaf.refusedAt) >= p.config.SparePause
 }
@@ -78,8 +78,8 @@
 // Warm opens a connection to the first of some leafs of a service and lets it rest, unless there
 // is one to any of them. It does not block.
 func (p *Pool) Warm(targets []Target) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed || len(targets) == 0 {
 		return
 	}
@@ -162,8 +162,8 @@
 
 // countOut counts a connection out that never came up, and lets another exchange open one.
 func (p *Pool) countOut(incarnation string, err error) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	leaf, found := p.leafs[incarnation]
 	if !found {
 		return
@@ -194,8 +194,8 @@
 // Keep closes connections that have rested too long, and those to leafs that are not known
 // any more; connections in use are closed when their attempt ends.
 func (p *Pool) Keep(known func(incarnation string) bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := time.Now()
 	for incarnation, leaf := range p.leafs {
 		leaf.forgotten = !known(incarnation)
@@ -217,8 +217,8 @@
 
 // Open gives the number of connections, those in use included.
 func (p *Pool) Open() int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	open := 0
 	for _, leaf := range p.leafs {
 		open += leaf.open
@@ -228,8 +228,8 @@
 
 // Close closes every resting connection and refuses new attempts.
 func (p *Pool) Close() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
 	for _, leaf := range p.leafs {
 		for _, held := range leaf.idle {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -22,7 +22,7 @@
 
 // memoryLessor keeps leases in memory and fails on request.
 type memoryLessor struct {
-	mutex   sync.Mutex
+	mu      sync.Mutex
 	failing bool
 	lost    bool
 	granted int
@@ -34,8 +34,8 @@
 var errDown = errors.New("down")
 
 func (m *memoryLessor) Grant(_ context.Context, timeToLive time.Duration) (int64, time.Duration, error) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.failing {
 		return 0, 0, errDown
 	}
@@ -45,8 +45,8 @@
 }
 
 func (m *memoryLessor) Keep(context.Context, int64) error {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	switch {
 	case m.failing:
 		return errDown
@@ -58,29 +58,29 @@
 }
 
 func (m *memoryLessor) End(context.Context, int64) error {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.ended++
 	return nil
 }
 
 func (m *memoryLessor) PutLeased(_ context.Context, key string, _ json.RawMessage, lease int64) error {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.put[key] = lease
 	return nil
 }
 
 // calls gives what was granted, kept and ended so far, and the lease of a key.
 func (m *memoryLessor) calls(key string) (granted, kept, ended int, lease int64) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return m.granted, m.kept, m.ended, m.put[key]
 }
 
 func (m *memoryLessor) set(failing, lost bool) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.failing, m.lost = failing, lost
 }
 
