--- a/internal/connshare/connshare.go
+++ b/internal/connshare/connshare.go
@@ -15,13 +15,13 @@
 	"slices"
 	"sync"
 	"time"
-	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/sameslice"
 )
 
 // Config tunes the parts.
@@ -136,12 +136,7 @@
 
 // equals reports whether two deals are by the same nodes and leafs, told by their shared slices.
 func (d deal) equals(other deal) bool {
-	return isSame(d.nodes, other.nodes) && isSame(d.leafs, other.leafs) && d.limit == other.limit && d.isNew == other.isNew
-}
-
-// isSame reports whether two slices are one.
-func isSame[T any](a, b []T) bool {
-	return len(a) == len(b) && unsafe.SliceData(a) == unsafe.SliceData(b)
+	return sameslice.Is(d.nodes, other.nodes) && sameslice.Is(d.leafs, other.leafs) && d.limit == other.limit && d.isNew == other.isNew
 }
 
 func (d *Dealer) deal(service string, by deal) []Dealt {
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -9,12 +9,12 @@
 import (
 	"sync"
 	"time"
-	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/sameslice"
 )
 
 // Fleet gives the nodes that may ask leafs; registry.Census is the real one.
@@ -115,7 +115,7 @@
 	if gathered {
 		nodes = l.fleet.Gatherers()
 	}
-	if !found || !isSame(nodes, share.nodes) {
+	if !found || !sameslice.Is(nodes, share.nodes) {
 		share.nodes = nodes
 		share.perSecond = l.shareOf(leaf, nodes, l.config.divide(perSecond, gathered))
 	}
@@ -178,8 +178,3 @@
 	}
 	return r.hash < other.hash
 }
-
-// isSame reports whether two slices are one.
-func isSame[T any](a, b []T) bool {
-	return len(a) == len(b) && unsafe.SliceData(a) == unsafe.SliceData(b)
-}
