--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -5,7 +5,10 @@
 	"strings"
 	"time"
 
+	json "github.com/goccy/go-json"
+
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
+	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/manifest"
 	"github.com/portgauge/portgauge/internal/routing"
@@ -152,10 +155,14 @@
 		delete(d.view.Nodes, id)
 		return nil
 	}
-	record, err := DecodeNode(entry)
+	document, err := DecodeDocument(entry)
 	if err != nil {
 		return err
 	}
+	var record NodeRecord
+	if err := json.Unmarshal(document, &record); err != nil {
+		return failure.Invalid("node", "not a node record: %v", err)
+	}
 	d.view.Nodes[id] = record
 	return nil
 }
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -101,19 +101,6 @@
 	return envelope.Document, err
 }
 
-// DecodeNode reads the record of a node.
-func DecodeNode(entry Entry) (NodeRecord, error) {
-	document, err := DecodeDocument(entry)
-	if err != nil {
-		return NodeRecord{}, err
-	}
-	var record NodeRecord
-	if err := json.Unmarshal(document, &record); err != nil {
-		return NodeRecord{}, failure.Invalid("node", "not a node record: %v", err)
-	}
-	return record, nil
-}
-
 // NewEnvelope wraps a message for a write that replaces the given entry, if any.
 func NewEnvelope(changeID string, message proto.Message, replaced *Entry) ([]byte, error) {
 	envelope := Envelope{ChangeID: changeID, Deleted: message == nil}
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -15,8 +15,6 @@
 	// FirstReadDelay is how long a node that starts only asks its seeds, at most, before it reads the
 	// store beside that, whether it will be a watcher or not.
 	FirstReadDelay time.Duration `yaml:"first_read_delay"`
-	// PeerReadDelay is the same for most nodes of a larger fleet, whose nodes the store names.
-	PeerReadDelay time.Duration `yaml:"peer_read_delay"`
 	// BatchDelay is how long a watcher collects changes before it pushes them.
 	BatchDelay time.Duration `yaml:"batch_delay"`
 	// BackupDelay is how long a watcher waits for the push of the watcher before it in rank
@@ -52,7 +50,6 @@
 		WatchersPerZone:     2,
 		FanOut:              4,
 		FirstReadDelay:      8 * time.Second,
-		PeerReadDelay:       500 * time.Millisecond,
 		BatchDelay:          20 * time.Millisecond,
 		BackupDelay:         500 * time.Millisecond,
 		CallTimeout:         500 * time.Millisecond,
@@ -73,7 +70,6 @@
 	var checks failure.Checks
 	checks.Refuse(c.WatchersPerZone < 1, "watchers_per_zone", "must be at least 1")
 	checks.Refuse(c.FirstReadDelay < 0, "first_read_delay", "must not be negative")
-	checks.Refuse(c.PeerReadDelay < 0, "peer_read_delay", "must not be negative")
 	checks.Refuse(c.FanOut < 1, "fan_out", "must be at least 1")
 	durations := []struct {
 		field string
--- a/internal/configsync/first_state.go
+++ b/internal/configsync/first_state.go
@@ -10,7 +10,6 @@
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
-	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/wait"
 )
@@ -22,16 +21,6 @@
 	// firstPullTimeout bounds one pull from a seed. A seed may be dead without a sign; one that is well
 	// gives a state of 0.5 MB in a tenth of this.
 	firstPullTimeout = 250 * time.Millisecond
-	// peerPullTimeout is the same for one of the nodes that the store names: many of them may have lost
-	// power together with this one.
-	peerPullTimeout = 120 * time.Millisecond
-	// peerPulls is how many of those nodes are asked at once.
-	peerPulls = 3
-	// firstReaders is about how many nodes of a fleet that starts together read the whole state from the
-	// store at once. With a configuration of 1,940 routes that is 0.7 MB each: 76 of them waited 0.4 s for it.
-	firstReaders = 8
-	// findTimeout bounds the look for the nodes that the store names.
-	findTimeout = time.Second
 )
 
 // errCaughtUp ends the watch by which a node brings a stale state up to date.
@@ -41,10 +30,10 @@
 // will be a watcher or not: joining its zone takes longer, and until then it can't serve. It reports
 // false when the context ended.
 //
-// Seeds read the store at once, and so do a few of the others, drawn by the number of nodes that the store
-// names. The rest ask the seeds and those nodes first, and read the store too if none has answered after a
-// while. Whichever comes first ends the other, so that a fleet that starts together mostly takes its state
-// from peers: at 295 nodes reading the store would be over 100 MB.
+// Seeds read the store at once. The others ask them first, and read the store too if none has answered
+// after a short delay: a seed may be dead, or start later than they. Whichever comes first ends the
+// other, so that a fleet that starts together mostly takes its state from peers: at 295 nodes reading
+// the store would be over 100 MB.
 func (s *Syncer) readFirst(ctx context.Context) bool {
 	first, stop := context.WithCancel(ctx)
 	defer stop()
@@ -57,7 +46,7 @@
 	}()
 	if !s.isSeed() {
 		go s.pullFirst(first)
-		wait.For(first, s.firstReadDelay(s.askPeers(first)))
+		wait.For(first, s.firstReadDelay())
 	}
 	retryAfter := s.config.RetryPause
 	for read := s.readAtStart; !s.initialised.Load(); read = s.readStore {
@@ -74,58 +63,9 @@
 	return ctx.Err() == nil
 }
 
-// firstReadDelay is how long the node waits for its first state until it reads the store, by the number of
-// nodes that it can ask. It differs between nodes, so that those that start together don't read together.
-func (s *Syncer) firstReadDelay(peers int) time.Duration {
-	share := 0.5 + rand.Float64()/2
-	if peers <= firstReaders {
-		return time.Duration(share * float64(s.config.FirstReadDelay))
-	}
-	if rand.IntN(peers) < firstReaders {
-		return 0
-	}
-	return time.Duration(share * float64(s.config.PeerReadDelay))
-}
-
-// askPeers looks for the nodes that the store names, begins to ask them, and gives how many there are; 0
-// where the store does not tell.
-func (s *Syncer) askPeers(ctx context.Context) int {
-	finder, isFinder := s.store.(store.NodeFinder)
-	if !isFinder {
-		return 0
-	}
-	finding, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	nodes, err := finder.Nodes(finding)
-	if err != nil {
-		s.logger.Info("nodes of the fleet can't be found at the start", zap.Error(err))
-		return 0
-	}
-	self := s.transport.Address()
-	nodes = slices.DeleteFunc(nodes, func(node catalog.NodeRecord) bool { return node.Address == self })
-	if len(nodes) == 0 {
-		return 0
-	}
-	for range peerPulls {
-		go s.pullFirstFromPeers(ctx, nodes)
-	}
-	return len(nodes)
-}
-
-// pullFirstFromPeers asks random nodes, one after the other, until this one has its first state or the
-// context ends.
-func (s *Syncer) pullFirstFromPeers(ctx context.Context, nodes []catalog.NodeRecord) {
-	for !s.initialised.Load() {
-		asking, cancel := context.WithTimeout(ctx, peerPullTimeout)
-		_, elsewhere := s.pullOnce(asking, nodes[rand.IntN(len(nodes))].Address)
-		if len(elsewhere) > 0 {
-			s.pullOnce(asking, elsewhere[0])
-		}
-		cancel()
-		if !wait.For(ctx, firstPullPause) {
-			return
-		}
-	}
+// firstReadDelay differs between nodes, so that those that start together don't read together.
+func (s *Syncer) firstReadDelay() time.Duration {
+	return time.Duration((0.5 + rand.Float64()/2) * float64(s.config.FirstReadDelay))
 }
 
 // currentSeeds gives the peer addresses to join through.
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -176,8 +176,6 @@
 	platform *memoryPlatform
 	network  *peer.MemoryNetwork
 	nodes    map[string]*testNode
-	// registered are the nodes that the store names; nil where it names none.
-	registered []catalog.NodeRecord
 }
 
 func newFleet(t *testing.T, zones, perZone int) *fleet {
@@ -201,12 +199,8 @@
 	transport := f.network.Attach(id)
 	view := platformView{f.platform, id}
 	node := &testNode{id: id, catalog: catalog.New(nil), leafs: &leafNotes{leaving: map[string]time.Time{}}}
-	var kept store.Store = view
-	if f.registered != nil {
-		kept = findingPlatform{view, f.registered}
-	}
 	node.syncer = New(Parts{
-		Config: f.config, Catalog: node.catalog, Store: kept, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
+		Config: f.config, Catalog: node.catalog, Store: view, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
 	})
 	self := peer.Member{ID: id, Address: id, Zone: zone, Incarnation: time.Now().UnixMilli()}
 	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, 1)
--- a/internal/configsync/start_test.go
+++ b/internal/configsync/start_test.go
@@ -1,15 +1,12 @@
 package configsync
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/portgauge/portgauge/internal/catalog"
 )
 
 // A node that starts while the store is down takes its state from peers.
@@ -136,56 +133,3 @@
 		is.Equal(f.nodes["z0-n1"].catalog.Revision(), revision)
 	})
 }
-
-// findingPlatform is a platform that names the registered nodes.
-type findingPlatform struct {
-	platformView
-	nodes []catalog.NodeRecord
-}
-
-func (p findingPlatform) Nodes(context.Context) ([]catalog.NodeRecord, error) { return p.nodes, nil }
-
-// A fleet whose seeds are dead, and whose nodes the store names, reads the store at a few nodes and has its
-// state from those and from each other.
-func TestFleetWithDeadSeedsStartsFromItsNodes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(t, 4, 0)
-		defer f.stopAll()
-		revision := f.platform.write(t, "a", 1)
-		f.config.FirstReadDelay = 60 * time.Millisecond
-		const perZone = 30
-		for zone := range 4 {
-			for number := range perZone {
-				id := fmt.Sprintf("z%d-n%d", zone, number)
-				f.registered = append(f.registered, catalog.NodeRecord{ID: id, Zone: fmt.Sprintf("z%d", zone), Address: id})
-			}
-		}
-		for _, node := range f.registered {
-			f.start(node.ID, node.Zone, "dead")
-		}
-		time.Sleep(400 * time.Millisecond)
-		is.Equal(len(f.lagging(revision)), 0)
-		f.platform.mu.Lock()
-		defer f.platform.mu.Unlock()
-		is.True(f.platform.staleLists < 3*firstReaders)
-	})
-}
-
-// Where the store names few nodes, each reads it after the usual delay; a fleet of many has few that read at
-// once.
-func TestFirstReadersAreFew(t *testing.T) {
-	is := is.New(t)
-	s := &Syncer{config: DefaultConfig()}
-	s.config.FirstReadDelay, s.config.PeerReadDelay = time.Millisecond, time.Minute
-	for range 100 {
-		is.True(s.firstReadDelay(firstReaders) <= time.Millisecond)
-	}
-	atOnce := 0
-	for range 1000 {
-		if s.firstReadDelay(10*firstReaders) == 0 {
-			atOnce++
-		}
-	}
-	is.True(atOnce > 50 && atOnce < 200) // a tenth
-}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -71,13 +71,6 @@
 	Watch(ctx context.Context, after int64, role WatchRole, receive func(Event) error) error
 }
 
-// NodeFinder is a store that gives the records of the nodes without the rest of its state, which is far
-// larger. Implementations are safe for concurrent use.
-type NodeFinder interface {
-	// Nodes gives the registered nodes, in no order, as they were up to seconds ago.
-	Nodes(ctx context.Context) ([]catalog.NodeRecord, error)
-}
-
 // Lessor keeps keys that go when their writer does. Implementations are safe for concurrent use.
 type Lessor interface {
 	// Grant opens a lease and gives its id and the time to live that applies.
