Changes that overtake others are kept until those are in; a burst is pushed at once

Ruled out: nodes that the store refuses (others of the zone were as late). Change: earlyChanges keeps what is behind a gap; a push has up to 512 changes or 1 MB.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -168,7 +168,7 @@
 // rememberReplaced keeps what a whole state changed, unless there was nothing before it or it is
 // too large; then earlier changes don't reach the revision in force any more.
 func (c *Catalog) rememberReplaced(before int64, difference Change) {
-	if before == 0 || difference.size() > recentBytes {
+	if before == 0 || difference.Size() > recentBytes {
 		c.recent, c.recentSize = nil, 0
 		return
 	}
@@ -193,7 +193,8 @@
 	return change
 }
 
-func (c Change) size() int {
+// Size is the size of the values of a change, in bytes.
+func (c Change) Size() int {
 	size := 0
 	for _, entry := range c.Entries() {
 		size += len(entry.Value)
@@ -273,9 +274,9 @@
 
 func (c *Catalog) remember(change Change) {
 	c.recent = append(c.recent, change)
-	c.recentSize += change.size()
+	c.recentSize += change.Size()
 	for len(c.recent) > recentLimit || (c.recentSize > recentBytes && len(c.recent) > 1) {
-		c.recentSize -= c.recent[0].size()
+		c.recentSize -= c.recent[0].Size()
 		c.recent = c.recent[1:]
 	}
 }
--- /dev/null
+++ b/internal/configsync/early.go
@@ -0,0 +1,38 @@
+package configsync
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+)
+
+// mostEarly bounds the changes that are kept until those before them are in.
+const mostEarly = 2048
+
+// earlyChanges are changes that came before those that they follow on. Pushes go over trees that are drawn
+// anew each time, so that one may overtake another; what it brought need not be fetched again. The zero value
+// is ready; it is safe for concurrent use.
+type earlyChanges struct {
+	mu      sync.Mutex
+	changes []catalog.Change // in order of revision
+}
+
+// apply puts changes into force, with the early ones that follow on them, and keeps those behind a gap. It
+// reports whether there is no gap.
+func (e *earlyChanges) apply(known *catalog.Catalog, changes []catalog.Change) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := append(slices.Clone(e.changes), changes...)
+	slices.SortStableFunc(all, func(a, b catalog.Change) int { return int(a.Entry.Revision - b.Entry.Revision) })
+	complete := known.ApplyAll(all)
+	revision := known.Revision()
+	inForce := func(change catalog.Change) bool { return change.Entry.Revision <= revision }
+	waiting := slices.DeleteFunc(all, inForce)
+	isSame := func(a, b catalog.Change) bool {
+		return a.Entry.Revision == b.Entry.Revision && a.Previous == b.Previous
+	}
+	waiting = slices.CompactFunc(waiting, isSame)
+	e.changes = slices.Clip(waiting[:min(len(waiting), mostEarly)])
+	return complete
+}
--- /dev/null
+++ b/internal/configsync/early_test.go
@@ -0,0 +1,66 @@
+package configsync
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/peer"
+)
+
+// Pushes that overtake each other lose nothing: once all are in, whatever their order, all is in force,
+// though no peer can be asked.
+func TestPushesInAnyOrderLoseNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0)
+	f.platform.cutOff["z0-n0"] = true
+	f.start("z0-n0", "z0")
+	defer f.nodes["z0-n0"].stop()
+	node := f.nodes["z0-n0"]
+	const pushes, changesEach = 5, 60
+	var batches []peer.Push
+	revision := int64(0)
+	for range pushes {
+		var changes []catalog.Change
+		for range changesEach {
+			changes = append(changes, catalog.Change{Entry: catalog.Entry{Key: "x", Value: []byte(`{}`), Revision: revision + 1}, Previous: revision})
+			revision++
+		}
+		batch, err := peer.PackBatch(changes)
+		is.NoErr(err)
+		batches = append(batches, peer.Push{Batch: batch})
+	}
+	for _, number := range []int{2, 4, 1, 3} {
+		node.syncer.HandlePush("nowhere", batches[number])
+		is.Equal(node.catalog.Revision(), int64(0))
+	}
+	node.syncer.HandlePush("nowhere", batches[0])
+	is.Equal(node.catalog.Revision(), revision)
+	is.Equal(len(node.syncer.early.changes), 0)
+}
+
+// Whatever parts come in whatever order, some of them twice, what is in force is a state without a gap, and
+// all once all came.
+func TestEarlyChangesFollowTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log []catalog.Change
+		for revision := range int64(rapid.IntRange(1, 40).Draw(t, "changes")) {
+			log = append(log, catalog.Change{Entry: catalog.Entry{Key: "x", Value: []byte(`{}`), Revision: revision + 1}, Previous: revision})
+		}
+		order := rapid.Permutation(log).Draw(t, "order")
+		known := catalog.New(nil)
+		var early earlyChanges
+		for part := range slices.Chunk(order, rapid.IntRange(1, 7).Draw(t, "part")) {
+			early.apply(known, part)
+			if rapid.Bool().Draw(t, "twice") {
+				early.apply(known, part)
+			}
+		}
+		if known.Revision() != int64(len(log)) || len(early.changes) != 0 {
+			t.Fatalf("revision %d of %d, %d kept", known.Revision(), len(log), len(early.changes))
+		}
+	})
+}
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -177,7 +177,7 @@
 			s.wholeStates.keep(snapshot.Revision, state.Snapshot)
 		}
 	}
-	s.catalog.ApplyAll(state.Changes)
+	s.early.apply(s.catalog, state.Changes)
 	return nil
 }
 
@@ -222,8 +222,13 @@
 	if !kept || len(changes) == 0 {
 		return
 	}
-	for start := 0; start < len(changes); start += maximumBatch {
-		end := min(start+maximumBatch, len(changes))
+	for start := 0; start < len(changes); {
+		end, size := start, 0
+		for end < len(changes) && end-start < maximumBatch && size < batchBytes {
+			size += changes[end].Size()
+			end++
+		}
 		s.pushChanges(ctx, changes[start:end])
+		start = end
 	}
 }
--- a/internal/configsync/push.go
+++ b/internal/configsync/push.go
@@ -13,8 +13,12 @@
 	"github.com/portgauge/portgauge/internal/peer"
 )
 
-// maximumBatch bounds the changes in one push.
-const maximumBatch = 64
+// Bounds of the changes in one push: those of a burst, as when hundreds of leafs leave together, are best
+// pushed at once, but each may be a configuration of 0.5 MB.
+const (
+	maximumBatch = 512
+	batchBytes   = 1 << 20
+)
 
 // pushLoop pushes the first change after a quiet time nearly at once, and those of a burst
 // together at intervals.
@@ -39,10 +43,12 @@
 func (s *Syncer) collect(batch []catalog.Change, span time.Duration) []catalog.Change {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
-	for len(batch) < maximumBatch {
+	size := batch[0].Size()
+	for len(batch) < maximumBatch && size < batchBytes {
 		select {
 		case change := <-s.pushes:
 			batch = append(batch, change)
+			size += change.Size()
 		case <-timer.C:
 			return batch
 		}
@@ -114,7 +120,10 @@
 func (s *Syncer) HandlePush(from string, push peer.Push) peer.State {
 	s.pushedAt.Store(time.Now().UnixNano())
 	changes, err := push.Batch.Unpack()
-	gap := err != nil || !s.catalog.ApplyAll(changes)
+	if err != nil {
+		s.logger.Warn("push can't be read", zap.String("peer", from), zap.Error(err))
+	}
+	gap := err != nil || !s.early.apply(s.catalog, changes)
 	s.takeNotices(push.Notices)
 	s.notePushed(changes)
 	if gap {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -68,6 +68,7 @@
 	pushedAt    atomic.Int64 // when the last push arrived, in unix nanoseconds
 	pushes      chan catalog.Change
 	wholeStates wholeStates
+	early       earlyChanges
 
 	mu       sync.Mutex
 	contacts map[string][]string // peer addresses of other zones
