--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -31,9 +31,6 @@
 	WarmUp time.Duration `yaml:"warm_up"`
 	// LoadAge is how long a load report counts.
 	LoadAge time.Duration `yaml:"load_age"`
-	// PaceAge is how long a leaf's word counts on how slow its machine is now; 0 lets it not count. It
-	// varies many times a second.
-	PaceAge time.Duration `yaml:"pace_age"`
 	// InFlightLimit is the most attempts one node has at one leaf at once.
 	InFlightLimit int `yaml:"in_flight_limit"`
 	// ForgetDrain is how long a leaf stays out of use after its own word that it drains,
@@ -50,7 +47,6 @@
 		SlowFactor:    4,
 		WarmUp:        3 * time.Second,
 		LoadAge:       time.Second,
-		PaceAge:       0,
 		InFlightLimit: 256,
 		ForgetDrain:   30 * time.Second,
 	}
@@ -65,7 +61,6 @@
 	checks.Refuse(c.SlowFactor <= 1, "slow_factor", "must be greater than 1")
 	checks.Refuse(c.WarmUp < 0, "warm_up", "must not be negative")
 	checks.Refuse(c.LoadAge <= 0, "load_age", "must be positive")
-	checks.Refuse(c.PaceAge < 0, "pace_age", "must not be negative")
 	checks.Refuse(c.InFlightLimit < 1, "in_flight_limit", "must be at least 1")
 	checks.Refuse(c.ForgetDrain <= 0, "forget_drain", "must be positive")
 	return checks.Err()
--- a/internal/balancer/leaf.go
+++ b/internal/balancer/leaf.go
@@ -84,8 +84,6 @@
 	InFlight uint32
 	Slots    uint32
 	Draining bool
-	// Pace is how many times the usual the leaf's work takes now, by its own word; 0 when it does not say.
-	Pace float64
 }
 
 // start counts an attempt in; it marks the attempt as the trial of an ejected leaf.
@@ -296,9 +294,6 @@
 	result.load = busy + 1
 	result.queueing = l.queueing(config, now)
 	result.slowness, result.compared = l.slowness.now(now)
-	if now.Sub(l.reportedAt) < config.PaceAge {
-		result.slowness = max(result.slowness, l.reported.Pace)
-	}
 	result.warmth = l.warmth(config, now)
 	return result
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,7 +45,6 @@
 	if response.Load != nil {
 		w.gateway.balancer.Report(attempt.Leaf, balancer.Load{
 			InFlight: uint32(response.Load.Running + response.Load.Waiting), Slots: uint32(response.Load.Slots),
-			Pace: response.Load.Pace,
 		})
 	}
 	return w.judge(response)
--- a/internal/leafhttp/answer.go
+++ b/internal/leafhttp/answer.go
@@ -86,23 +86,21 @@
 	}
 }
 
-// leastLoadFields and mostLoadFields are how many figures a leaf's word on its load has: the last is left
-// out by leafs that don't know how slow their machine is.
+// leastLoadFields and mostLoadFields are how many figures a leaf's word on its load has. The last, which some
+// leave out, says how slow the leaf's machine is now. It is not used: avoiding such leafs measured as noise
+// (docs/design/shifted-work.md).
 const (
 	leastLoadFields = 3
 	mostLoadFields  = 4
 )
 
-// usualPace is the pace, in hundredths, of a leaf whose work takes its usual time.
-const usualPace = 100
-
 // parseLoad reads a leaf's word on its load; nil when it is not understood.
 func parseLoad(text string) *Load {
 	fields := strings.Split(text, ",")
 	if len(fields) < leastLoadFields || len(fields) > mostLoadFields {
 		return nil
 	}
-	figures := [mostLoadFields]int{mostLoadFields - 1: usualPace}
+	var figures [mostLoadFields]int
 	for index, field := range fields {
 		figure, err := strconv.Atoi(strings.TrimSpace(field))
 		if err != nil || figure < 0 {
@@ -110,7 +108,7 @@
 		}
 		figures[index] = figure
 	}
-	return &Load{Running: figures[0], Waiting: figures[1], Slots: figures[2], Pace: float64(figures[3]) / usualPace}
+	return &Load{Running: figures[0], Waiting: figures[1], Slots: figures[2]}
 }
 
 // idleLimit reads how long the leaf lets a connection rest from its Keep-Alive header.
--- a/internal/leafhttp/request.go
+++ b/internal/leafhttp/request.go
@@ -45,9 +45,6 @@
 	Running int
 	Waiting int
 	Slots   int
-	// Pace is how many times the usual its work takes now, since the machine is not the leaf's alone; 1
-	// where it does not say.
-	Pace float64
 }
 
 // hopHeaders concern one connection only and are never passed on.
