--- a/internal/configsync/early.go
+++ b/internal/configsync/early.go
@@ -7,8 +7,12 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 )
 
-// mostEarly bounds the changes that are kept until those before them are in.
-const mostEarly = 2048
+// mostEarly and earlyBytes bound the changes that are kept until those before them are in: some pushes of a
+// burst, or a few configurations of 0.5 MB.
+const (
+	mostEarly  = 2048
+	earlyBytes = 4 << 20
+)
 
 // earlyChanges are changes that came before those that they follow on. Pushes go over trees that are drawn
 // anew each time, so that one may overtake another; what it brought need not be fetched again. The zero value
@@ -33,6 +37,19 @@
 		return a.Entry.Revision == b.Entry.Revision && a.Previous == b.Previous
 	}
 	waiting = slices.CompactFunc(waiting, isSame)
-	e.changes = slices.Clip(waiting[:min(len(waiting), mostEarly)])
+	e.changes = slices.Clip(waiting[:prefix(waiting, mostEarly, earlyBytes)])
 	return complete
 }
+
+// prefix gives how many of some changes, from the first on, are within a number and a size in bytes; the last
+// of them may go beyond the size.
+func prefix(changes []catalog.Change, most, bytes int) int {
+	size := 0
+	for index, change := range changes {
+		if index >= most || size >= bytes {
+			return index
+		}
+		size += change.Size()
+	}
+	return len(changes)
+}
--- a/internal/configsync/early_test.go
+++ b/internal/configsync/early_test.go
@@ -64,3 +64,23 @@
 		}
 	})
 }
+
+// What is kept early has a bound in number and in size.
+func TestEarlyChangesAreBounded(t *testing.T) {
+	is := is.New(t)
+	known := catalog.New(nil)
+	var early earlyChanges
+	large := make([]byte, earlyBytes/4)
+	for i := range int64(10) {
+		early.apply(known, []catalog.Change{{Entry: catalog.Entry{Key: "x", Value: large, Revision: 10 + i}, Previous: 9 + i}})
+	}
+	is.Equal(len(early.changes), 4)
+	is.Equal(early.changes[0].Entry.Revision, int64(10)) // the first are those that can be put into force first
+	early = earlyChanges{}
+	var many []catalog.Change
+	for i := range int64(mostEarly + 100) {
+		many = append(many, catalog.Change{Entry: catalog.Entry{Key: "x", Revision: 10 + i}, Previous: 9 + i})
+	}
+	early.apply(known, many)
+	is.Equal(len(early.changes), mostEarly)
+}
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -222,13 +222,9 @@
 	if !kept || len(changes) == 0 {
 		return
 	}
-	for start := 0; start < len(changes); {
-		end, size := start, 0
-		for end < len(changes) && end-start < maximumBatch && size < batchBytes {
-			size += changes[end].Size()
-			end++
-		}
-		s.pushChanges(ctx, changes[start:end])
-		start = end
+	for len(changes) > 0 {
+		count := prefix(changes, maximumBatch, batchBytes)
+		s.pushChanges(ctx, changes[:count])
+		changes = changes[count:]
 	}
 }
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -212,7 +212,7 @@
 	known := e.drop(leaf.ID)
 	switch {
 	case leaf.State == Ready:
-		e.find(leaf.ID)
+		e.forgetLoss(leaf.ID)
 	case known != nil && known.State == Ready:
 		e.lose(known)
 	}
@@ -235,8 +235,8 @@
 	e.set.lost[known.ID] = lost{leaf: known, at: time.Now()}
 }
 
-// find forgets that a leaf was lost.
-func (e *Editor) find(id string) {
+// forgetLoss forgets that a leaf was lost, since it is ready again.
+func (e *Editor) forgetLoss(id string) {
 	if _, wasLost := e.set.lost[id]; wasLost {
 		e.ownLost()
 		delete(e.set.lost, id)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -152,38 +152,50 @@
 // one by one.
 func (j *beliefJournal) changed(entries []catalog.Entry) {
 	view := j.catalog.View()
-	leafs := leafsEvent{Time: time.Now(), Event: eventLeafsChanged, Revision: view.Revision, Evacuated: view.Leafs.EvacuatedZones()}
-	nodes := nodesEvent{Time: leafs.Time, Event: eventNodesChanged, Revision: view.Revision}
-	hasLeafs, hasNodes := false, false
+	var leafs, nodes []string
 	for _, entry := range entries {
 		if id, isLeaf := strings.CutPrefix(entry.Key, catalog.LeafKey("")); isLeaf {
-			hasLeafs = true
-			leaf, found := view.Leafs.ByID(id)
-			if !found {
-				leafs.add(id, "", true)
-				continue
-			}
-			leafs.add(id, leaf.State, false)
+			leafs = append(leafs, id)
 			continue
 		}
 		if id, isNode := strings.CutPrefix(entry.Key, catalog.NodeKey("")); isNode {
-			hasNodes = true
-			_, registered := view.Nodes[id]
-			nodes.add(id, registered)
+			nodes = append(nodes, id)
 			continue
 		}
 		if entry.Key != catalog.MarkerKey {
 			j.entryChanged(entry)
 		}
 	}
-	if hasLeafs {
-		j.log.Write(decisionlog.Failed, leafs)
+	if len(leafs) > 0 {
+		j.leafsChanged(view, leafs)
 	}
-	if hasNodes {
-		j.log.Write(decisionlog.Failed, nodes)
+	if len(nodes) > 0 {
+		j.nodesChanged(view, nodes)
 	}
 }
 
+func (j *beliefJournal) leafsChanged(view *catalog.View, ids []string) {
+	event := leafsEvent{Time: time.Now(), Event: eventLeafsChanged, Revision: view.Revision, Evacuated: view.Leafs.EvacuatedZones()}
+	for _, id := range ids {
+		state := leafset.State("")
+		leaf, found := view.Leafs.ByID(id)
+		if found {
+			state = leaf.State
+		}
+		event.add(id, state, !found)
+	}
+	j.log.Write(decisionlog.Failed, event)
+}
+
+func (j *beliefJournal) nodesChanged(view *catalog.View, ids []string) {
+	event := nodesEvent{Time: time.Now(), Event: eventNodesChanged, Revision: view.Revision}
+	for _, id := range ids {
+		_, registered := view.Nodes[id]
+		event.add(id, registered)
+	}
+	j.log.Write(decisionlog.Failed, event)
+}
+
 func (j *beliefJournal) entryChanged(entry catalog.Entry) {
 	event := entryEvent{Time: time.Now(), Event: eventEntryChanged, Key: entry.Key, Revision: entry.Revision, Gone: entry.Deleted}
 	view := j.catalog.View()
