--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -386,20 +386,11 @@
 	}
 	failed := failure.New(code, execution, "%d of %d shards are missing: %s", len(w.outcomes)-w.summary.Replies, len(w.outcomes), reason)
 	if execution == failure.NotRun {
-		failed = failed.WithRetryAfter(w.retryAfter(reason))
+		failed = failed.WithRetryAfter(w.gateway.config.RetryAfter)
 	}
 	return failed
 }
 
-// retryAfter says when the caller of a request that did not run should come back. Leafs that were full have
-// a place again once a request ends there; leafs that could not be reached may take long.
-func (w *gathering) retryAfter(reason scatter.Reason) time.Duration {
-	if reason == reasonNotSent || reason == noLeaf {
-		return w.query.latestReturn()
-	}
-	return w.gateway.config.RetryAfter
-}
-
 func (w *gathering) firstReason() scatter.Reason {
 	for _, outcome := range w.outcomes {
 		if outcome.Reply == nil {
