--- a/internal/gateway/impossible.go
+++ b/internal/gateway/impossible.go
@@ -15,8 +15,8 @@
 const noLeaf = scatter.Reason(balancer.NoReplica)
 
 // refuseWithoutLeafs gives a failure where so many services have no leaf that the answer could not be a
-// success: all are gone, drain, are evacuated or in regions that the route is not allowed. Waiting for one would only hold the caller, who can come
-// back to this node or another.
+// success: all are gone, drain, are evacuated or in regions that the route is not allowed. Waiting for one
+// would only hold the caller, who can come back to this node or another.
 func (w *gathering) refuseWithoutLeafs() error {
 	if w.collected != nil {
 		return nil // a part of a request is for its root to judge
