--- a/cmd/portgauge-lab/compare.go
+++ b/cmd/portgauge-lab/compare.go
@@ -61,11 +61,7 @@
 	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
 		return err
 	}
-	wire, err := os.ReadFile(filepath.Join(filepath.Dir(c.Site), "wire.json"))
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(filepath.Join(c.Folder, "wire.json"), wire, 0o644); err != nil {
+	if err := copyWire(c.Site, c.Folder); err != nil {
 		return err
 	}
 	return os.WriteFile(c.siteFile(), []byte(site), 0o644)
--- a/cmd/portgauge-lab/variants.go
+++ b/cmd/portgauge-lab/variants.go
@@ -98,11 +98,7 @@
 			return report{}, nil, err
 		}
 	}
-	wire, err := os.ReadFile(filepath.Join(filepath.Dir(c.Site), "wire.json"))
-	if err == nil {
-		err = os.WriteFile(filepath.Join(filepath.Dir(base), "wire.json"), wire, 0o600)
-	}
-	if err != nil {
+	if err := copyWire(c.Site, filepath.Dir(base)); err != nil {
 		return report{}, nil, err
 	}
 	output, err = exec.Command(c.Bench, "run", siteFile, dayFile, "--report", reportFile, "--why", "variant "+made.Name).CombinedOutput()
@@ -116,3 +112,15 @@
 	err = json.Unmarshal(content, &seen)
 	return seen, output, err
 }
+
+// wireFile holds the names of a deployment's platform, beside its site file.
+const wireFile = "wire.json"
+
+// copyWire puts what belongs to a site file into the folder of one that was made from it.
+func copyWire(site, folder string) error {
+	wire, err := os.ReadFile(filepath.Join(filepath.Dir(site), wireFile))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(folder, wireFile), wire, 0o600)
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -247,8 +247,9 @@
 	return entry, found
 }
 
-// Subscribe gives each change from now on, what a whole state changed as one, until the returned function is called. A
-// subscriber that does not keep up loses changes; each has its revision, so it can tell.
+// Subscribe gives each change from now on, what a whole state changed as one, until the returned
+// function is called. A subscriber that does not keep up loses changes; each has its revision, so it
+// can tell.
 func (c *Catalog) Subscribe(buffer int) (<-chan Change, func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -180,17 +180,24 @@
 		if state.leavingAt.IsZero() {
 			continue
 		}
-		late := 0
-		for _, asked := range state.leaf.Asked() {
-			if asked.At.After(state.leavingAt.Add(drainBound)) && w.isCalmAt(asked.At) {
-				late++
-			}
-		}
+		late := w.lateRequests(state, state.leavingAt.Add(drainBound), time.Time{})
 		v.check(late == 0, "%s got %d requests more than %v after it said that it leaves", id, late, drainBound)
 	}
 	return v
 }
 
+// lateRequests counts those that a leaf got in calm after a time and before another, zero being never.
+func (w *world) lateRequests(state *leafState, after, before time.Time) int {
+	late := 0
+	for _, asked := range state.leaf.Asked() {
+		isLate := asked.At.After(after) && (before.IsZero() || asked.At.Before(before))
+		if isLate && w.isCalmAt(asked.At) {
+			late++
+		}
+	}
+	return late
+}
+
 func judgeEvacuations(w *world) Verdict {
 	v := Verdict{Promise: "the leafs of an evacuated zone get nothing after its bound"}
 	w.mu.Lock()
@@ -201,13 +208,7 @@
 			if state.zone != span.zone {
 				continue
 			}
-			late := 0
-			for _, asked := range state.leaf.Asked() {
-				isLate := asked.At.After(due) && (span.until.IsZero() || asked.At.Before(span.until))
-				if isLate && w.isCalmAt(asked.At) {
-					late++
-				}
-			}
+			late := w.lateRequests(state, due, span.until)
 			v.check(late == 0, "%s got %d requests more than %v after the evacuation of %s", id, late, drainBound, span.zone)
 		}
 	}
--- a/internal/registry/census.go
+++ b/internal/registry/census.go
@@ -140,7 +140,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refresh()
-	if _, registered := c.catalog.View().Nodes[c.self]; !registered {
+	if !c.IsRegistered() {
 		return 0
 	}
 	others := len(c.nodes) - len(c.gatherers)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -128,10 +128,9 @@
 			checks.Refuse(true, path, "is not a setting (%s line %d)", name, key.Line)
 			continue
 		}
-		if path == regionsPath {
-			continue // its keys are zones
+		if value := node.Content[index+1]; isGroup(path, value) {
+			refuseUnknown(checks, name, value, path+".", known)
 		}
-		refuseUnknown(checks, name, node.Content[index+1], path+".", known)
 	}
 }
 
@@ -241,7 +240,7 @@
 	return paths
 }
 
-// regionsPath is the one setting that is a table of its own.
+// regionsPath is the one setting that is a table of its own: its keys are zones.
 const regionsPath = "regions"
 
 // isGroup reports whether the value at a path is a group of settings.
