Roll-outs: design, the rule that follows from orders and states, versions of leafs in the set

Cause: an operator can't move a service to another version; a leaf's version is dropped when it is read, so leafs of any version get requests. Change: types and rule of a roll-out, counts for its evidence, versions and rules in the set of leafs and in the state of a node; nothing sends by them yet.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -41,10 +41,14 @@
 	Remembered *leafset.Set
 	// Nodes are the registered nodes of the fleet by id.
 	Nodes map[string]NodeRecord
+	// Rollouts are the orders to move services to other versions, by service, and how far they are.
+	Rollouts map[string]Rollout
+	// Versions are the versions that services without a roll-out are served by, by service.
+	Versions map[string]string
 }
 
 func emptyView(revision int64) *View {
-	return &View{Revision: revision, Services: map[string]*Service{}, Leafs: leafset.Empty(), Remembered: leafset.Empty(), Nodes: map[string]NodeRecord{}}
+	return &View{Revision: revision, Services: map[string]*Service{}, Leafs: leafset.Empty(), Remembered: leafset.Empty(), Nodes: map[string]NodeRecord{}, Rollouts: map[string]Rollout{}}
 }
 
 // Snapshot is the whole state, for a node that is too far behind for single changes.
@@ -65,6 +69,8 @@
 	subscribers map[int]chan Change
 	nextID      int
 	rejected    func(key string, err error)
+	// rollouts says that versions of leafs matter; set before the first state.
+	rollouts bool
 }
 
 // New makes an empty catalog at revision 0. The rejected function is told of values that
@@ -75,6 +81,10 @@
 	return catalog
 }
 
+// EnableRollouts has services served by the leafs of one version only, and orders to move them to another be
+// followed. It must be called before the catalog has any state.
+func (c *Catalog) EnableRollouts() { c.rollouts = true }
+
 // View gives the configuration in force.
 func (c *Catalog) View() *View { return c.view.Load() }
 
@@ -127,7 +137,7 @@
 	if len(applied) == 0 {
 		return complete
 	}
-	draft := newDraft(current, revision)
+	draft := c.newDraft(current, revision)
 	for _, entry := range newest {
 		c.keep(entry)
 		c.compile(draft, entry)
@@ -151,10 +161,11 @@
 	}
 	difference := difference(c.entries, current.Revision, snapshot)
 	c.entries = make(map[string]Entry, len(snapshot.Entries))
-	draft := newDraft(emptyView(snapshot.Revision), snapshot.Revision)
+	draft := c.newDraft(emptyView(snapshot.Revision), snapshot.Revision)
 	// Routes that can't be read must not leave the node without any.
 	draft.view.Routes = current.Routes
-	draft.before, draft.leafs = current.Leafs, leafset.Replace(current.Leafs)
+	draft.before = current.Leafs
+	draft.useEditor(leafset.Replace(current.Leafs))
 	for _, entry := range snapshot.Entries {
 		c.keep(entry)
 		c.compile(draft, entry)
--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -26,10 +26,11 @@
 	Processors float64 `json:"processors,omitempty"`
 }
 
-// isTransient reports whether a key stands only while something lasts, a process or an evacuation, and
+// isTransient reports whether a key stands only while something lasts, a process, an evacuation or an order, and
 // is then removed without a tombstone that must be kept.
 func isTransient(key string) bool {
-	return strings.HasPrefix(key, leafPrefix) || strings.HasPrefix(key, nodePrefix) || strings.HasPrefix(key, evacuationPrefix)
+	return strings.HasPrefix(key, leafPrefix) || strings.HasPrefix(key, nodePrefix) || strings.HasPrefix(key, evacuationPrefix) ||
+		strings.HasPrefix(key, rolloutPrefix)
 }
 
 // draft is a view that is not yet in force. Parts of the view before it are copied only when
@@ -40,12 +41,16 @@
 	before     *leafset.Set    // the leafs in force before the draft
 	ownsNodes  bool
 	ownService bool
+	// ownsRollouts says that the roll-outs are a copy of the draft's own.
+	ownsRollouts bool
+	// rollouts says that versions of leafs matter.
+	rollouts bool
 }
 
-func newDraft(current *View, revision int64) *draft {
+func (c *Catalog) newDraft(current *View, revision int64) *draft {
 	next := *current
 	next.Revision = revision
-	return &draft{view: &next, before: current.Leafs}
+	return &draft{view: &next, before: current.Leafs, rollouts: c.rollouts}
 }
 
 func (d *draft) done() *View {
@@ -71,6 +76,13 @@
 		err = target.compileLeaf(strings.TrimPrefix(entry.Key, leafPrefix), entry)
 	case strings.HasPrefix(entry.Key, nodePrefix):
 		err = target.compileNode(strings.TrimPrefix(entry.Key, nodePrefix), entry)
+	case !c.rollouts && isRollout(entry.Key):
+	case entry.Key == VersionsKey:
+		err = target.compileVersions(entry)
+	case strings.HasPrefix(entry.Key, rolloutPrefix):
+		err = target.compileOrder(strings.TrimPrefix(entry.Key, rolloutPrefix), entry)
+	case strings.HasPrefix(entry.Key, rolloutStatePrefix):
+		err = target.compileRolloutState(strings.TrimPrefix(entry.Key, rolloutStatePrefix), entry)
 	case strings.HasPrefix(entry.Key, evacuationPrefix):
 		target.leafEditor().SetEvacuated(strings.TrimPrefix(entry.Key, evacuationPrefix), !entry.Deleted)
 	}
@@ -119,11 +131,19 @@
 // leafEditor gives the editor of the draft's leafs.
 func (d *draft) leafEditor() *leafset.Editor {
 	if d.leafs == nil {
-		d.leafs = d.view.Leafs.Edit()
+		d.useEditor(d.view.Leafs.Edit())
 	}
 	return d.leafs
 }
 
+// useEditor has the draft's leafs changed by an editor.
+func (d *draft) useEditor(leafs *leafset.Editor) {
+	d.leafs = leafs
+	if d.rollouts {
+		leafs.ServeOneVersion()
+	}
+}
+
 func (d *draft) compileLeaf(id string, entry Entry) error {
 	leafs := d.leafEditor()
 	if entry.Deleted {
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -21,10 +21,16 @@
 	nodePrefix     = "node/"
 	// evacuationPrefix begins the keys of zones whose leafs must get nothing while the key stands.
 	evacuationPrefix = "evacuation/"
+	// rolloutPrefix begins the keys of operators' orders to move a service to another version, and
+	// rolloutStatePrefix those of how far the fleet is with them.
+	rolloutPrefix      = "rollout/"
+	rolloutStatePrefix = "rollout-state/"
 	// RoutesKey is the store key of the routing configuration.
 	RoutesKey = "routes"
 	// RememberedKey is the store key of the list of leafs that the fleet wrote down.
 	RememberedKey = "remembered-leafs"
+	// VersionsKey is the store key of the versions that services without a roll-out are served by.
+	VersionsKey = "service-versions"
 	// MarkerKey is under no value: a change of it only moves the revision on.
 	MarkerKey = "marker"
 )
@@ -44,6 +50,12 @@
 // EvacuationKey is the store key that stands while a zone is evacuated.
 func EvacuationKey(zone string) string { return evacuationPrefix + zone }
 
+// RolloutKey is the store key of the order to move a service to another version.
+func RolloutKey(service string) string { return rolloutPrefix + service }
+
+// RolloutStateKey is the store key of how far the fleet is with the order of a service.
+func RolloutStateKey(service string) string { return rolloutStatePrefix + service }
+
 // Entry is the value of one key at the revision that wrote it; a tombstone has Deleted set.
 type Entry struct {
 	Key      string          `json:"key"`
--- /dev/null
+++ b/internal/evidence/evidence.go
@@ -0,0 +1,150 @@
+// Package evidence counts how the leafs of each version of a service answer, so that a new version can be
+// compared with the one that serves: route by route, at the same time, by failures and by latency.
+//
+// Counts only ever grow within one order, so that a report that comes twice, late or not at all does no harm:
+// of two reports of one row the one with more attempts holds.
+package evidence
+
+import (
+	"math"
+	"time"
+)
+
+// Key names a row of counts.
+type Key struct {
+	Service string `json:"service"`
+	// Order is the revision of the order that the counts are for.
+	Order   int64  `json:"order"`
+	Route   string `json:"route"`
+	Version string `json:"version"`
+	// Leaf is the id of the leaf, so that one bad leaf is not taken for a bad version.
+	Leaf string `json:"leaf"`
+	// Zone is the leaf's zone.
+	Zone string `json:"zone,omitempty"`
+}
+
+// Row is the counts of one node.
+type Row struct {
+	Key
+	Tally
+}
+
+// Tally counts attempts.
+type Tally struct {
+	// Failures are the answers by which the leaf itself said that it failed.
+	Failures int64 `json:"failures,omitempty"`
+	// Answered counts all answers by how long they took.
+	Answered Histogram `json:"answered,omitempty"`
+	// GivenUp counts the attempts that were given up without an answer, by how long they had taken until then: the
+	// answer would have taken longer.
+	GivenUp Histogram `json:"given_up,omitempty"`
+}
+
+// Observe counts an answer.
+func (t *Tally) Observe(failed bool, took time.Duration) {
+	if failed {
+		t.Failures++
+	}
+	t.Answered.observe(took)
+}
+
+// ObserveGivenUp counts an attempt without an answer.
+func (t *Tally) ObserveGivenUp(took time.Duration) { t.GivenUp.observe(took) }
+
+// Attempts gives how many attempts were counted.
+func (t *Tally) Attempts() int64 { return t.Answered.Total() + t.GivenUp.Total() }
+
+// Add counts the attempts of another tally too.
+func (t *Tally) Add(other Tally) {
+	t.Failures += other.Failures
+	t.Answered.add(other.Answered)
+	t.GivenUp.add(other.GivenUp)
+}
+
+// Slow gives how many attempts took longer than a limit, and how many are known to have taken longer or
+// shorter: of those that were given up sooner it is not known.
+func (t *Tally) Slow(limit time.Duration) (slow, known int64) {
+	slow = t.Answered.Above(limit) + t.GivenUp.Above(limit)
+	return slow, t.Answered.Total() + t.GivenUp.Above(limit)
+}
+
+// Buckets of a histogram: the first ends at leastLatency, each of the others at stepsPerDoubling-th root of 2
+// times the one before it. So 48 buckets reach from 0.25 ms to 700 s, each known to within a fifth.
+const (
+	leastLatency     = 250 * time.Microsecond
+	stepsPerDoubling = 2
+	buckets          = 48
+)
+
+// Histogram counts attempts by latency, in buckets of a fixed width on a log scale; the zero value is empty.
+// Trailing empty buckets are left out.
+type Histogram []int64
+
+// bucketOf gives the bucket of a latency.
+func bucketOf(took time.Duration) int {
+	if took <= leastLatency {
+		return 0
+	}
+	index := int(math.Ceil(stepsPerDoubling * math.Log2(float64(took)/float64(leastLatency))))
+	return min(index, buckets-1)
+}
+
+// UpperBound gives the longest latency of a bucket.
+func UpperBound(bucket int) time.Duration {
+	return time.Duration(float64(leastLatency) * math.Exp2(float64(bucket)/stepsPerDoubling))
+}
+
+func (h *Histogram) observe(took time.Duration) {
+	index := bucketOf(took)
+	h.grow(index + 1)
+	(*h)[index]++
+}
+
+func (h *Histogram) add(other Histogram) {
+	h.grow(len(other))
+	for index, count := range other {
+		(*h)[index] += count
+	}
+}
+
+func (h *Histogram) grow(length int) {
+	for len(*h) < length {
+		*h = append(*h, 0)
+	}
+}
+
+// Total gives the attempts counted.
+func (h Histogram) Total() int64 {
+	total := int64(0)
+	for _, count := range h {
+		total += count
+	}
+	return total
+}
+
+// Above gives the attempts that took longer than a latency, to within the width of a bucket.
+func (h Histogram) Above(limit time.Duration) int64 {
+	above := int64(0)
+	for index := bucketOf(limit) + 1; index < len(h); index++ {
+		above += h[index]
+	}
+	return above
+}
+
+// Quantile gives the upper bound of the bucket with the given part of the attempts, 0 to 1, at or below it;
+// 0 when nothing was counted.
+func (h Histogram) Quantile(part float64) time.Duration {
+	total := h.Total()
+	if total == 0 {
+		return 0
+	}
+	wanted := int64(math.Ceil(part * float64(total)))
+	counted := int64(0)
+	for index, count := range h {
+		counted += count
+		if counted >= wanted {
+			return UpperBound(index)
+		}
+	}
+	return UpperBound(len(h) - 1)
+}
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -12,6 +12,7 @@
 	json "github.com/goccy/go-json"
 
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/rollout"
 )
 
 // State is a leaf's own word on whether it takes work.
@@ -31,6 +32,8 @@
 	// Address is an IP number and port.
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Version is that of the leaf's software; empty when it is not told.
+	Version string `json:"version,omitempty"`
 	// Slots is how many requests the leaf works on at once; 0 when unknown.
 	Slots int   `json:"slots,omitempty"`
 	State State `json:"state"`
@@ -94,7 +97,11 @@
 	ready     map[string][]*Leaf // of byService, those that take work; services with all of them left out
 	byID      map[string]*Leaf
 	evacuated map[string]bool // zones whose leafs must get nothing
-	lost      map[string]lost // by id; leafs that were ready until a moment ago
+	// rules say which versions of a service may get requests; services without a rule are left out.
+	rules map[string]rollout.Rule
+	// trial is of byService, those that take work and are of the version on trial.
+	trial map[string][]*Leaf
+	lost  map[string]lost // by id; leafs that were ready until a moment ago
 }
 
 // lost is a leaf that was ready until a moment ago, and since when it is not.
@@ -108,14 +115,17 @@
 
 // Empty gives a set without leafs.
 func Empty() *Set {
-	return &Set{byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}, evacuated: map[string]bool{}, lost: map[string]lost{}}
+	return &Set{
+		byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}, evacuated: map[string]bool{},
+		rules: map[string]rollout.Rule{}, trial: map[string][]*Leaf{}, lost: map[string]lost{},
+	}
 }
 
 // Of gives the leafs of a service. The slice is shared: callers must not change it.
 func (s *Set) Of(service string) []*Leaf { return s.byService[service] }
 
-// Ready gives the leafs of a service that take work. The slice is shared: callers must not change
-// it.
+// Ready gives the leafs of a service that take work and are of a version that serves. The slice is shared:
+// callers must not change it.
 func (s *Set) Ready(service string) []*Leaf {
 	if some, found := s.ready[service]; found {
 		return some
@@ -129,8 +139,24 @@
 // EvacuatedZones gives the zones that are evacuated, sorted.
 func (s *Set) EvacuatedZones() []string { return slices.Sorted(maps.Keys(s.evacuated)) }
 
-// IsUsable reports whether a leaf takes work: it is ready, and its zone is not evacuated.
-func (s *Set) IsUsable(leaf *Leaf) bool { return leaf.State == Ready && !s.evacuated[leaf.Zone] }
+// OnTrial gives the leafs of a service that take work and are of the version on trial; none where there is no
+// roll-out under way. The slice is shared: callers must not change it.
+func (s *Set) OnTrial(service string) []*Leaf { return s.trial[service] }
+
+// Rule says which versions of a service may get requests.
+func (s *Set) Rule(service string) rollout.Rule { return s.rules[service] }
+
+// IsAllowed reports whether a leaf may be sent requests if it is ready: its zone is not evacuated, and its
+// version serves or is on trial.
+func (s *Set) IsAllowed(leaf *Leaf) bool {
+	rule := s.rules[leaf.Service]
+	return !s.evacuated[leaf.Zone] && (rule.IsServing(leaf.Version) || rule.IsTrial(leaf.Version))
+}
+
+// isServing reports whether a leaf takes work and is of a version that serves.
+func (s *Set) isServing(leaf *Leaf) bool {
+	return leaf.State == Ready && !s.evacuated[leaf.Zone] && s.rules[leaf.Service].IsServing(leaf.Version)
+}
 
 // LostSince gives the leafs of a service that ceased to be ready at a time or later, by when that came into
 // force here, in no order. What was lost over 15 seconds ago is forgotten.
@@ -186,9 +212,16 @@
 type Editor struct {
 	set   *Set
 	owned map[string]bool // services whose slice is the copy's own
+	// ruled are services whose rule changed; ownsRules says that the copy has rules and trials of its own.
+	ruled     map[string]bool
+	ownsRules bool
+	// oneVersion says that services without a version that serves are given one.
+	oneVersion bool
 	// evacuationsChanged says that the ready leafs of every service must be found anew.
 	evacuationsChanged bool
 	ownsLost           bool
+	// before is the set that is changed or replaced.
+	before *Set
 	// replaced is the set that a whole new one takes the place of; nil for changes of a set.
 	replaced *Set
 }
@@ -197,14 +230,17 @@
 func Replace(before *Set) *Editor {
 	editor := Empty().Edit()
 	editor.set.lost = before.lost
-	editor.replaced = before
+	editor.before, editor.replaced = before, before
 	return editor
 }
 
 // Edit starts a copy.
 func (s *Set) Edit() *Editor {
-	copied := &Set{byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID), evacuated: s.evacuated, lost: s.lost}
-	return &Editor{set: copied, owned: map[string]bool{}}
+	copied := &Set{
+		byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID), evacuated: s.evacuated,
+		rules: s.rules, trial: s.trial, lost: s.lost,
+	}
+	return &Editor{set: copied, owned: map[string]bool{}, ruled: map[string]bool{}, before: s}
 }
 
 // Put adds a leaf or replaces the one of its id.
@@ -284,6 +320,70 @@
 	delete(e.set.evacuated, zone)
 }
 
+// SetRule notes which versions of a service may get requests.
+func (e *Editor) SetRule(service string, rule rollout.Rule) {
+	if e.set.rules[service] == rule {
+		return
+	}
+	e.ownRules()
+	e.ruled[service] = true
+	if rule == (rollout.Rule{}) {
+		delete(e.set.rules, service)
+		return
+	}
+	e.set.rules[service] = rule
+}
+
+// ServeOneVersion has services whose leafs are of several versions, and for which no rule says which serves,
+// be served by one: that of the leafs that were there first, or, where all come at once, of most.
+func (e *Editor) ServeOneVersion() { e.oneVersion = true }
+
+// chooseServing gives a service with leafs of several versions a version that serves, if it has none.
+func (e *Editor) chooseServing(service string, leafs []*Leaf) {
+	rule := e.set.rules[service]
+	if !e.oneVersion || rule.Serving != "" {
+		return
+	}
+	counts := map[string]int{}
+	for _, leaf := range leafs {
+		if leaf.Version != "" && !rule.IsTrial(leaf.Version) {
+			counts[leaf.Version]++
+		}
+	}
+	if len(counts) < 2 {
+		return
+	}
+	for _, known := range e.before.byService[service] {
+		if counts[known.Version] > 0 {
+			counts[known.Version] += len(leafs)
+		}
+	}
+	e.ownRules()
+	rule.Serving = mostCounted(counts)
+	e.set.rules[service] = rule
+}
+
+// mostCounted gives the version that was counted most; of several, the first by name.
+func mostCounted(counts map[string]int) string {
+	best := ""
+	for version, count := range counts {
+		if best == "" || count > counts[best] || count == counts[best] && version < best {
+			best = version
+		}
+	}
+	return best
+}
+
+// ownRules makes the copy's rules, and the leafs on trial that follow from them, its own.
+func (e *Editor) ownRules() {
+	if e.ownsRules {
+		return
+	}
+	e.ownsRules = true
+	e.set.rules = maps.Clone(e.set.rules)
+	e.set.trial = maps.Clone(e.set.trial)
+}
+
 // Done gives the changed set; the editor must not be used after it.
 func (e *Editor) Done() *Set {
 	if e.replaced != nil {
@@ -297,6 +397,9 @@
 	for service := range e.owned {
 		e.findReady(service)
 	}
+	for service := range e.ruled {
+		e.findReady(service)
+	}
 	return e.set
 }
 
@@ -310,10 +413,12 @@
 	}
 }
 
-// findReady finds which leafs of a service take work.
+// findReady finds which leafs of a service take work, and which of those are on trial.
 func (e *Editor) findReady(service string) {
-	isUnusable := func(leaf *Leaf) bool { return !e.set.IsUsable(leaf) }
 	leafs := e.set.byService[service]
+	e.chooseServing(service, leafs)
+	e.findOnTrial(service, leafs)
+	isUnusable := func(leaf *Leaf) bool { return !e.set.isServing(leaf) }
 	if !slices.ContainsFunc(leafs, isUnusable) {
 		delete(e.set.ready, service)
 		return
@@ -321,6 +426,22 @@
 	e.set.ready[service] = slices.DeleteFunc(slices.Clone(leafs), isUnusable)
 }
 
+// findOnTrial finds which leafs of a service are on trial.
+func (e *Editor) findOnTrial(service string, leafs []*Leaf) {
+	rule := e.set.rules[service]
+	var trial []*Leaf
+	for _, leaf := range leafs {
+		if leaf.State == Ready && !e.set.evacuated[leaf.Zone] && rule.IsTrial(leaf.Version) {
+			trial = append(trial, leaf)
+		}
+	}
+	if len(trial) == 0 && len(e.set.trial[service]) == 0 {
+		return
+	}
+	e.ownRules()
+	e.set.trial[service] = trial
+}
+
 func (e *Editor) own(service string) []*Leaf {
 	if !e.owned[service] {
 		e.owned[service] = true
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,169 @@
+// Package rollout holds what moves the requests of a service from the leafs of one version to those of another:
+// the operators' order, the fleet's state of carrying it out, and the rule that follows for each node.
+//
+// It keeps nothing and talks to nobody. Order and state are keys of the store, each with the revision that
+// wrote it; a node derives its rule from both as they are at the revision that it has in force.
+package rollout
+
+import (
+	"time"
+
+	json "github.com/goccy/go-json"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+// Order asks that the requests of a service move to the leafs of a version.
+type Order struct {
+	Service string `json:"service"`
+	// Target is the version that is to serve.
+	Target string `json:"target"`
+	// DurationMillis is how long the roll-out may take, from when the order was accepted.
+	DurationMillis int64 `json:"duration_millis"`
+	// Revision is the store's revision that wrote the order.
+	Revision int64 `json:"-"`
+}
+
+// Duration is how long the roll-out may take.
+func (o *Order) Duration() time.Duration { return time.Duration(o.DurationMillis) * time.Millisecond }
+
+// Validate names every field at fault.
+func (o *Order) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(o.Service == "", "service", "must not be empty")
+	checks.Refuse(o.Target == "", "target", "must not be empty")
+	checks.Refuse(o.DurationMillis <= 0, "duration_millis", "must be positive")
+	return checks.Err()
+}
+
+// ParseOrder reads and checks an order in JSON that a revision wrote.
+func ParseOrder(content []byte, revision int64) (*Order, error) {
+	order := &Order{Revision: revision}
+	if err := json.Unmarshal(content, order); err != nil {
+		return nil, failure.Invalid("rollout", "not a roll-out order: %v", err)
+	}
+	return order, order.Validate()
+}
+
+// Phase is how far a roll-out is.
+type Phase string
+
+// The phases. The last two are final: only another order follows on them.
+const (
+	// Canary sends the target a bounded share of the requests, to judge it by.
+	Canary Phase = "canary"
+	// Switching moves all requests to the target, which was found good.
+	Switching Phase = "switching"
+	// Succeeded means that the target serves, and that the version before it gets nothing more.
+	Succeeded Phase = "succeeded"
+	// RolledBack means that the target gets nothing.
+	RolledBack Phase = "rolled_back"
+)
+
+// IsFinal reports whether no phase follows.
+func (p Phase) IsFinal() bool { return p == Succeeded || p == RolledBack }
+
+// State is how far the fleet is with an order. It is replaced by compare-and-swap only, under the condition
+// that the order is still the one that it answers.
+type State struct {
+	Service string `json:"service"`
+	// OrderRevision is the revision of the order that the state answers.
+	OrderRevision int64 `json:"order_revision"`
+	Phase         Phase `json:"phase"`
+	// Serving is the version that served before the order, and serves on unless it succeeds.
+	Serving string `json:"serving"`
+	Target  string `json:"target"`
+	// StartedUnixMillis is when the first state of the order was written, by its writer's time of day.
+	StartedUnixMillis int64 `json:"started_unix_millis"`
+	// Reason says in a sentence what the phase was decided by, with the figures.
+	Reason string `json:"reason,omitempty"`
+	// DecidedBy is the id of the node that wrote the state.
+	DecidedBy string `json:"decided_by,omitempty"`
+	// Revision is the store's revision that wrote the state.
+	Revision int64 `json:"-"`
+}
+
+// ParseState reads and checks a state in JSON that a revision wrote.
+func ParseState(content []byte, revision int64) (*State, error) {
+	state := &State{Revision: revision}
+	if err := json.Unmarshal(content, state); err != nil {
+		return nil, failure.Invalid("rollout_state", "not the state of a roll-out: %v", err)
+	}
+	var checks failure.Checks
+	checks.Refuse(state.Service == "", "service", "must not be empty")
+	checks.Refuse(state.Phase != Canary && state.Phase != Switching && !state.Phase.IsFinal(), "phase", "%q; must be canary, switching, succeeded or rolled_back", state.Phase)
+	return state, checks.Err()
+}
+
+// Served gives the version that serves once the state is final, or until then.
+func (s *State) Served() string {
+	if s.Phase == Succeeded {
+		return s.Target
+	}
+	return s.Serving
+}
+
+// Versions are the versions that services without a roll-out are served by, as the fleet wrote them down when
+// it first saw their leafs. A version that comes beside the one written down gets nothing without an order.
+type Versions struct {
+	// ByVersion gives the names of the services that a version serves; each service stands once.
+	ByVersion map[string][]string `json:"by_version"`
+}
+
+// ParseVersions reads versions in JSON, as the version by service.
+func ParseVersions(content []byte) (map[string]string, error) {
+	var versions Versions
+	if err := json.Unmarshal(content, &versions); err != nil {
+		return nil, failure.Invalid("service_versions", "not the versions of services: %v", err)
+	}
+	byService := map[string]string{}
+	for version, services := range versions.ByVersion {
+		for _, service := range services {
+			byService[service] = version
+		}
+	}
+	return byService, nil
+}
+
+// Rule says which versions of a service may get requests; the zero rule allows all.
+type Rule struct {
+	// Serving is the version that serves; empty means any but Trial.
+	Serving string
+	// Trial is the version that an order wants to serve; empty where there is none under way.
+	Trial string
+	// Phase is Canary or Switching while there is a Trial, else empty.
+	Phase Phase
+	// Order is the revision of the order under way, 0 where there is none.
+	Order int64
+	// Revision is that of the state that the rule follows from, 0 where there is none yet.
+	Revision int64
+}
+
+// RuleOf gives the rule that follows from the order and the state of a service, each nil where there is none,
+// and the version written down for it, empty where there is none.
+func RuleOf(order *Order, state *State, written string) Rule {
+	rule := Rule{Serving: written}
+	if state != nil {
+		rule.Serving, rule.Revision = state.Served(), state.Revision
+	}
+	if order == nil || order.Target == rule.Serving {
+		return rule
+	}
+	answered := state != nil && state.OrderRevision == order.Revision
+	if answered && state.Phase.IsFinal() {
+		return rule
+	}
+	rule.Trial, rule.Order, rule.Phase = order.Target, order.Revision, Canary
+	if answered {
+		rule.Phase = state.Phase
+	}
+	return rule
+}
+
+// IsServing reports whether a version serves by the rule; a leaf that tells no version does.
+func (r Rule) IsServing(version string) bool {
+	return version == "" || version == r.Serving || r.Serving == "" && version != r.Trial
+}
+
+// IsTrial reports whether a version is on trial by the rule.
+func (r Rule) IsTrial(version string) bool { return version != "" && version == r.Trial }
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,77 @@
+package rollout
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
+
+const orderRevision = 7
+
+func order(target string) *Order {
+	return &Order{Service: "s", Target: target, DurationMillis: 1000, Revision: orderRevision}
+}
+
+func state(phase Phase, answered int64) *State {
+	return &State{Service: "s", OrderRevision: answered, Phase: phase, Serving: "v1", Target: "v2", Revision: 9}
+}
+
+func TestRuleFollowsFromOrderAndState(t *testing.T) {
+	canary := Rule{Serving: "v1", Trial: "v2", Phase: Canary, Order: orderRevision}
+	withState := func(rule Rule, phase Phase) Rule {
+		rule.Revision, rule.Phase = 9, phase
+		return rule
+	}
+	cases := []struct {
+		name    string
+		order   *Order
+		state   *State
+		written string
+		want    Rule
+	}{
+		{"nothing is known", nil, nil, "", Rule{}},
+		{"a version is written down", nil, nil, "v1", Rule{Serving: "v1"}},
+		{"an order without a state yet", order("v2"), nil, "v1", canary},
+		{"its state", order("v2"), state(Canary, orderRevision), "v1", withState(canary, Canary)},
+		{"found good", order("v2"), state(Switching, orderRevision), "v1", withState(canary, Switching)},
+		{"succeeded", order("v2"), state(Succeeded, orderRevision), "v1", Rule{Serving: "v2", Revision: 9}},
+		{"rolled back", order("v2"), state(RolledBack, orderRevision), "v1", Rule{Serving: "v1", Revision: 9}},
+		{"the same order again after a roll-back", order("v2"), state(RolledBack, 5), "v1", withState(canary, Canary)},
+		{"another order replaced one found good", order("v3"), state(Switching, 5), "v1", Rule{Serving: "v1", Trial: "v3", Phase: Canary, Order: orderRevision, Revision: 9}},
+		{"another order after a success", order("v3"), state(Succeeded, 5), "v1", Rule{Serving: "v2", Trial: "v3", Phase: Canary, Order: orderRevision, Revision: 9}},
+		{"the order was taken back", nil, state(Switching, orderRevision), "v1", Rule{Serving: "v1", Revision: 9}},
+		{"taken back after a success", nil, state(Succeeded, orderRevision), "v1", Rule{Serving: "v2", Revision: 9}},
+		{"the target serves already", order("v1"), nil, "v1", Rule{Serving: "v1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(RuleOf(c.order, c.state, c.written), c.want)
+		})
+	}
+}
+
+func TestRuleTellsVersionsApart(t *testing.T) {
+	is := is.New(t)
+	rule := Rule{Serving: "v1", Trial: "v2"}
+	is.True(rule.IsServing("v1") && rule.IsServing(""))
+	is.True(!rule.IsServing("v2") && !rule.IsServing("v3"))
+	is.True(rule.IsTrial("v2") && !rule.IsTrial("") && !rule.IsTrial("v1"))
+	unknown := Rule{Trial: "v2"}
+	is.True(unknown.IsServing("v1") && !unknown.IsServing("v2"))
+	is.True(Rule{}.IsServing("v9") && !Rule{}.IsTrial(""))
+}
+
+func TestFaultsNameTheField(t *testing.T) {
+	is := is.New(t)
+	_, err := ParseOrder([]byte(`{"service":"s","duration_millis":1}`), 1)
+	is.Equal(failure.From(err).Field, "target")
+	_, err = ParseOrder([]byte(`{"service":"s","target":"v2","duration_millis":-1}`), 1)
+	is.Equal(failure.From(err).Field, "duration_millis")
+	_, err = ParseState([]byte(`{"service":"s","phase":"done"}`), 1)
+	is.Equal(failure.From(err).Field, "phase")
+	versions, err := ParseVersions([]byte(`{"by_version":{"v1":["a","b"],"v2":["c"]}}`))
+	is.NoErr(err)
+	is.Equal(versions, map[string]string{"a": "v1", "b": "v1", "c": "v2"})
+}
