--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -71,6 +71,20 @@
 	Watch(ctx context.Context, after int64, role WatchRole, receive func(Event) error) error
 }
 
+// Condition is what a guarded write needs of a key: that it is still at a revision; 0 means that the key is
+// absent or deleted.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+// Guarded writes a key under conditions on others. Implementations are safe for concurrent use.
+type Guarded interface {
+	// CompareAndSwapIf writes like Store.CompareAndSwap, if moreover all conditions hold. An error says nothing
+	// about whether the write took effect.
+	CompareAndSwapIf(ctx context.Context, conditions []Condition, key string, expected int64, value []byte) (SwapResult, error)
+}
+
 // Lessor keeps keys that go when their writer does. Implementations are safe for concurrent use.
 type Lessor interface {
 	// Grant opens a lease and gives its id and the time to live that applies.
