Roll-outs: start, status, cancel and list by admin calls and the command line

Cause: operators have no way to order that a service moves to another version, and none to see how far that is. Change: admin calls StartRollout, CancelRollout, GetRollout, ListRollouts; portgauge rollout start | status | cancel | list; the record of a leaf may tell its version. Orders are written by compare-and-swap with a change id, so that racing operators learn of each other and a lost reply changes nothing. What is shown of an order never comes from the state of one before it. Tests: ordered and taken back, racing orders, state of another order, faults by field.

--- a/cmd/portgauge/leaf.go
+++ b/cmd/portgauge/leaf.go
@@ -25,6 +25,7 @@
 	Service     string `help:"Service that the leaf belongs to." required:""`
 	LeafAddress string `help:"IP number and port of the leaf." required:""`
 	Zone        string `help:"Zone of the leaf."`
+	Version     string `help:"Version of the leaf's software."`
 	Draining    bool   `help:"The leaf must get no new work."`
 }
 
@@ -33,7 +34,9 @@
 	ctx, cancel := c.context()
 	defer cancel()
 	response, err := cli.AdminClient(c.Address).ApplyLeaf(ctx, connect.NewRequest(&adminv1.ApplyLeafRequest{
-		Leaf:             &adminv1.LeafRecord{Id: c.ID, Service: c.Service, Address: c.LeafAddress, Zone: c.Zone, Draining: c.Draining},
+		Leaf: &adminv1.LeafRecord{
+			Id: c.ID, Service: c.Service, Address: c.LeafAddress, Zone: c.Zone, Version: c.Version, Draining: c.Draining,
+		},
 		ExpectedRevision: c.Revision, ChangeId: c.ChangeID,
 	}))
 	if err != nil {
--- a/cmd/portgauge/main.go
+++ b/cmd/portgauge/main.go
@@ -18,6 +18,7 @@
 	Routes   routesCommand   `cmd:"" help:"Check, change and show the routes of the front."`
 	Leaf     leafCommand     `cmd:"" help:"Add and remove the leafs that routes are served by."`
 	Zone     zoneCommand     `cmd:"" help:"Evacuate and restore the leafs of a zone."`
+	Rollout  rolloutCommand  `cmd:"" help:"Move services to leafs of another version, and show how far that is."`
 	Search   searchCommand   `cmd:"" help:"Run one search and print its rows and coverage."`
 	Settings settingsCommand `cmd:"" help:"Check a settings file, or show all settings."`
 	Demo     demoCommand     `cmd:"" help:"Run a node with stand-in back ends in this process, break one, show what answers say."`
--- a/gen/portgauge/admin/v1/adminv1connect/admin.connect.go
+++ b/gen/portgauge/admin/v1/adminv1connect/admin.connect.go
@@ -74,6 +74,17 @@
 	// AdminServiceListEvacuatedZonesProcedure is the fully-qualified name of the AdminService's
 	// ListEvacuatedZones RPC.
 	AdminServiceListEvacuatedZonesProcedure = "/portgauge.admin.v1.AdminService/ListEvacuatedZones"
+	// AdminServiceStartRolloutProcedure is the fully-qualified name of the AdminService's StartRollout
+	// RPC.
+	AdminServiceStartRolloutProcedure = "/portgauge.admin.v1.AdminService/StartRollout"
+	// AdminServiceCancelRolloutProcedure is the fully-qualified name of the AdminService's
+	// CancelRollout RPC.
+	AdminServiceCancelRolloutProcedure = "/portgauge.admin.v1.AdminService/CancelRollout"
+	// AdminServiceGetRolloutProcedure is the fully-qualified name of the AdminService's GetRollout RPC.
+	AdminServiceGetRolloutProcedure = "/portgauge.admin.v1.AdminService/GetRollout"
+	// AdminServiceListRolloutsProcedure is the fully-qualified name of the AdminService's ListRollouts
+	// RPC.
+	AdminServiceListRolloutsProcedure = "/portgauge.admin.v1.AdminService/ListRollouts"
 )
 
 // AdminServiceClient is a client for the portgauge.admin.v1.AdminService service.
@@ -100,6 +111,12 @@
 	EvacuateZone(context.Context, *connect.Request[v1.EvacuateZoneRequest]) (*connect.Response[v1.EvacuateZoneResponse], error)
 	RestoreZone(context.Context, *connect.Request[v1.RestoreZoneRequest]) (*connect.Response[v1.RestoreZoneResponse], error)
 	ListEvacuatedZones(context.Context, *connect.Request[v1.ListEvacuatedZonesRequest]) (*connect.Response[v1.ListEvacuatedZonesResponse], error)
+	// StartRollout orders that the requests of a service move to the leafs of a version, if it proves good.
+	StartRollout(context.Context, *connect.Request[v1.StartRolloutRequest]) (*connect.Response[v1.StartRolloutResponse], error)
+	// CancelRollout takes the order of a service back: unless it has succeeded, the version before it serves on.
+	CancelRollout(context.Context, *connect.Request[v1.CancelRolloutRequest]) (*connect.Response[v1.CancelRolloutResponse], error)
+	GetRollout(context.Context, *connect.Request[v1.GetRolloutRequest]) (*connect.Response[v1.GetRolloutResponse], error)
+	ListRollouts(context.Context, *connect.Request[v1.ListRolloutsRequest]) (*connect.Response[v1.ListRolloutsResponse], error)
 }
 
 // NewAdminServiceClient constructs a client for the portgauge.admin.v1.AdminService service. By
@@ -203,6 +220,30 @@
 			connect.WithSchema(adminServiceMethods.ByName("ListEvacuatedZones")),
 			connect.WithClientOptions(opts...),
 		),
+		startRollout: connect.NewClient[v1.StartRolloutRequest, v1.StartRolloutResponse](
+			httpClient,
+			baseURL+AdminServiceStartRolloutProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("StartRollout")),
+			connect.WithClientOptions(opts...),
+		),
+		cancelRollout: connect.NewClient[v1.CancelRolloutRequest, v1.CancelRolloutResponse](
+			httpClient,
+			baseURL+AdminServiceCancelRolloutProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("CancelRollout")),
+			connect.WithClientOptions(opts...),
+		),
+		getRollout: connect.NewClient[v1.GetRolloutRequest, v1.GetRolloutResponse](
+			httpClient,
+			baseURL+AdminServiceGetRolloutProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("GetRollout")),
+			connect.WithClientOptions(opts...),
+		),
+		listRollouts: connect.NewClient[v1.ListRolloutsRequest, v1.ListRolloutsResponse](
+			httpClient,
+			baseURL+AdminServiceListRolloutsProcedure,
+			connect.WithSchema(adminServiceMethods.ByName("ListRollouts")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -223,6 +264,10 @@
 	evacuateZone       *connect.Client[v1.EvacuateZoneRequest, v1.EvacuateZoneResponse]
 	restoreZone        *connect.Client[v1.RestoreZoneRequest, v1.RestoreZoneResponse]
 	listEvacuatedZones *connect.Client[v1.ListEvacuatedZonesRequest, v1.ListEvacuatedZonesResponse]
+	startRollout       *connect.Client[v1.StartRolloutRequest, v1.StartRolloutResponse]
+	cancelRollout      *connect.Client[v1.CancelRolloutRequest, v1.CancelRolloutResponse]
+	getRollout         *connect.Client[v1.GetRolloutRequest, v1.GetRolloutResponse]
+	listRollouts       *connect.Client[v1.ListRolloutsRequest, v1.ListRolloutsResponse]
 }
 
 // ApplyService calls portgauge.admin.v1.AdminService.ApplyService.
@@ -300,6 +345,26 @@
 	return c.listEvacuatedZones.CallUnary(ctx, req)
 }
 
+// StartRollout calls portgauge.admin.v1.AdminService.StartRollout.
+func (c *adminServiceClient) StartRollout(ctx context.Context, req *connect.Request[v1.StartRolloutRequest]) (*connect.Response[v1.StartRolloutResponse], error) {
+	return c.startRollout.CallUnary(ctx, req)
+}
+
+// CancelRollout calls portgauge.admin.v1.AdminService.CancelRollout.
+func (c *adminServiceClient) CancelRollout(ctx context.Context, req *connect.Request[v1.CancelRolloutRequest]) (*connect.Response[v1.CancelRolloutResponse], error) {
+	return c.cancelRollout.CallUnary(ctx, req)
+}
+
+// GetRollout calls portgauge.admin.v1.AdminService.GetRollout.
+func (c *adminServiceClient) GetRollout(ctx context.Context, req *connect.Request[v1.GetRolloutRequest]) (*connect.Response[v1.GetRolloutResponse], error) {
+	return c.getRollout.CallUnary(ctx, req)
+}
+
+// ListRollouts calls portgauge.admin.v1.AdminService.ListRollouts.
+func (c *adminServiceClient) ListRollouts(ctx context.Context, req *connect.Request[v1.ListRolloutsRequest]) (*connect.Response[v1.ListRolloutsResponse], error) {
+	return c.listRollouts.CallUnary(ctx, req)
+}
+
 // AdminServiceHandler is an implementation of the portgauge.admin.v1.AdminService service.
 type AdminServiceHandler interface {
 	// ApplyService creates or replaces a service by compare-and-swap.
@@ -324,6 +389,12 @@
 	EvacuateZone(context.Context, *connect.Request[v1.EvacuateZoneRequest]) (*connect.Response[v1.EvacuateZoneResponse], error)
 	RestoreZone(context.Context, *connect.Request[v1.RestoreZoneRequest]) (*connect.Response[v1.RestoreZoneResponse], error)
 	ListEvacuatedZones(context.Context, *connect.Request[v1.ListEvacuatedZonesRequest]) (*connect.Response[v1.ListEvacuatedZonesResponse], error)
+	// StartRollout orders that the requests of a service move to the leafs of a version, if it proves good.
+	StartRollout(context.Context, *connect.Request[v1.StartRolloutRequest]) (*connect.Response[v1.StartRolloutResponse], error)
+	// CancelRollout takes the order of a service back: unless it has succeeded, the version before it serves on.
+	CancelRollout(context.Context, *connect.Request[v1.CancelRolloutRequest]) (*connect.Response[v1.CancelRolloutResponse], error)
+	GetRollout(context.Context, *connect.Request[v1.GetRolloutRequest]) (*connect.Response[v1.GetRolloutResponse], error)
+	ListRollouts(context.Context, *connect.Request[v1.ListRolloutsRequest]) (*connect.Response[v1.ListRolloutsResponse], error)
 }
 
 // NewAdminServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -423,6 +494,30 @@
 		connect.WithSchema(adminServiceMethods.ByName("ListEvacuatedZones")),
 		connect.WithHandlerOptions(opts...),
 	)
+	adminServiceStartRolloutHandler := connect.NewUnaryHandler(
+		AdminServiceStartRolloutProcedure,
+		svc.StartRollout,
+		connect.WithSchema(adminServiceMethods.ByName("StartRollout")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceCancelRolloutHandler := connect.NewUnaryHandler(
+		AdminServiceCancelRolloutProcedure,
+		svc.CancelRollout,
+		connect.WithSchema(adminServiceMethods.ByName("CancelRollout")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceGetRolloutHandler := connect.NewUnaryHandler(
+		AdminServiceGetRolloutProcedure,
+		svc.GetRollout,
+		connect.WithSchema(adminServiceMethods.ByName("GetRollout")),
+		connect.WithHandlerOptions(opts...),
+	)
+	adminServiceListRolloutsHandler := connect.NewUnaryHandler(
+		AdminServiceListRolloutsProcedure,
+		svc.ListRollouts,
+		connect.WithSchema(adminServiceMethods.ByName("ListRollouts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/portgauge.admin.v1.AdminService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AdminServiceApplyServiceProcedure:
@@ -455,6 +550,14 @@
 			adminServiceRestoreZoneHandler.ServeHTTP(w, r)
 		case AdminServiceListEvacuatedZonesProcedure:
 			adminServiceListEvacuatedZonesHandler.ServeHTTP(w, r)
+		case AdminServiceStartRolloutProcedure:
+			adminServiceStartRolloutHandler.ServeHTTP(w, r)
+		case AdminServiceCancelRolloutProcedure:
+			adminServiceCancelRolloutHandler.ServeHTTP(w, r)
+		case AdminServiceGetRolloutProcedure:
+			adminServiceGetRolloutHandler.ServeHTTP(w, r)
+		case AdminServiceListRolloutsProcedure:
+			adminServiceListRolloutsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -523,3 +626,19 @@
 func (UnimplementedAdminServiceHandler) ListEvacuatedZones(context.Context, *connect.Request[v1.ListEvacuatedZonesRequest]) (*connect.Response[v1.ListEvacuatedZonesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.ListEvacuatedZones is not implemented"))
 }
+
+func (UnimplementedAdminServiceHandler) StartRollout(context.Context, *connect.Request[v1.StartRolloutRequest]) (*connect.Response[v1.StartRolloutResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.StartRollout is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) CancelRollout(context.Context, *connect.Request[v1.CancelRolloutRequest]) (*connect.Response[v1.CancelRolloutResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.CancelRollout is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) GetRollout(context.Context, *connect.Request[v1.GetRolloutRequest]) (*connect.Response[v1.GetRolloutResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.GetRollout is not implemented"))
+}
+
+func (UnimplementedAdminServiceHandler) ListRollouts(context.Context, *connect.Request[v1.ListRolloutsRequest]) (*connect.Response[v1.ListRolloutsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.admin.v1.AdminService.ListRollouts is not implemented"))
+}
--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -56,7 +56,7 @@
 	}
 	record := leafset.Record{
 		ID: leaf.GetId(), Service: leaf.GetService(), Address: leaf.GetAddress(), Zone: leaf.GetZone(),
-		Slots: int(leaf.GetSlots()), State: leafset.Ready,
+		Slots: int(leaf.GetSlots()), State: leafset.Ready, Version: leaf.GetVersion(),
 	}
 	if leaf.GetDraining() {
 		record.State = leafset.Draining
--- a/internal/api/admin_handler.go
+++ b/internal/api/admin_handler.go
@@ -101,6 +101,26 @@
 	return connect.NewResponse(h.admin.ListEvacuatedZones()), nil
 }
 
+// StartRollout implements AdminServiceHandler.
+func (h *adminHandler) StartRollout(ctx context.Context, request *connect.Request[adminv1.StartRolloutRequest]) (*connect.Response[adminv1.StartRolloutResponse], error) {
+	return reply(h.admin.StartRollout(ctx, request.Msg))
+}
+
+// CancelRollout implements AdminServiceHandler.
+func (h *adminHandler) CancelRollout(ctx context.Context, request *connect.Request[adminv1.CancelRolloutRequest]) (*connect.Response[adminv1.CancelRolloutResponse], error) {
+	return reply(h.admin.CancelRollout(ctx, request.Msg))
+}
+
+// GetRollout implements AdminServiceHandler.
+func (h *adminHandler) GetRollout(_ context.Context, request *connect.Request[adminv1.GetRolloutRequest]) (*connect.Response[adminv1.GetRolloutResponse], error) {
+	return reply(h.admin.GetRollout(request.Msg))
+}
+
+// ListRollouts implements AdminServiceHandler.
+func (h *adminHandler) ListRollouts(context.Context, *connect.Request[adminv1.ListRolloutsRequest]) (*connect.Response[adminv1.ListRolloutsResponse], error) {
+	return connect.NewResponse(h.admin.ListRollouts()), nil
+}
+
 // WatchServices implements AdminServiceHandler.
 func (h *adminHandler) WatchServices(ctx context.Context, request *connect.Request[adminv1.WatchServicesRequest], stream *connect.ServerStream[adminv1.WatchServicesResponse]) error {
 	changes, cancel := h.catalog.Subscribe(watchBuffer)
