--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,7 +21,7 @@
 
 // crossZoneDelay multiplies the expected delay of replicas in another zone: their answers cross
 // a slower and dearer link. An answer that comes early is worth no more, so that the own zone is
-// left only for a leaf that is clearly slow, or by a hedge (docs/DECISIONS.md, round 3).
+// left only for a leaf that is clearly slow, or by a hedge (docs/design/serving-tree.md, round 3).
 const crossZoneDelay = 3
 
 // spareDelay multiplies the expected delay of replicas that this node would have to open a
