Roll-outs: the version that was there first stays the one that serves

Cause: the version chosen for a service without a written one was forgotten when an order came or went and when a whole state was read, and was then chosen by number of leafs, so that a barred version could serve; a state or version that a whole state lacked stayed in force at nodes that were given the difference.

--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -26,11 +26,11 @@
 	Processors float64 `json:"processors,omitempty"`
 }
 
-// isTransient reports whether a key stands only while something lasts, a process, an evacuation or an order, and
-// is then removed without a tombstone that must be kept.
+// isTransient reports whether a key may end without a tombstone that must be kept: it stands only while something
+// lasts, a process, an evacuation or an order, or tells of versions, of which what a whole state lacks is void.
 func isTransient(key string) bool {
 	return strings.HasPrefix(key, leafPrefix) || strings.HasPrefix(key, nodePrefix) || strings.HasPrefix(key, evacuationPrefix) ||
-		strings.HasPrefix(key, rolloutPrefix)
+		isRollout(key)
 }
 
 // draft is a view that is not yet in force. Parts of the view before it are copied only when
--- /dev/null
+++ b/internal/catalog/rollout_test.go
@@ -0,0 +1,212 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+func newRolloutCatalog(rejected func(string, error)) *Catalog {
+	made := New(rejected)
+	made.EnableRollouts()
+	return made
+}
+
+// documentChange gives a write of a JSON document; nil removes the key.
+func documentChange(t interface{ Fatal(...any) }, revision int64, key string, document any) Change {
+	entry := Entry{Key: key, Revision: revision, Deleted: document == nil}
+	content, err := json.Marshal(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if entry.Value, err = NewDocument("", content, nil); err != nil {
+		t.Fatal(err)
+	}
+	return Change{Entry: entry, Previous: revision - 1}
+}
+
+func versionLeaf(id, service, version string) leafset.Record {
+	return leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Version: version, State: leafset.Ready}
+}
+
+var (
+	someServices = []string{"a", "b"}
+	someVersions = []string{"v1", "v2", "v3"}
+)
+
+// drawRolloutChange draws a write of an order, a state or the versions written down, or the end of one.
+func drawRolloutChange(t *rapid.T, revision int64) Change {
+	service := rapid.SampledFrom(someServices).Draw(t, "service")
+	target := rapid.SampledFrom(someVersions).Draw(t, "target")
+	serving := rapid.SampledFrom(someVersions).Draw(t, "serving")
+	ends := rapid.IntRange(0, 3).Draw(t, "ends") == 0
+	key, document := "", any(nil)
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		key, document = RolloutKey(service), rollout.Order{Service: service, Target: target, DurationMillis: 1}
+	case 1:
+		phase := rapid.SampledFrom([]rollout.Phase{rollout.Canary, rollout.Switching, rollout.Succeeded, rollout.RolledBack}).Draw(t, "phase")
+		answered := rapid.Int64Range(1, revision).Draw(t, "answered")
+		key = RolloutStateKey(service)
+		document = rollout.State{Service: service, OrderRevision: answered, Phase: phase, Serving: serving, Target: target}
+	default:
+		key, document = VersionsKey, rollout.Versions{ByVersion: map[string][]string{serving: someServices}}
+	}
+	if ends {
+		document = nil
+	}
+	return documentChange(t, revision, key, document)
+}
+
+// Whatever order changes and whole states come in, from the store or from another node, the rule of a service is
+// that of the store's state at the node's revision: no older state brings a version back.
+func TestRulesFollowTheStoreInAnyInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 14).Draw(t, "changes")
+		var log []Change
+		for revision := range int64(count) {
+			log = append(log, drawRolloutChange(t, revision+1))
+		}
+		node, other := newRolloutCatalog(nil), newRolloutCatalog(nil)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			from := rapid.IntRange(0, count-1).Draw(t, "from")
+			to := rapid.IntRange(from+1, count).Draw(t, "to")
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				node.Replace(withoutTombstones(stateAt(log, int64(to))))
+			case 1:
+				node.ApplyAll(log[from:to])
+			case 2:
+				if changes, kept := node.Since(other.Revision()); kept {
+					other.ApplyAll(changes)
+				}
+			}
+			checkRules(t, node, log)
+			checkRules(t, other, log)
+		}
+	})
+}
+
+// checkRules compares the rules of a node with those of a node that was given the store's state of its revision.
+func checkRules(t *rapid.T, node *Catalog, log []Change) {
+	state := withoutTombstones(stateAt(log, node.Revision()))
+	for _, service := range someServices {
+		var order *rollout.Order
+		var known *rollout.State
+		written := ""
+		for _, entry := range state.Entries {
+			document, err := DecodeDocument(entry)
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch entry.Key {
+			case RolloutKey(service):
+				order, err = rollout.ParseOrder(document, entry.Revision)
+			case RolloutStateKey(service):
+				known, err = rollout.ParseState(document, entry.Revision)
+			case VersionsKey:
+				var versions map[string]string
+				versions, err = rollout.ParseVersions(document)
+				written = versions[service]
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		wanted := rollout.RuleOf(order, known, written)
+		if rule := node.View().Leafs.Rule(service); rule != wanted {
+			t.Fatalf("service %s at revision %d: rule %+v, not %+v", service, node.Revision(), rule, wanted)
+		}
+	}
+}
+
+// orderedCatalog gives a catalog whose service has a leaf of each of two versions, and an order of the second.
+func orderedCatalog(t *testing.T) *Catalog {
+	t.Helper()
+	known := newRolloutCatalog(func(key string, err error) { t.Errorf("%s: %v", key, err) })
+	known.ApplyAll([]Change{
+		documentChange(t, 1, VersionsKey, rollout.Versions{ByVersion: map[string][]string{"v1": {"s"}}}),
+		documentChange(t, 2, LeafKey("old"), versionLeaf("old", "s", "v1")),
+		documentChange(t, 3, LeafKey("new"), versionLeaf("new", "s", "v2")),
+		documentChange(t, 4, RolloutKey("s"), rollout.Order{Service: "s", Target: "v2", DurationMillis: 1000}),
+	})
+	return known
+}
+
+func TestOrderThatIsTakenBackLeavesWhatServed(t *testing.T) {
+	is := is.New(t)
+	known := orderedCatalog(t)
+	is.Equal(len(known.View().Leafs.OnTrial("s")), 1)
+	is.Equal(known.View().Rollouts["s"].Order.Revision, int64(4))
+	known.Apply(documentChange(t, 5, RolloutStateKey("s"), rollout.State{Service: "s", OrderRevision: 4, Phase: rollout.Switching, Serving: "v1", Target: "v2"}))
+	is.Equal(known.View().Leafs.Rule("s").Phase, rollout.Switching)
+	known.Apply(documentChange(t, 6, RolloutKey("s"), nil))
+	leafs := known.View().Leafs
+	is.Equal(leafs.Rule("s"), rollout.Rule{Serving: "v1", Revision: 5})
+	is.Equal(len(leafs.OnTrial("s")), 0)
+	is.Equal(leafs.Ready("s")[0].ID, "old")
+	is.Equal(len(leafs.Ready("s")), 1)
+}
+
+// A node that is given only the difference between two whole states learns that orders, states and versions went.
+func TestDifferenceTellsOfWhatIsNoLongerKnownOfVersions(t *testing.T) {
+	is := is.New(t)
+	first, second := orderedCatalog(t), orderedCatalog(t)
+	state := documentChange(t, 5, RolloutStateKey("s"), rollout.State{Service: "s", OrderRevision: 4, Phase: rollout.Succeeded, Serving: "v1", Target: "v2"})
+	first.Apply(state)
+	second.Apply(state)
+	is.Equal(second.View().Leafs.Rule("s").Serving, "v2")
+	first.Replace(Snapshot{Revision: 9})
+	changes, kept := first.Since(5)
+	is.True(kept)
+	is.True(second.ApplyAll(changes))
+	is.Equal(len(second.View().Rollouts), 0)
+	is.Equal(len(second.View().Versions), 0)
+	is.Equal(second.View().Leafs.Rule("s"), rollout.Rule{})
+}
+
+// A value that can't be read leaves the order that is in force.
+func TestUnreadableOrderLeavesTheOneInForce(t *testing.T) {
+	is := is.New(t)
+	known := orderedCatalog(t)
+	refused := 0
+	known.rejected = func(string, error) { refused++ }
+	known.Apply(documentChange(t, 5, RolloutKey("s"), rollout.Order{Service: "s", Target: "v3"}))
+	is.Equal(refused, 1)
+	is.Equal(known.View().Rollouts["s"].Order.Target, "v2")
+	is.Equal(known.View().Leafs.Rule("s").Order, int64(4))
+}
+
+func TestVersionThatCameFirstServesUntilOneIsWrittenDown(t *testing.T) {
+	is := is.New(t)
+	known := newRolloutCatalog(nil)
+	known.Apply(documentChange(t, 1, LeafKey("old"), versionLeaf("old", "s", "v1")))
+	for revision := range int64(3) {
+		id := fmt.Sprintf("new-%d", revision)
+		known.Apply(documentChange(t, 2+revision, LeafKey(id), versionLeaf(id, "s", "v2")))
+	}
+	is.Equal(len(known.View().Leafs.Ready("s")), 1)
+	known.Replace(Snapshot{Revision: 5, Entries: withoutTombstones(known.Snapshot()).Entries})
+	is.Equal(known.View().Leafs.Ready("s")[0].ID, "old")
+	known.Apply(documentChange(t, 6, VersionsKey, rollout.Versions{ByVersion: map[string][]string{"v2": {"s"}}}))
+	is.Equal(len(known.View().Leafs.Ready("s")), 3)
+}
+
+// Where versions don't matter, neither orders nor states nor versions of leafs change anything.
+func TestRolloutsAreIgnoredUnlessEnabled(t *testing.T) {
+	is := is.New(t)
+	known := New(func(key string, err error) { t.Errorf("%s: %v", key, err) })
+	known.ApplyAll([]Change{
+		documentChange(t, 1, LeafKey("old"), versionLeaf("old", "s", "v1")),
+		documentChange(t, 2, LeafKey("new"), versionLeaf("new", "s", "v2")),
+		documentChange(t, 3, RolloutKey("s"), "no order"),
+	})
+	is.Equal(len(known.View().Leafs.Ready("s")), 2)
+	is.Equal(known.View().Leafs.Rule("s"), rollout.Rule{})
+}
--- /dev/null
+++ b/internal/leafset/versions_test.go
@@ -0,0 +1,147 @@
+package leafset
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+func leafOf(id, version string, state State) *Leaf {
+	return &Leaf{Record: Record{ID: id, Service: "s", Version: version, State: state}}
+}
+
+// edited gives a set with some leafs put and some removed, where services are served by one version.
+func edited(editor *Editor, leafs []*Leaf, removed ...string) *Set {
+	editor.ServeOneVersion()
+	for _, leaf := range leafs {
+		editor.Put(leaf)
+	}
+	for _, id := range removed {
+		editor.Remove(id)
+	}
+	return editor.Done()
+}
+
+func ruled(set *Set, rule rollout.Rule) *Set {
+	editor := set.Edit()
+	editor.ServeOneVersion()
+	editor.SetRule("s", rule)
+	return editor.Done()
+}
+
+func ids(leafs []*Leaf) []string {
+	var named []string
+	for _, leaf := range leafs {
+		named = append(named, leaf.ID)
+	}
+	return named
+}
+
+func oldAndNew() (older, newer []*Leaf) {
+	older = []*Leaf{leafOf("1", "v1", Ready)}
+	newer = []*Leaf{leafOf("2", "v2", Ready), leafOf("3", "v2", Ready), leafOf("4", "v2", Draining)}
+	return older, newer
+}
+
+func TestRuleParts(t *testing.T) {
+	older, newer := oldAndNew()
+	cases := []struct {
+		name           string
+		rule           rollout.Rule
+		ready, onTrial []string
+		allowed        []string
+	}{
+		{"none", rollout.Rule{}, []string{"1", "2", "3"}, nil, []string{"1", "2", "3", "4"}},
+		{"one serves", rollout.Rule{Serving: "v1"}, []string{"1"}, nil, []string{"1"}},
+		{"one is on trial", rollout.Rule{Serving: "v1", Trial: "v2"}, []string{"1"}, []string{"2", "3"}, []string{"1", "2", "3", "4"}},
+		{"the trial is all that is known", rollout.Rule{Trial: "v2"}, []string{"1"}, []string{"2", "3"}, []string{"1", "2", "3", "4"}},
+		{"neither has leafs", rollout.Rule{Serving: "v8", Trial: "v9"}, nil, nil, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			editor := Empty().Edit()
+			for _, leaf := range append(older, newer...) {
+				editor.Put(leaf)
+			}
+			editor.SetRule("s", c.rule)
+			set := editor.Done()
+			is.Equal(ids(set.Ready("s")), c.ready)
+			is.Equal(ids(set.OnTrial("s")), c.onTrial)
+			var allowed []string
+			for _, leaf := range set.Of("s") {
+				if set.IsAllowed(leaf) {
+					allowed = append(allowed, leaf.ID)
+				}
+			}
+			is.Equal(allowed, c.allowed)
+		})
+	}
+}
+
+// An evacuation holds for leafs on trial as for those that serve.
+func TestEvacuatedLeafsAreNotOnTrial(t *testing.T) {
+	is := is.New(t)
+	_, newer := oldAndNew()
+	set := ruled(edited(Empty().Edit(), newer), rollout.Rule{Serving: "v1", Trial: "v2"})
+	editor := set.Edit()
+	editor.SetEvacuated("", true)
+	during := editor.Done()
+	is.Equal(len(during.OnTrial("s")), 0)
+	is.True(!during.IsAllowed(newer[0]))
+	is.Equal(len(set.OnTrial("s")), 2) // the set before it stays as it is
+}
+
+// Where nothing is written down the version that was there first serves on, however many leafs come beside it,
+// whatever is ordered and taken back, and when the whole state is read anew.
+func TestVersionThatWasThereFirstServes(t *testing.T) {
+	older, newer := oldAndNew()
+	first := edited(Empty().Edit(), older)
+	both := edited(first.Edit(), newer)
+	ordered := ruled(both, rollout.Rule{Trial: "v2", Phase: rollout.Canary, Order: 7})
+	cases := map[string]*Set{
+		"the other came":                  both,
+		"a third came":                    edited(both.Edit(), []*Leaf{leafOf("5", "v3", Ready), leafOf("6", "v3", Ready)}),
+		"a whole state":                   edited(Replace(both), append(older, newer...)),
+		"the other was ordered":           ordered,
+		"ordered after nothing else came": edited(ruled(first, rollout.Rule{Trial: "v2"}).Edit(), newer),
+		"the order was taken back":        ruled(ordered, rollout.Rule{}),
+		"a whole state without the order": edited(Replace(ordered), append(older, newer...)),
+		"another order":                   ruled(both, rollout.Rule{Trial: "v3", Order: 7}),
+		"an order of what serves":         ruled(both, rollout.Rule{Trial: "v1", Order: 7}),
+	}
+	for name, set := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ids(set.Ready("s")), []string{"1"})
+			is.Equal(set.Rule("s").Serving, "v1")
+		})
+	}
+	is := is.New(t)
+	is.Equal(ids(ordered.OnTrial("s")), []string{"2", "3"})
+	is.Equal(cases["an order of what serves"].Rule("s"), rollout.Rule{Serving: "v1"})
+	gone := edited(both.Edit(), nil, "1")
+	is.Equal(len(gone.Ready("s")), 0) // no order lets the other serve
+	again := edited(gone.Edit(), older)
+	is.Equal(ids(again.Ready("s")), []string{"1"})
+}
+
+func TestWrittenVersionOutweighsTheFirst(t *testing.T) {
+	is := is.New(t)
+	older, newer := oldAndNew()
+	both := edited(edited(Empty().Edit(), older).Edit(), newer)
+	written := ruled(both, rollout.Rule{Serving: "v2"})
+	is.Equal(ids(written.Ready("s")), []string{"2", "3"})
+	is.Equal(len(written.first), 0)
+}
+
+// Of versions that come at once the one with most leafs serves, and leafs that tell no version do beside it.
+func TestMostServeWhereAllComeAtOnce(t *testing.T) {
+	is := is.New(t)
+	older, newer := oldAndNew()
+	set := edited(Empty().Edit(), append(append(older, newer...), leafOf("5", "", Ready)))
+	is.Equal(ids(set.Ready("s")), []string{"2", "3", "5"})
+	is.Equal(set.Rule("s").Serving, "v2")
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -160,6 +160,19 @@
 	return rule
 }
 
+// WithFirst gives the rule of a service that is served by the version that was there first, empty where none was,
+// unless the rule names one that serves. An order of the version that serves already asks for nothing.
+func (r Rule) WithFirst(first string) Rule {
+	if r.Serving != "" || first == "" {
+		return r
+	}
+	if r.Trial == first {
+		return Rule{Serving: first, Revision: r.Revision}
+	}
+	r.Serving = first
+	return r
+}
+
 // IsServing reports whether a version serves by the rule; a leaf that tells no version does.
 func (r Rule) IsServing(version string) bool {
 	return version == "" || version == r.Serving || r.Serving == "" && version != r.Trial
