Leaf memory: what is lost or written down goes by the versions that may get requests

Cause: a lost or remembered leaf of a version that no order lets serve was asked where its service had no other, and connections to leafs of a barred version were kept. Change: candidates are of the version that serves, MayAsk goes by the set's rule, leafs on trial included, and ids leave barred versions out, so that their connections close.

--- a/internal/leafmemory/memory.go
+++ b/internal/leafmemory/memory.go
@@ -57,28 +57,29 @@
 	return &Memory{config: config, catalog: known, now: time.Now, started: time.Now()}
 }
 
-// Candidates gives the leafs of a service that may be asked, and whether they are only what is
-// left of it: ready ones, or, where there is none, those that were ready a moment ago. Leafs of an
-// evacuated zone are never among them.
+// Candidates gives the leafs of a service that may be asked outside of a trial, and whether they are only what is
+// left of it: ready ones, or, where there is none, those that were ready a moment ago. Leafs of an evacuated zone
+// are never among them, nor those of a version that doesn't serve.
 func (m *Memory) Candidates(service string) (leafs []*leafset.Leaf, lastResort bool) {
 	view := m.catalog.View()
 	ready := view.Leafs.Ready(service)
 	if len(ready) > 0 {
 		return ready, false
 	}
-	isEvacuated := func(leaf *leafset.Leaf) bool { return view.Leafs.IsEvacuated(leaf.Zone) }
+	mayNotServe := func(leaf *leafset.Leaf) bool { return !view.Leafs.MayServe(leaf) }
 	recent := view.Leafs.LostSince(service, m.heldSince())
-	if recent = slices.DeleteFunc(recent, isEvacuated); len(recent) > 0 {
+	if recent = slices.DeleteFunc(recent, mayNotServe); len(recent) > 0 {
 		return recent, true
 	}
 	if m.isNew() {
-		return slices.DeleteFunc(slices.Clone(view.Remembered.Of(service)), isEvacuated), true
+		return slices.DeleteFunc(slices.Clone(view.Remembered.Of(service)), mayNotServe), true
 	}
 	return nil, true
 }
 
-// MayAsk reports whether a leaf may be sent a request now. What was planned a while ago may not be
-// sent any more: meanwhile the leaf began to drain, went, or its zone was evacuated.
+// MayAsk reports whether a leaf may be sent a request now, be it one that serves or one on trial. What was planned
+// a while ago may not be sent any more: meanwhile the leaf began to drain, went, its zone was evacuated, or its
+// version was barred.
 func (m *Memory) MayAsk(id string) bool {
 	view := m.catalog.View()
 	leaf, found := view.Leafs.ByID(id)
@@ -88,19 +89,41 @@
 	if !found && m.isNew() {
 		leaf, found = view.Remembered.ByID(id)
 	}
-	return found && !view.Leafs.IsEvacuated(leaf.Zone)
+	return found && view.Leafs.IsAllowed(leaf)
 }
 
-// IDs gives every leaf that may still be asked, be it by the memory alone.
+// IDs gives every leaf that may still be asked, be it by the memory alone, and those that may again once their
+// zone is restored; none of a version that is barred.
 func (m *Memory) IDs() []string {
 	view := m.catalog.View()
-	ids := append(view.Leafs.IDs(), view.Leafs.LostIDs(m.heldSince())...)
-	if m.isNew() {
-		ids = append(ids, view.Remembered.IDs()...)
+	var ids []string
+	for _, id := range view.Leafs.IDs() {
+		leaf, _ := view.Leafs.ByID(id)
+		ids = appendUnbarred(ids, view.Leafs, leaf)
+	}
+	since := m.heldSince()
+	for _, id := range view.Leafs.LostIDs(since) {
+		leaf, _ := view.Leafs.LostByID(id, since)
+		ids = appendUnbarred(ids, view.Leafs, leaf)
+	}
+	if !m.isNew() {
+		return ids
+	}
+	for _, id := range view.Remembered.IDs() {
+		leaf, _ := view.Remembered.ByID(id)
+		ids = appendUnbarred(ids, view.Leafs, leaf)
 	}
 	return ids
 }
 
+// appendUnbarred appends the id of a leaf unless a set bars its version.
+func appendUnbarred(ids []string, set *leafset.Set, leaf *leafset.Leaf) []string {
+	if set.IsBarred(leaf) {
+		return ids
+	}
+	return append(ids, leaf.ID)
+}
+
 // heldSince is since when a leaf must have been ready to be asked still.
 func (m *Memory) heldSince() time.Time { return m.now().Add(-m.config.Hold) }
 
--- /dev/null
+++ b/internal/leafmemory/versions_test.go
@@ -0,0 +1,118 @@
+package leafmemory
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+// newVersioned gives a catalog whose service is served by v1, with v2 on trial if ordered.
+func newVersioned(t *testing.T, ordered bool) *catalog.Catalog {
+	t.Helper()
+	known := catalog.New(func(key string, err error) { t.Errorf("%s: %v", key, err) })
+	known.EnableRollouts()
+	put(t, known, catalog.VersionsKey, rollout.Versions{ByVersion: map[string][]string{"v1": {"s"}}})
+	if ordered {
+		put(t, known, catalog.RolloutKey("s"), rollout.Order{Service: "s", Target: "v2", DurationMillis: 1000})
+	}
+	return known
+}
+
+func versioned(id, version string) leafset.Record {
+	made := record(id, leafset.Ready)
+	made.Version = version
+	return made
+}
+
+// rollBack writes that the order in force was found bad.
+func rollBack(t *testing.T, known *catalog.Catalog) {
+	t.Helper()
+	order := known.View().Rollouts["s"].Order.Revision
+	put(t, known, catalog.RolloutStateKey("s"), rollout.State{Service: "s", OrderRevision: order, Phase: rollout.RolledBack, Serving: "v1", Target: "v2"})
+}
+
+func candidateIDs(memory *Memory) []string {
+	leafs, _ := memory.Candidates("s")
+	ids := []string{}
+	for _, leaf := range leafs {
+		ids = append(ids, leaf.ID)
+	}
+	return ids
+}
+
+func TestLeafOnTrialMayBeAskedAndIsNoCandidate(t *testing.T) {
+	is := is.New(t)
+	known := newVersioned(t, true)
+	put(t, known, catalog.LeafKey("new"), versioned("new", "v2"))
+	memory := New(DefaultConfig(), known)
+	is.True(memory.MayAsk("new"))
+	is.Equal(candidateIDs(memory), []string{})
+	is.Equal(memory.IDs(), []string{"new"})
+	rollBack(t, known)
+	is.True(!memory.MayAsk("new"))
+	is.Equal(memory.IDs(), nil) // nor is a connection to it kept
+}
+
+func TestBarredLeafMayNotBeAsked(t *testing.T) {
+	is := is.New(t)
+	known := newVersioned(t, false)
+	put(t, known, catalog.LeafKey("other"), versioned("other", "v2"))
+	memory := New(DefaultConfig(), known)
+	is.True(!memory.MayAsk("other"))
+	is.Equal(candidateIDs(memory), []string{})
+	put(t, known, catalog.LeafKey("untold"), versioned("untold", ""))
+	is.True(memory.MayAsk("untold"))
+	is.Equal(candidateIDs(memory), []string{"untold"})
+}
+
+// Of the leafs lost a moment ago only those that serve are a last resort, also after the rule has changed.
+func TestLostLeafsGoByTheRuleInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		known := newVersioned(t, true)
+		put(t, known, catalog.LeafKey("old"), versioned("old", "v1"))
+		put(t, known, catalog.LeafKey("new"), versioned("new", "v2"))
+		memory := New(DefaultConfig(), known)
+		time.Sleep(DefaultConfig().TrustAfterStart)
+		put(t, known, catalog.LeafKey("old"), nil)
+		put(t, known, catalog.LeafKey("new"), nil)
+		is.Equal(candidateIDs(memory), []string{"old"})
+		is.True(memory.MayAsk("new"))
+		rollBack(t, known)
+		is.True(!memory.MayAsk("new"))
+		is.True(memory.MayAsk("old"))
+		is.Equal(memory.IDs(), []string{"old"})
+	})
+}
+
+// A node that starts believes of the list written down only what the rule lets serve, and asks the rest of it by the
+// rule as well.
+func TestWrittenListGoesByTheRuleInForce(t *testing.T) {
+	is := is.New(t)
+	known := newVersioned(t, true)
+	list := leafset.List{Leafs: []leafset.Record{versioned("bad", "v3"), versioned("new", "v2"), versioned("old", "v1")}}
+	put(t, known, catalog.RememberedKey, list)
+	memory := New(DefaultConfig(), known)
+	is.Equal(candidateIDs(memory), []string{"old"})
+	is.True(memory.MayAsk("old"))
+	is.True(memory.MayAsk("new"))
+	is.True(!memory.MayAsk("bad"))
+	ids := memory.IDs()
+	slices.Sort(ids)
+	is.Equal(ids, []string{"new", "old"})
+}
+
+// The list that is written down keeps versions: without them a node that starts would ask any leaf of it.
+func TestWrittenListKeepsVersions(t *testing.T) {
+	is := is.New(t)
+	known := newVersioned(t, false)
+	put(t, known, catalog.LeafKey("old"), versioned("old", "v1"))
+	is.Equal(records(known.View().Leafs), []leafset.Record{versioned("old", "v1")})
+}
--- a/internal/leafset/versions.go
+++ b/internal/leafset/versions.go
@@ -15,13 +15,16 @@
 	return s.rules[service].WithFirst(s.first[service])
 }
 
-// IsAllowed reports whether a leaf may be sent requests if it is ready: its zone is not evacuated, and its
-// version serves or is on trial.
-func (s *Set) IsAllowed(leaf *Leaf) bool {
+// IsBarred reports whether a leaf's version neither serves nor is on trial.
+func (s *Set) IsBarred(leaf *Leaf) bool {
 	rule := s.Rule(leaf.Service)
-	return !s.evacuated[leaf.Zone] && (rule.IsServing(leaf.Version) || rule.IsTrial(leaf.Version))
+	return !rule.IsServing(leaf.Version) && !rule.IsTrial(leaf.Version)
 }
 
+// IsAllowed reports whether a leaf may be sent requests if it is ready: its zone is not evacuated, and its
+// version serves or is on trial.
+func (s *Set) IsAllowed(leaf *Leaf) bool { return !s.evacuated[leaf.Zone] && !s.IsBarred(leaf) }
+
 // MayServe reports whether a leaf may be sent requests outside of a trial if it is ready: its zone is not
 // evacuated, and its version serves.
 func (s *Set) MayServe(leaf *Leaf) bool {
