Own store protocol: writes under conditions on other keys

Cause: a write of one key could not depend on another one. Change: the call takes conditions, which the stand-in checks with the key's own revision; the client is a store.Guarded.

--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -180,7 +180,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	current := p.entries[request.GetKey()]
-	if liveRevision(current) != request.GetExpectedRevision() {
+	if liveRevision(current) != request.GetExpectedRevision() || !p.hold(request.GetConditions()) {
 		return &platformv1.CompareAndSwapResponse{Entry: current}, nil
 	}
 	entry := p.write(request)
@@ -191,6 +191,16 @@
 	return &platformv1.CompareAndSwapResponse{Swapped: true, Entry: entry}, nil
 }
 
+// hold reports whether all conditions hold. The mutex must be held.
+func (p *Platform) hold(conditions []*platformv1.Condition) bool {
+	for _, condition := range conditions {
+		if liveRevision(p.entries[condition.GetKey()]) != condition.GetRevision() {
+			return false
+		}
+	}
+	return true
+}
+
 func liveRevision(entry *platformv1.Entry) int64 {
 	if entry == nil || entry.GetDeleted() {
 		return 0
--- a/internal/platformclient/platformclient.go
+++ b/internal/platformclient/platformclient.go
@@ -23,6 +23,7 @@
 
 var (
 	_ store.Store     = (*Client)(nil)
+	_ store.Guarded   = (*Client)(nil)
 	_ machines.Lister = (*Client)(nil)
 )
 
@@ -71,9 +72,20 @@
 
 // CompareAndSwap implements store.Store.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, expected int64, value []byte, remove bool) (store.SwapResult, error) {
-	response, err := c.store.CompareAndSwap(ctx, &platformv1.CompareAndSwapRequest{
-		Key: key, ExpectedRevision: expected, Value: value, Delete: remove,
-	})
+	return c.swap(ctx, &platformv1.CompareAndSwapRequest{Key: key, ExpectedRevision: expected, Value: value, Delete: remove})
+}
+
+// CompareAndSwapIf implements store.Guarded.
+func (c *Client) CompareAndSwapIf(ctx context.Context, conditions []store.Condition, key string, expected int64, value []byte) (store.SwapResult, error) {
+	request := &platformv1.CompareAndSwapRequest{Key: key, ExpectedRevision: expected, Value: value}
+	for _, condition := range conditions {
+		request.Conditions = append(request.Conditions, &platformv1.Condition{Key: condition.Key, Revision: condition.Revision})
+	}
+	return c.swap(ctx, request)
+}
+
+func (c *Client) swap(ctx context.Context, request *platformv1.CompareAndSwapRequest) (store.SwapResult, error) {
+	response, err := c.store.CompareAndSwap(ctx, request)
 	if err != nil {
 		return store.SwapResult{}, merry.Prepend(err, "store compare-and-swap")
 	}
