Configuration writer: guarded writes by the same settlement of lost answers

Cause: a state that answers an order must not be written once the order was replaced, and a lost answer must be settled. Change: ApplyGuarded, by the loop of Apply; where the key stands unmoved after a refusal, a condition no longer holds. A write that the store will never make is told at once instead of being tried until it counts as unknown.

--- a/internal/configwriter/configwriter.go
+++ b/internal/configwriter/configwriter.go
@@ -3,12 +3,14 @@
 // A write is a compare-and-swap with the revision the operator saw and a unique change id
 // that the value keeps. When a reply is lost the key is read back: if the id is there, the
 // change was accepted; if the key moved on without it, the write lost a race; if the key is
-// unmoved, the same compare-and-swap is sent again, which can take effect only once.
+// unmoved, the same compare-and-swap is sent again, which can take effect only once. A guarded
+// write has conditions on other keys besides, which it lost the race to if they no longer hold.
 package configwriter
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -50,6 +52,9 @@
 	// Message or Document is the new value, by the kind of key; with neither the key is deleted.
 	Message  proto.Message
 	Document json.RawMessage
+
+	// conditions are those of a guarded write.
+	conditions []store.Condition
 }
 
 // removes reports whether the change deletes its key.
@@ -67,16 +72,20 @@
 type Writer struct {
 	config Config
 	store  store.Store
+	// guarded is the store where it takes conditions on other keys, else nil.
+	guarded store.Guarded
 }
 
-// New makes a writer.
+// New makes a writer. Guarded writes need a store that is a store.Guarded too.
 func New(config Config, target store.Store) *Writer {
-	return &Writer{config: config, store: target}
+	guarded, _ := target.(store.Guarded)
+	return &Writer{config: config, store: target, guarded: guarded}
 }
 
 // Apply writes a change and gives the revision at which it was accepted. Failures are
 // RevisionConflict (not accepted), StoreUnavailable (nothing was sent) and OutcomeUnknown
-// (sent, no reply, and no read-back either: apply again with the same change id).
+// (sent, no reply, and no read-back either: apply again with the same change id). What the store
+// refuses as not to be run is given as it is.
 func (w *Writer) Apply(ctx context.Context, write Write) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.config.TotalTimeout)
 	defer cancel()
@@ -100,13 +109,8 @@
 	if err != nil {
 		return 0, false, err
 	}
-	if current != nil {
-		if accepted, found := catalog.FindChange(current, write.ChangeID); found {
-			return accepted, true, nil
-		}
-	}
-	if liveRevision(current) != write.Expected {
-		return 0, true, conflict(write, current)
+	if revision, settled, err = settle(write, current); settled {
+		return revision, true, err
 	}
 	value, err := write.value(current)
 	if err != nil {
@@ -114,16 +118,32 @@
 	}
 	result, err := w.swap(ctx, write, value, sent)
 	if err != nil {
-		return 0, false, err
+		return 0, isRefused(err), err
 	}
 	if result.Swapped {
 		return result.Entry.Revision, true, nil
 	}
+	if len(write.conditions) > 0 {
+		return settleGuarded(write, result.Entry)
+	}
 	// The key moved between the read and the write, perhaps by an earlier copy of this
 	// very write: the next read tells.
 	return 0, false, nil
 }
 
+// settle settles a write by its key as it was read: the change was accepted, or another one moved the key.
+func settle(write Write, current *catalog.Entry) (revision int64, settled bool, err error) {
+	if current != nil {
+		if accepted, found := catalog.FindChange(current, write.ChangeID); found {
+			return accepted, true, nil
+		}
+	}
+	if liveRevision(current) != write.Expected {
+		return 0, true, conflict(write, current)
+	}
+	return 0, false, nil
+}
+
 func (w *Writer) get(ctx context.Context, key string) (*catalog.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, w.config.CallTimeout)
 	defer cancel()
@@ -134,9 +154,18 @@
 	ctx, cancel := context.WithTimeout(ctx, w.config.CallTimeout)
 	defer cancel()
 	*sent = true
+	if len(write.conditions) > 0 {
+		return w.guarded.CompareAndSwapIf(ctx, write.conditions, write.Key, write.Expected, value)
+	}
 	return w.store.CompareAndSwap(ctx, write.Key, write.Expected, value, write.removes())
 }
 
+// isRefused reports whether the store will never make a write, however often it is asked.
+func isRefused(err error) bool {
+	refused, isTyped := errors.AsType[*failure.Failure](err)
+	return isTyped && refused.Execution == failure.NotRun && refused.RetryAfter == 0
+}
+
 func (w *Writer) unsettled(write Write, sent bool, cause error) error {
 	if cause == nil {
 		cause = context.DeadlineExceeded
--- /dev/null
+++ b/internal/configwriter/guarded.go
@@ -0,0 +1,58 @@
+package configwriter
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// GuardedWrite is one change of one key under conditions on others.
+type GuardedWrite struct {
+	Key      string
+	Expected int64
+	// Conditions must all hold when the change is made.
+	Conditions []store.Condition
+	ChangeID   string
+	Document   json.RawMessage
+}
+
+// Validate names every field at fault.
+func (w GuardedWrite) Validate() error {
+	var checks failure.Checks
+	checks.Refuse(w.Key == "", "key", "must not be empty")
+	checks.Refuse(w.Expected < 0, "expected", "must not be negative")
+	checks.Refuse(len(w.Conditions) == 0, "conditions", "must not be empty")
+	checks.Refuse(w.ChangeID == "", "change_id", "must not be empty")
+	checks.Refuse(w.Document == nil, "document", "must not be empty")
+	return checks.Err()
+}
+
+// ApplyGuarded writes a change like Apply. RevisionConflict says that the key moved or that a condition no longer
+// holds. OutcomeUnknown says that the change may yet be made, later than now, as long as the conditions hold.
+func (w *Writer) ApplyGuarded(ctx context.Context, write GuardedWrite) (int64, error) {
+	if w.guarded == nil {
+		return 0, failure.New(failure.Internal, failure.NotRun, "this store takes no conditions on other keys")
+	}
+	if err := write.Validate(); err != nil {
+		return 0, err
+	}
+	return w.Apply(ctx, Write{
+		Key: write.Key, Expected: write.Expected, ChangeID: write.ChangeID, Document: write.Document,
+		conditions: write.Conditions,
+	})
+}
+
+// settleGuarded settles a guarded write that the store did not make, by its key as it stood after the call: where
+// neither this change nor another one moved it, a condition no longer holds.
+func settleGuarded(write Write, current *catalog.Entry) (revision int64, settled bool, err error) {
+	if revision, settled, err = settle(write, current); settled {
+		return revision, true, err
+	}
+	failed := failure.New(failure.RevisionConflict, failure.NotRun,
+		"%s was not written: one of its %d conditions no longer holds", write.Key, len(write.conditions))
+	failed.CurrentRevision = liveRevision(current)
+	return 0, true, failed
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -56,7 +56,8 @@
 }
 
 // Store reads, writes and watches configuration. An error of CompareAndSwap says nothing
-// about whether the write took effect. Implementations are safe for concurrent use.
+// about whether the write took effect, but for a failure.Failure by which nothing ran and asking
+// again makes no sense: the store will never make that write. Implementations are safe for concurrent use.
 type Store interface {
 	// Get reads one key; nil when it was never written.
 	Get(ctx context.Context, key string) (*catalog.Entry, error)
@@ -80,8 +81,7 @@
 
 // Guarded writes a key under conditions on others. Implementations are safe for concurrent use.
 type Guarded interface {
-	// CompareAndSwapIf writes like Store.CompareAndSwap, if moreover all conditions hold. An error says nothing
-	// about whether the write took effect.
+	// CompareAndSwapIf writes like Store.CompareAndSwap, if moreover all conditions hold; its errors say as much.
 	CompareAndSwapIf(ctx context.Context, conditions []Condition, key string, expected int64, value []byte) (SwapResult, error)
 }
 
