--- a/internal/lab/kvstore/kvstore.go
+++ b/internal/lab/kvstore/kvstore.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -285,11 +286,29 @@
 	Remove      []string
 }
 
+// foreignKeys begin the keys that callers may not write.
+var foreignKeys = []string{"op/", "servers/"}
+
+// writesForeign reports whether a transaction writes a key that callers may not write.
+func (t transaction) writesForeign() bool {
+	written := slices.Clone(t.Remove)
+	for _, item := range t.Put {
+		written = append(written, item.Key)
+	}
+	return slices.ContainsFunc(written, func(key string) bool {
+		return slices.ContainsFunc(foreignKeys, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+	})
+}
+
 func (s *Store) transact(c *gin.Context) {
 	var asked transaction
 	if err := c.BindJSON(&asked); err != nil {
 		return
 	}
+	if asked.writesForeign() {
+		c.Status(http.StatusForbidden)
+		return
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if current, matches := s.compare(asked.ExpectedRev); !matches {
