Roll-outs: a version on trial gets a bounded share of first attempts

Cause: the rule of a roll-out is in force on each node, but nothing sends by it. The gateway asks drawn leafs first and those of the serving version for every later attempt; without a splitter it is as before. The collector counts how both versions answer while an order is under way. Leafs of two versions are dealt apart, so that the kept deal of one does not drop that of the other.

--- a/internal/connshare/connshare.go
+++ b/internal/connshare/connshare.go
@@ -74,10 +74,12 @@
 	dealt map[dealtService]deal
 }
 
-// dealtService is a service, and whether it is asked for gathered requests.
+// dealtService is a service, and whether it is asked for gathered requests. The leafs of two versions of a service
+// are dealt apart; the version is that of the first leaf.
 type dealtService struct {
 	name     string
 	gathered bool
+	version  string
 }
 
 // deal is what a service's leafs were dealt by, and how.
@@ -113,7 +115,7 @@
 	if len(leafs) == 0 {
 		return nil
 	}
-	service := dealtService{name, gathered}
+	service := dealtService{name, gathered, leafs[0].Version}
 	wanted := deal{nodes: d.fleet.Nodes(), leafs: leafs, limit: limit, isNew: d.isNew()}
 	if gathered {
 		wanted.nodes = d.fleet.Gatherers()
--- /dev/null
+++ b/internal/evidence/collector.go
@@ -0,0 +1,134 @@
+package evidence
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/leafset"
+)
+
+// mostRows bounds the rows that a node keeps. A service has one for each route and version, and one for each route
+// and leaf on trial.
+const mostRows = 4096
+
+// Collector counts how one node's attempts end at the leafs of services with a version on trial; safe for
+// concurrent use. The leafs of the version that serves share a row for each route, without leaf and zone.
+type Collector struct {
+	catalog *catalog.Catalog
+
+	mu   sync.Mutex
+	rows map[Key]*collected
+	// changed are the rows that changed since they were taken, longest waiting first.
+	changed []*collected
+	// leafs are those whose rules the rows were last checked by.
+	leafs *leafset.Set
+}
+
+// collected is a row that is counted on.
+type collected struct {
+	Row
+	isChanged bool
+}
+
+// NewCollector makes a collector without rows.
+func NewCollector(known *catalog.Catalog) *Collector {
+	return &Collector{catalog: known, rows: map[Key]*collected{}}
+}
+
+// Observe counts an answer that a leaf gave.
+func (c *Collector) Observe(route string, leaf *leafset.Leaf, failed bool, took time.Duration) {
+	if !c.IsCounted(leaf) {
+		return
+	}
+	c.count(route, leaf, func(tally *Tally) { tally.Observe(failed, took) })
+}
+
+// ObserveGivenUp counts an attempt that was given up without an answer.
+func (c *Collector) ObserveGivenUp(route string, leaf *leafset.Leaf, took time.Duration) {
+	if !c.IsCounted(leaf) {
+		return
+	}
+	c.count(route, leaf, func(tally *Tally) { tally.ObserveGivenUp(took) })
+}
+
+// IsCounted reports whether a leaf's attempts are counted now.
+func (c *Collector) IsCounted(leaf *leafset.Leaf) bool {
+	rule := c.catalog.View().Leafs.Rule(leaf.Service)
+	return rule.Trial != "" && (rule.IsTrial(leaf.Version) || rule.IsServing(leaf.Version))
+}
+
+// Rows gives all rows, in no order.
+func (c *Collector) Rows() []Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropOld()
+	rows := make([]Row, 0, len(c.rows))
+	for _, kept := range c.rows {
+		rows = append(rows, kept.copy())
+	}
+	return rows
+}
+
+// TakeChanged gives up to so many of the rows that changed since they were last taken, longest waiting first.
+func (c *Collector) TakeChanged(most int) []Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropOld()
+	most = min(max(0, most), len(c.changed))
+	rows := make([]Row, 0, most)
+	for _, kept := range c.changed[:most] {
+		kept.isChanged = false
+		rows = append(rows, kept.copy())
+	}
+	c.changed = slices.Delete(c.changed, 0, most)
+	return rows
+}
+
+func (c *Collector) count(route string, leaf *leafset.Leaf, add func(*Tally)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropOld()
+	rule := c.leafs.Rule(leaf.Service)
+	key := Key{Service: leaf.Service, Order: rule.Order, Route: route, Version: leaf.Version}
+	if rule.IsTrial(leaf.Version) {
+		key.Leaf, key.Zone = leaf.ID, leaf.Zone
+	}
+	kept, found := c.rows[key]
+	if !found {
+		if rule.Trial == "" || len(c.rows) >= mostRows {
+			return
+		}
+		kept = &collected{Row: Row{Key: key}}
+		c.rows[key] = kept
+	}
+	add(&kept.Tally)
+	if !kept.isChanged {
+		kept.isChanged = true
+		c.changed = append(c.changed, kept)
+	}
+}
+
+// dropOld drops the rows of orders that are not in force any more. The lock must be held.
+func (c *Collector) dropOld() {
+	leafs := c.catalog.View().Leafs
+	if leafs == c.leafs {
+		return
+	}
+	c.leafs = leafs
+	isOld := func(kept *collected) bool { return leafs.Rule(kept.Service).Order != kept.Order }
+	for key, kept := range c.rows {
+		if isOld(kept) {
+			delete(c.rows, key)
+		}
+	}
+	c.changed = slices.DeleteFunc(c.changed, isOld)
+}
+
+// copy gives the row as it is now.
+func (c *collected) copy() Row {
+	row := c.Row
+	row.Answered, row.GivenUp = slices.Clone(row.Answered), slices.Clone(row.GivenUp)
+	return row
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,12 +27,14 @@
 // startAttempt asks one leaf.
 func (w *gathering) startAttempt(_ context.Context, attempt scatter.Attempt, done func(scatter.Result[leafhttp.Response])) context.CancelCauseFunc {
 	var isAbandoned atomic.Bool
-	cancel := w.gateway.leafs.Start(w.target(attempt), &w.query.Leaf, w.query.deadline, func(response *leafhttp.Response, err error) {
-		if err != nil {
-			done(judgeError(isAbandoned.Load(), err))
-			return
-		}
-		done(w.judgeResponse(attempt, response))
+	asked := w.target(attempt)
+	leaf := asked.leaf
+	w.gateway.began(leaf)
+	cancel := w.gateway.leafs.Start(asked.Target, &w.query.Leaf, w.query.deadline, func(response *leafhttp.Response, err error) {
+		w.gateway.ended(leaf)
+		result := w.judgeEnd(attempt, response, err, isAbandoned.Load())
+		w.observe(leaf, response, result, time.Since(attempt.Started))
+		done(result)
 	})
 	return func(cause error) {
 		isAbandoned.Store(true)
@@ -40,6 +42,14 @@
 	}
 }
 
+// judgeEnd judges the end of an attempt, which is an answer or an error.
+func (w *gathering) judgeEnd(attempt scatter.Attempt, response *leafhttp.Response, err error, isAbandoned bool) scatter.Result[leafhttp.Response] {
+	if err != nil {
+		return judgeError(isAbandoned, err)
+	}
+	return w.judgeResponse(attempt, response)
+}
+
 // judgeResponse judges an answer, after the leaf's word on its load.
 func (w *gathering) judgeResponse(attempt scatter.Attempt, response *leafhttp.Response) scatter.Result[leafhttp.Response] {
 	if response.Load != nil {
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -4,15 +4,27 @@
 	"slices"
 
 	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/scatter"
 )
 
-// candidates gives the leafs of a shard that may be asked now, and keeps how.
+// target is a leaf that may be asked, and how.
+type target struct {
+	leafhttp.Target
+	leaf *leafset.Leaf
+}
+
+// candidates gives the leafs of a shard that may be asked now, without a draw, and keeps how.
 func (w *gathering) candidates(shard int) []balancer.Candidate {
+	return w.candidatesOf(shard, w.gateway.later(w.services[shard]))
+}
+
+// candidatesOf gives the leafs of a shard of some versions that may be asked now, and keeps how.
+func (w *gathering) candidatesOf(shard int, versions canary.Versions) []balancer.Candidate {
 	service := w.services[shard]
-	limit := w.query.service(service).MaximumConnections
-	candidates := w.gateway.partsOf(service, w.isGathered(), limit, &w.targets[shard])
+	candidates := w.gateway.partsOf(service, w.isGathered(), w.query.service(service).MaximumConnections, versions, &w.targets[shard])
 	if len(w.query.entry.Regions) == 0 {
 		return candidates
 	}
@@ -24,13 +36,25 @@
 	return len(w.query.entry.Regions) == 0 || w.query.entry.AllowsRegion(w.gateway.regions[zone])
 }
 
-// partsOf gives the leafs of a service that this node may ask, and adds to targets how. The limit
+// partsOf gives the leafs of a service of some versions that this node may ask, and sets targets to how. The limit
 // is that of the connections of one leaf.
-func (g *Gateway) partsOf(service string, gathered bool, limit int, targets *[]leafhttp.Target) []balancer.Candidate {
-	leafs, _ := g.memory.Candidates(service)
+func (g *Gateway) partsOf(service string, gathered bool, limit int, versions canary.Versions, targets *[]target) []balancer.Candidate {
+	*targets = nil
+	var candidates []balancer.Candidate
+	if versions != canary.Trial {
+		candidates = g.addParts(candidates, service, gathered, limit, g.servingLeafs(service), targets)
+	}
+	if versions != canary.Serving {
+		candidates = g.addParts(candidates, service, gathered, limit, g.catalog.View().Leafs.OnTrial(service), targets)
+	}
+	return candidates
+}
+
+// addParts adds those of some leafs of one version that this node may ask, and to targets how.
+func (g *Gateway) addParts(candidates []balancer.Candidate, service string, gathered bool, limit int, leafs []*leafset.Leaf, targets *[]target) []balancer.Candidate {
 	dealt := g.dealer.Deal(service, gathered, leafs, limit)
-	candidates := make([]balancer.Candidate, 0, len(dealt))
-	*targets = make([]leafhttp.Target, 0, len(dealt))
+	candidates = slices.Grow(candidates, len(dealt))
+	*targets = slices.Grow(*targets, len(dealt))
 	for _, part := range dealt {
 		leaf := part.Leaf
 		if part.Connections == 0 && !g.leafs.CanSpare(leaf.ID) {
@@ -39,18 +63,33 @@
 		if g.warmup != nil && !g.warmup.HasRoom(leaf) {
 			continue
 		}
-		*targets = append(*targets, leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare})
+		way := leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare}
+		*targets = append(*targets, target{way, leaf})
 		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0, LastResort: part.LastResort})
 	}
 	return candidates
 }
 
+// servingLeafs gives the leafs of the version of a service that serves; what is only remembered may be of others.
+func (g *Gateway) servingLeafs(service string) []*leafset.Leaf {
+	leafs, lastResort := g.memory.Candidates(service)
+	if !lastResort {
+		return leafs
+	}
+	rule := g.catalog.View().Leafs.Rule(service)
+	isOther := func(leaf *leafset.Leaf) bool { return !rule.IsServing(leaf.Version) }
+	if !slices.ContainsFunc(leafs, isOther) {
+		return leafs
+	}
+	return slices.DeleteFunc(slices.Clone(leafs), isOther)
+}
+
 // target gives the leaf of an attempt.
-func (w *gathering) target(attempt scatter.Attempt) leafhttp.Target {
+func (w *gathering) target(attempt scatter.Attempt) target {
 	for _, target := range w.targets[attempt.Shard] {
 		if target.Incarnation == attempt.Leaf.ID {
 			return target
 		}
 	}
-	return leafhttp.Target{Incarnation: attempt.Leaf.ID}
+	return target{Target: leafhttp.Target{Incarnation: attempt.Leaf.ID}}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/connshare"
+	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/leafhttp"
@@ -45,8 +47,12 @@
 	Budgets  *retrybudget.Budgets
 	Leafs    LeafCaller
 	// Warmup says which cold leafs this node may ask; nil means all.
-	Warmup  *warmup.Limiter
-	Journal Journal
+	Warmup *warmup.Limiter
+	// Canary says which requests go to versions on trial; nil means that none do.
+	Canary *canary.Splitter
+	// Evidence counts how versions on trial answer; nil means that nothing is counted.
+	Evidence *evidence.Collector
+	Journal  Journal
 	// Self is this node's own record.
 	Self catalog.NodeRecord
 	// Regions gives the region of each zone; a zone that it lacks is in none.
@@ -67,6 +73,8 @@
 	budgets  *retrybudget.Budgets
 	leafs    LeafCaller
 	warmup   *warmup.Limiter
+	canary   *canary.Splitter
+	evidence *evidence.Collector
 	journal  Journal
 	regions  map[string]string // by zone
 
@@ -83,7 +91,8 @@
 func New(parts Parts) *Gateway {
 	g := &Gateway{
 		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, dealer: parts.Dealer, balancer: parts.Balancer,
-		budgets: parts.Budgets, leafs: parts.Leafs, warmup: parts.Warmup, journal: parts.Journal, regions: parts.Regions,
+		budgets: parts.Budgets, leafs: parts.Leafs, warmup: parts.Warmup,
+		canary: parts.Canary, evidence: parts.Evidence, journal: parts.Journal, regions: parts.Regions,
 		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
 	}
 	if parts.Config.ServingTree && parts.Fleet != nil && parts.Intermediates != nil {
@@ -142,7 +151,9 @@
 	// passedOn says by shard whether it is in a group; nil where there is none.
 	passedOn []bool
 	// targets are the leafs that may be asked, by shard.
-	targets [][]leafhttp.Target
+	targets [][]target
+	// draws say which versions first attempts go to, by shard; nil until the first is drawn.
+	draws []shardDraw
 	// gatheredLatency is that of all shards of a gathered request; nil until it is looked up.
 	gatheredLatency *kindLatency
 	summary         scatter.Summary
@@ -180,6 +191,7 @@
 	if err := w.refuse(plan); err != nil {
 		return nil, err
 	}
+	w.drawFirst(&plan)
 	work := scatter.New(plan, scatter.Parts[leafhttp.Response]{
 		Balancer: w.gateway.balancer, Start: w.startAttempt, Observer: w, Superseded: leafhttp.ErrSuperseded,
 		StartGroup: w.startGroup, Accepted: w.accepted(),
@@ -240,7 +252,7 @@
 	if w.isGathered() && w.collected == nil {
 		plan.SoftDeadline = w.query.planned
 	}
-	w.targets = make([][]leafhttp.Target, len(w.services))
+	w.targets = make([][]target, len(w.services))
 	policies := make([]shardPolicy, len(w.services))
 	for index, service := range w.services {
 		policies[index] = shardPolicy{
--- a/internal/gateway/impossible.go
+++ b/internal/gateway/impossible.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/scatter"
@@ -22,14 +23,9 @@
 		return nil // a part of a request is for its root to judge
 	}
 	required := max(1, w.query.required)
-	leafs := w.gateway.catalog.View().Leafs
-	isAllowed := func(leaf *leafset.Leaf) bool { return w.allowsZone(leaf.Zone) }
 	without := 0
-	for _, service := range w.services {
-		if slices.ContainsFunc(leafs.Ready(service), isAllowed) {
-			continue
-		}
-		if remembered, _ := w.gateway.memory.Candidates(service); !slices.ContainsFunc(remembered, isAllowed) {
+	for index := range w.services {
+		if !w.hasLeaf(index) {
 			without++
 		}
 	}
@@ -40,6 +36,22 @@
 	return failed.WithRetryAfter(w.query.latestReturn())
 }
 
+// hasLeaf reports whether a service has a leaf that may run the request. One on trial does where all requests go
+// there by now, or where this one was drawn.
+func (w *gathering) hasLeaf(index int) bool {
+	service := w.services[index]
+	isAllowed := func(leaf *leafset.Leaf) bool { return w.allowsZone(leaf.Zone) }
+	versions := w.gateway.later(service)
+	if versions != canary.Trial && slices.ContainsFunc(w.gateway.servingLeafs(service), isAllowed) {
+		return true
+	}
+	trial := w.gateway.catalog.View().Leafs.OnTrial(service)
+	if len(trial) == 0 || !slices.ContainsFunc(trial, isAllowed) {
+		return false
+	}
+	return versions != canary.Serving || !w.isPassedOn(index) && w.draw(index).First == canary.Trial
+}
+
 // Callers follow the time that they are told up to a third of the time they have. Those who are told it
 // together come back spread over its last part.
 const (
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -6,6 +6,7 @@
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
 	"github.com/portgauge/portgauge/internal/routing"
 )
 
@@ -60,7 +61,7 @@
 	var rest []int
 	for index, service := range entry.Gathered {
 		zones[index] = map[string]bool{}
-		for _, leaf := range leafs.Ready(service) {
+		for _, leaf := range placedLeafs(leafs, service) {
 			if entry.AllowsRegion(p.regions[leaf.Zone]) {
 				zones[index][leaf.Zone] = true
 			}
@@ -83,6 +84,14 @@
 	return parts
 }
 
+// placedLeafs gives the leafs of a service that requests go by: those on trial once their version was found good.
+func placedLeafs(leafs *leafset.Set, service string) []*leafset.Leaf {
+	if leafs.Rule(service).Phase == rollout.Switching {
+		return leafs.OnTrial(service)
+	}
+	return leafs.Ready(service)
+}
+
 // largestPart gives the most services that some zone has leafs of, with all zones that have them.
 func largestPart(rest []int, zones []map[string]bool) routePart {
 	counts := map[string]int{}
--- /dev/null
+++ b/internal/gateway/trial.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/canary"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/scatter"
+)
+
+// shardDraw is the draw of one shard, once it was made.
+type shardDraw struct {
+	isMade bool
+	canary.Draw
+}
+
+// later gives the versions of a service that attempts without a draw may go to now.
+func (g *Gateway) later(service string) canary.Versions {
+	if g.canary == nil {
+		return canary.Serving
+	}
+	return g.canary.Later(service)
+}
+
+// draw gives the draw of a shard, which is made once. What another node may have counted is not drawn.
+func (w *gathering) draw(shard int) canary.Draw {
+	if w.gateway.canary == nil || w.spent > 0 {
+		return canary.Draw{}
+	}
+	if w.draws == nil {
+		w.draws = make([]shardDraw, len(w.services))
+	}
+	made := &w.draws[shard]
+	if !made.isMade {
+		*made = shardDraw{true, w.gateway.canary.Draw(w.services[shard], w.isAtMostOnce())}
+	}
+	return made.Draw
+}
+
+func (w *gathering) isAtMostOnce() bool { return w.query.entry.Repeatability == routing.AtMostOnce }
+
+// drawFirst draws which versions the first attempts go to that are made from here, of services with one on trial.
+func (w *gathering) drawFirst(plan *scatter.Plan) {
+	if w.gateway.canary == nil || w.spent > 0 {
+		return
+	}
+	leafs := w.gateway.catalog.View().Leafs
+	for index, service := range w.services {
+		if leafs.Rule(service).Trial != "" && !w.isPassedOn(index) {
+			plan.Shards[index].Candidates = w.firstCandidates(index, plan.Shards[index].Candidates)
+		}
+	}
+}
+
+// firstCandidates gives the leafs that a shard's first attempt may go to by its draw; where none of them can be
+// asked, those that were planned without one.
+func (w *gathering) firstCandidates(shard int, planned []balancer.Candidate) []balancer.Candidate {
+	draw := w.draw(shard)
+	if draw.First == w.gateway.later(w.services[shard]) {
+		return planned
+	}
+	targets := w.targets[shard]
+	drawn := w.candidatesOf(shard, draw.First)
+	if draw.IsBounded {
+		drawn = w.focus(w.services[shard], drawn)
+	}
+	if w.gateway.balancer.Choose(drawn, nil).Leaf != nil {
+		return drawn
+	}
+	w.targets[shard] = targets
+	if draw.IsBounded {
+		w.gateway.canary.Return(w.services[shard], w.isAtMostOnce(), draw)
+	}
+	return planned
+}
+
+// focus keeps the first candidate in the order of the draws from the bounded share that can be asked.
+func (w *gathering) focus(service string, candidates []balancer.Candidate) []balancer.Candidate {
+	for _, leaf := range w.gateway.canary.Focus(service, w.gateway.catalog.View().Leafs.OnTrial(service)) {
+		at := slices.IndexFunc(candidates, func(candidate balancer.Candidate) bool { return candidate.LeafID == leaf.ID })
+		if at < 0 {
+			continue
+		}
+		one := candidates[at : at+1]
+		if choice := w.gateway.balancer.Choose(one, nil); choice.Leaf != nil && !choice.Troubled {
+			return one
+		}
+	}
+	return nil
+}
+
+// began counts an attempt at a leaf in, before it is made.
+func (g *Gateway) began(leaf *leafset.Leaf) {
+	if g.canary != nil && leaf != nil {
+		g.canary.Began(leaf.Service, leaf.Version)
+	}
+}
+
+// ended counts an attempt at a leaf out.
+func (g *Gateway) ended(leaf *leafset.Leaf) {
+	if g.canary != nil && leaf != nil {
+		g.canary.Ended(leaf.Service, leaf.Version)
+	}
+}
+
+// observe counts the end of an attempt for its leaf's version, if the version is what it came from: refusals, broken
+// connections and what never arrived say nothing of it.
+func (w *gathering) observe(leaf *leafset.Leaf, response *leafhttp.Response, result scatter.Result[leafhttp.Response], took time.Duration) {
+	counted := w.gateway.evidence
+	if counted == nil || leaf == nil || !counted.IsCounted(leaf) {
+		return
+	}
+	route := w.query.entry.Name
+	switch {
+	case result.Reply != nil:
+		counted.Observe(route, leaf, false, took)
+	case result.Reason == reasonLeafError && response.Header.Get(w.gateway.dialect.ResponseStamp) != "":
+		counted.Observe(route, leaf, true, took)
+	case result.Reason == reasonBroken && result.Outcome == balancer.Abandoned:
+		counted.ObserveGivenUp(route, leaf, took)
+	}
+}
--- a/internal/gateway/warm.go
+++ b/internal/gateway/warm.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/portgauge/portgauge/internal/canary"
+	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/leafhttp"
 )
 
@@ -35,31 +37,83 @@
 
 // warmOne opens a connection to the leaf that a first request would ask.
 func (g *Gateway) warmOne(service string, limit int) {
-	var targets []leafhttp.Target
-	choice := g.balancer.Choose(g.partsOf(service, true, limit, &targets), nil)
-	if choice.Leaf == nil {
+	var targets []target
+	choice := g.balancer.Choose(g.partsOf(service, true, limit, g.later(service), &targets), nil)
+	if choice.Leaf != nil {
+		g.warmFirst(choice.Leaf.ID, targets)
+	}
+}
+
+// warmFirst opens a connection to the leaf of an id among targets, if this node has a part of it and no connection
+// to any of them.
+func (g *Gateway) warmFirst(id string, targets []target) {
+	first := slices.IndexFunc(targets, func(target target) bool { return target.Incarnation == id })
+	if first < 0 || targets[first].Connections == 0 {
 		return
 	}
-	first := slices.IndexFunc(targets, func(target leafhttp.Target) bool { return target.Incarnation == choice.Leaf.ID })
-	targets[0], targets[first] = targets[first], targets[0]
-	if targets[0].Connections > 0 {
-		g.leafs.Warm(targets)
+	ways := make([]leafhttp.Target, 0, len(targets))
+	for _, target := range targets {
+		ways = append(ways, target.Target)
+	}
+	ways[0], ways[first] = ways[first], ways[0]
+	g.leafs.Warm(ways)
+}
+
+// warmTrials opens a connection to a leaf of each version on trial that draws from here would go to, once for each
+// order; the orders done are in warmed.
+func (g *Gateway) warmTrials(warmed map[string]int64) {
+	view := g.catalog.View()
+	for service := range warmed {
+		if view.Leafs.Rule(service).Trial == "" {
+			delete(warmed, service)
+		}
+	}
+	for service := range view.Rollouts {
+		order := view.Leafs.Rule(service).Order
+		if order == 0 || warmed[service] == order || len(warmed) >= mostWarmed || !g.canary.MayTry(service) {
+			continue
+		}
+		if g.warmTrial(view, service) {
+			warmed[service] = order
+		}
 	}
 }
 
+// warmTrial opens a connection to the leaf on trial that comes first by now, and reports whether there is any.
+func (g *Gateway) warmTrial(view *catalog.View, service string) bool {
+	leafs := g.canary.Focus(service, view.Leafs.OnTrial(service))
+	if len(leafs) == 0 || view.Routes == nil {
+		return false
+	}
+	known, _ := view.Routes.Service(service)
+	var targets []target
+	g.partsOf(service, view.Routes.IsGathered(service), known.MaximumConnections, canary.Trial, &targets)
+	for _, leaf := range leafs {
+		if slices.ContainsFunc(targets, func(target target) bool { return target.Incarnation == leaf.ID && target.Connections > 0 }) {
+			g.warmFirst(leaf.ID, targets)
+			break
+		}
+	}
+	return true
+}
+
 // changeBacklog is how many changes of configuration may wait to be looked at.
 const changeBacklog = 16
 
 // KeepWarm opens connections for the services that the configuration gathers, and for those of each
-// new one, as when an index was cut into other shards, until the context ends.
+// new one, as when an index was cut into other shards, until the context ends. Orders to move a service to another
+// version are learned of as they come, and connections opened to the leafs of that version.
 func (g *Gateway) KeepWarm(ctx context.Context) {
 	changes, stop := g.catalog.Subscribe(changeBacklog)
 	defer stop()
 	warmed := g.catalog.View().Routes
+	trials := map[string]int64{}
 	g.Warm()
+	g.followTrials(trials)
 	for {
 		select {
 		case <-changes:
+			g.followTrials(trials)
 			if routes := g.catalog.View().Routes; routes != warmed {
 				warmed = routes
 				g.Warm()
@@ -69,3 +123,12 @@
 		}
 	}
 }
+
+// followTrials learns of new orders, and warms the versions on trial.
+func (g *Gateway) followTrials(warmed map[string]int64) {
+	if g.canary == nil {
+		return
+	}
+	g.canary.Learn()
+	g.warmTrials(warmed)
+}
