Roll-outs: tests of the share over a fleet, of the gateway's attempts and of the counts

Change: properties of the bound over 1 to 300 nodes that learn of the order at other times, see other numbers of nodes and start again; phases, holds, lapse and what is settled; what the gateway asks first, later, at the moment of sending and for other nodes; rows of the collector. The catalogs of the gateway's older tests follow roll-outs now, their checks are as they were.

--- /dev/null
+++ b/internal/canary/bound_test.go
@@ -0,0 +1,167 @@
+package canary
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// member is one node of a fleet over the time of an order.
+type member struct {
+	fleet    *one
+	splitter *Splitter
+}
+
+// arrival is a request to a node at a time of the order.
+type arrival struct {
+	at   time.Duration
+	node int
+}
+
+// arrivals spreads the requests of a fleet over the order, so many a node on average.
+func arrivals(source *rand.Rand, nodes int, each float64) []arrival {
+	count := int(float64(nodes)*each + 0.5)
+	made := make([]arrival, 0, count)
+	for range count {
+		made = append(made, arrival{time.Duration(source.Float64() * float64(lasts)), source.IntN(nodes)})
+	}
+	slices.SortFunc(made, func(a, b arrival) int { return int(a.at - b.at) })
+	return made
+}
+
+// Over any fleet, whose nodes learn of the order at other times, see other numbers of nodes, come and start again,
+// the version gets no more than its share and the slack.
+func TestBoundHoldsOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 300).Draw(t, "nodes")
+		each := rapid.Float64Range(0.1, 50).Draw(t, "requests of a node")
+		slack := rapid.SampledFrom([]float64{0, 50}).Draw(t, "slack")
+		restarts := rapid.Float64Range(0, 0.2).Draw(t, "restarts")
+		source := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		built := newSite(t)
+		begin := func(part float64) member {
+			fleet := &one{part}
+			made := member{fleet, built.splitter(config(slack), fleet)}
+			made.splitter.random = source.Float64
+			return made
+		}
+		seen := func() float64 { return 1 / (float64(nodes) * (0.9 + 0.1*source.Float64())) }
+		fleet := make([]member, nodes)
+		for index := range fleet {
+			fleet[index] = begin(seen())
+		}
+		built.order()
+		start, requests, drawn := built.clock, 0.0, 0.0
+		for _, one := range arrivals(source, nodes, each) {
+			built.clock = start.Add(one.at)
+			node := &fleet[one.node]
+			if source.Float64() < restarts {
+				*node = begin(seen())
+			}
+			if source.Float64() < 0.1 {
+				node.fleet.part = seen()
+			}
+			requests++
+			drawn += float64(draw(node.splitter, 1, source.IntN(4) == 0))
+			if allowed := 0.1*requests + slack; drawn > allowed {
+				t.Fatalf("%v of %v requests of %d nodes were drawn, %v are allowed", drawn, requests, nodes, allowed)
+			}
+		}
+	})
+}
+
+// At least half of what is allowed is used once there are requests enough.
+func TestBoundIsUsed(t *testing.T) {
+	is := is.New(t)
+	source := rand.New(rand.NewPCG(1, 2))
+	for _, nodes := range []int{1, 20, 87} {
+		built := newSite(t)
+		fleet := make([]*Splitter, nodes)
+		for index := range fleet {
+			fleet[index] = built.splitter(config(50), &one{1 / float64(nodes)})
+			fleet[index].random = source.Float64
+		}
+		built.order()
+		for _, splitter := range fleet {
+			splitter.Learn()
+		}
+		start, drawn := built.clock, 0
+		made := arrivals(source, nodes, 2000/float64(nodes))
+		for _, one := range made {
+			built.clock = start.Add(one.at)
+			drawn += draw(fleet[one.node], 1, false)
+		}
+		is.True(float64(drawn) >= 0.5*(0.1*float64(len(made))+50))
+	}
+}
+
+// Many nodes with one request each neither all try the version with it nor none of them.
+func TestNodesWithARequestEachStartAtRandom(t *testing.T) {
+	is := is.New(t)
+	source := rand.New(rand.NewPCG(3, 4))
+	built := newSite(t)
+	fleet := make([]*Splitter, 400)
+	for index := range fleet {
+		fleet[index] = built.splitter(config(50), &one{1.0 / 400})
+		fleet[index].random = source.Float64
+	}
+	built.order()
+	drawn := 0
+	for _, splitter := range fleet {
+		drawn += draw(splitter, 1, false)
+	}
+	is.True(drawn > 10 && drawn < 60)
+}
+
+// The slack comes with the second quarter of the time; a node that found the order at its start has none, and one
+// whose fleet has grown has less.
+func TestSlackIsReleasedOnce(t *testing.T) {
+	is := is.New(t)
+	built, splitter, _ := started(t, 50)
+	is.Equal(draw(splitter, 100, false), 8)
+	built.pass(lasts / 4)
+	is.Equal(draw(splitter, 1, false), 0)
+	built.pass(lasts / 8)
+	is.Equal(draw(splitter, 99, false), 28)
+	built.pass(lasts / 8)
+	is.Equal(draw(splitter, 100, false), 28)
+
+	late := built.splitter(config(50), &one{1})
+	is.Equal(draw(late, 100, false), 8)
+
+	built, splitter, _ = started(t, 50)
+	built.pass(lasts / 2)
+	splitter.fleet.(*one).part = 0.25
+	is.Equal(draw(splitter, 1, false), 1)
+	splitter.fleet.(*one).part = 1
+	is.Equal(draw(splitter, 99, false), 17)
+}
+
+// Requests that must run once at most get what repeatable ones left of the slack, after those had their time.
+func TestOnceOnlyRequestsGetWhatIsLeft(t *testing.T) {
+	is := is.New(t)
+	built, splitter, _ := started(t, 50)
+	is.Equal(draw(splitter, 100, true), 0)
+	built.pass(3 * lasts / 8)
+	is.Equal(draw(splitter, 100, false), 36)
+	is.Equal(draw(splitter, 100, true), 0)
+	built.pass(lasts / 8)
+	is.Equal(draw(splitter, 100, true), 40-36+32)
+	is.Equal(draw(splitter, 100, false), 8)
+}
+
+// What could not be sent is drawn for another request.
+func TestReturnedDrawIsMadeAgain(t *testing.T) {
+	is := is.New(t)
+	_, splitter, _ := started(t, 0)
+	is.Equal(draw(splitter, 12, false), 0)
+	drawn := splitter.Draw("s", false)
+	is.Equal(drawn, Draw{First: Trial, IsBounded: true})
+	is.Equal(draw(splitter, 1, false), 0)
+	splitter.Return("s", false, drawn)
+	is.Equal(draw(splitter, 1, false), 1)
+}
--- /dev/null
+++ b/internal/canary/fixture_test.go
@@ -0,0 +1,123 @@
+package canary
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+const (
+	before = "v1"
+	target = "v2"
+	lasts  = 60 * time.Second
+)
+
+// fataler is what the tests of the package and those of rapid have in common.
+type fataler interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+// site is a configuration with a service s of two versions, by a clock of its own.
+type site struct {
+	t     fataler
+	known *catalog.Catalog
+	clock time.Time
+}
+
+func newSite(t fataler) *site {
+	known := catalog.New(func(key string, err error) { t.Fatal(key, err) })
+	known.EnableRollouts()
+	built := &site{t: t, known: known, clock: time.Now()}
+	built.put(catalog.VersionsKey, rollout.Versions{ByVersion: map[string][]string{before: {"s"}}})
+	for _, version := range []string{before, target} {
+		for index := range 3 {
+			built.putLeaf(version, index, leafset.Ready)
+		}
+	}
+	return built
+}
+
+func (s *site) putLeaf(version string, index int, state leafset.State) {
+	id := leafID(version, index)
+	s.put(catalog.LeafKey(id), leafset.Record{ID: id, Service: "s", Address: "127.0.0.1:1", Version: version, State: state})
+}
+
+func leafID(version string, index int) string { return fmt.Sprintf("%s-%d", version, index) }
+
+// put writes a document, or removes it where there is none, and gives the revision.
+func (s *site) put(key string, document any) int64 {
+	s.t.Helper()
+	var content json.RawMessage
+	if document != nil {
+		content, _ = json.Marshal(document)
+	}
+	wrapped, err := catalog.NewDocument("", content, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	revision := s.known.Revision() + 1
+	entry := catalog.Entry{Key: key, Value: wrapped, Revision: revision, Deleted: document == nil}
+	s.known.Apply(catalog.Change{Entry: entry, Previous: revision - 1})
+	s.known.Confirm(s.clock)
+	return revision
+}
+
+func (s *site) order() int64 {
+	return s.put(catalog.RolloutKey("s"), rollout.Order{Service: "s", Target: target, DurationMillis: lasts.Milliseconds()})
+}
+
+func (s *site) phase(order int64, phase rollout.Phase) int64 {
+	return s.put(catalog.RolloutStateKey("s"), rollout.State{Service: "s", OrderRevision: order, Phase: phase, Serving: before, Target: target})
+}
+
+// pass lets time go by, with the configuration confirmed.
+func (s *site) pass(time time.Duration) {
+	s.clock = s.clock.Add(time)
+	s.known.Confirm(s.clock)
+}
+
+func (s *site) splitter(cfg Config, fleet Fleet) *Splitter {
+	made := New(cfg, s.known, fleet)
+	made.now = func() time.Time { return s.clock }
+	return made
+}
+
+// draw draws n times and gives how many went to the version on trial.
+func draw(s *Splitter, n int, once bool) int {
+	drawn := 0
+	for range n {
+		if s.Draw("s", once).First == Trial {
+			drawn++
+		}
+	}
+	return drawn
+}
+
+// one is a fleet by itself; its part can be set.
+type one struct{ part float64 }
+
+func (o *one) Part(bool) float64  { return o.part }
+func (o *one) IsRegistered() bool { return o.part > 0 }
+
+func config(slack float64) Config {
+	cfg := DefaultConfig()
+	cfg.Slack = slack
+	return cfg
+}
+
+// started makes a site whose node was there before the order.
+func started(t *testing.T, slack float64) (*site, *Splitter, int64) {
+	t.Helper()
+	built := newSite(t)
+	splitter := built.splitter(config(slack), &one{1})
+	splitter.random = func() float64 { return 0 }
+	order := built.order()
+	splitter.Learn()
+	return built, splitter, order
+}
--- /dev/null
+++ b/internal/canary/stage_test.go
@@ -0,0 +1,226 @@
+package canary
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+// may says which of the versions may be sent something now.
+func may(s *Splitter) string {
+	return fmt.Sprintf("%v %v", s.MayAsk(leafID(before, 0)), s.MayAsk(leafID(target, 0)))
+}
+
+// Without an order only the version that serves is asked.
+func TestWithoutAnOrderOneVersionServes(t *testing.T) {
+	is := is.New(t)
+	built := newSite(t)
+	splitter := built.splitter(config(50), &one{1})
+	is.Equal(draw(splitter, 100, false), 0)
+	is.Equal(splitter.Later("s"), Serving)
+	is.Equal(may(splitter), "true false")
+	is.True(!splitter.MayTry("s") && !splitter.MayAsk("unknown"))
+	is.Equal(len(splitter.trials), 0)
+}
+
+// When the order's time is over by this node's clock, the version gets nothing more, also not what was planned.
+func TestNothingIsDrawnAfterTheOrdersTime(t *testing.T) {
+	is := is.New(t)
+	built, splitter, _ := started(t, 0)
+	built.pass(lasts - 1)
+	is.Equal(draw(splitter, 100, false), 8)
+	is.Equal(may(splitter), "true true")
+	built.pass(1)
+	is.Equal(draw(splitter, 100, false), 0)
+	is.Equal(may(splitter), "true false")
+}
+
+// The time of an order begins when a node learns of it, not with its first request.
+func TestTimeBeginsWhenTheOrderIsLearnedOf(t *testing.T) {
+	is := is.New(t)
+	built, splitter, _ := started(t, 0)
+	built.pass(lasts)
+	is.Equal(draw(splitter, 100, false), 0)
+}
+
+// A held order is stopped in each phase, also before it is known; another order of the same version is not.
+func TestHoldIsOfOneOrderAndStays(t *testing.T) {
+	is := is.New(t)
+	built, splitter, order := started(t, 50)
+	splitter.Hold("s", order)
+	is.Equal(draw(splitter, 100, false), 0)
+	is.Equal(may(splitter), "true false")
+	built.phase(order, rollout.Switching)
+	built.pass(time.Hour)
+	is.Equal(draw(splitter, 100, false), 0)
+	is.Equal(splitter.Later("s"), Serving)
+	is.Equal(may(splitter), "true false")
+	splitter.Hold("s", order-1)
+	is.Equal(may(splitter), "true false")
+
+	next := built.order()
+	splitter.Learn()
+	is.Equal(len(splitter.holds), 0)
+	is.Equal(may(splitter), "true true")
+	splitter.Hold("s", next+1)
+	splitter.Learn()
+	is.Equal(may(splitter), "true false") // the one before it is replaced
+	built.order()
+	is.Equal(draw(splitter, 100, false), 0)
+}
+
+// Holds of services without an order go, and more than are kept are not taken.
+func TestHoldsAreBounded(t *testing.T) {
+	is := is.New(t)
+	built, splitter, order := started(t, 50)
+	for index := range 2 * mostHeld {
+		splitter.Hold(fmt.Sprint(index), order+1)
+	}
+	is.Equal(len(splitter.holds), mostHeld)
+	built.put(catalog.EvacuationKey("z"), struct{}{})
+	splitter.Learn()
+	is.Equal(len(splitter.holds), 0)
+}
+
+// An order that is taken back leaves nothing to the version, nor does it keep anything.
+func TestOrderTakenBack(t *testing.T) {
+	is := is.New(t)
+	built, splitter, _ := started(t, 50)
+	is.Equal(may(splitter), "true true")
+	built.put(catalog.RolloutKey("s"), nil)
+	is.Equal(may(splitter), "true false")
+	is.Equal(draw(splitter, 100, false), 0)
+	splitter.Learn()
+	is.Equal(len(splitter.trials), 0)
+}
+
+// A version found good gets everything within the ramp, and the one before it nothing after that.
+func TestRampMovesEverything(t *testing.T) {
+	is := is.New(t)
+	built, splitter, order := started(t, 0)
+	chance := 0.0
+	splitter.random = func() float64 { return chance }
+	built.phase(order, rollout.Switching)
+	splitter.Learn()
+	is.Equal(splitter.Later("s"), Both)
+	for _, step := range []struct {
+		part  float64
+		share float64
+	}{{0, 0.1}, {0.5, 0.55}, {0.9, 0.91}} {
+		built.clock = splitter.trials["s"].switched.Add(time.Duration(step.part * float64(2*time.Second)))
+		chance = step.share - 0.001
+		is.Equal(splitter.Draw("s", false), Draw{First: Trial})
+		chance = step.share + 0.001
+		is.Equal(splitter.Draw("s", false), Draw{})
+		is.Equal(may(splitter), "true true")
+	}
+	built.pass(2 * time.Second)
+	is.Equal(splitter.Draw("s", true), Draw{First: Trial})
+	is.Equal(splitter.Later("s"), Trial)
+	is.Equal(may(splitter), "false true")
+	built.pass(lasts)
+	is.Equal(may(splitter), "false true") // its time only ends what is not found good
+}
+
+// Beyond the share nothing goes while the configuration was not confirmed lately.
+func TestSwitchLapsesWithoutConfirmation(t *testing.T) {
+	is := is.New(t)
+	built, splitter, order := started(t, 0)
+	built.phase(order, rollout.Switching)
+	splitter.Learn()
+	built.clock = built.clock.Add(3 * time.Second)
+	is.Equal(draw(splitter, 10, false), 10)
+	built.clock = built.clock.Add(1500 * time.Millisecond)
+	is.Equal(splitter.Later("s"), Serving)
+	is.Equal(draw(splitter, 50, false), 0) // of its share it had more already
+	is.Equal(draw(splitter, 200, false), 260*8/100-10)
+	is.Equal(may(splitter), "true true")
+	built.pass(0)
+	is.Equal(may(splitter), "false true")
+}
+
+// A node is settled once its ramp has ended and nothing is under way at other versions, whenever that began.
+func TestSettledOnceNothingIsUnderWay(t *testing.T) {
+	is := is.New(t)
+	built, splitter, order := started(t, 0)
+	splitter.Began("s", before)
+	splitter.Began("s", target)
+	is.Equal(splitter.SettledRevision(), built.known.Revision())
+	switched := built.phase(order, rollout.Switching)
+	built.put(catalog.EvacuationKey("z"), struct{}{})
+	is.Equal(splitter.SettledRevision(), switched-1)
+	built.pass(2 * time.Second)
+	is.Equal(splitter.SettledRevision(), switched-1)
+	splitter.Ended("s", before)
+	is.Equal(splitter.SettledRevision(), switched+1)
+	built.clock = built.clock.Add(time.Minute) // lapsed: the version that served may be asked again
+	is.Equal(splitter.SettledRevision(), switched-1)
+	built.pass(0)
+	splitter.Hold("s", order)
+	is.Equal(splitter.SettledRevision(), switched-1)
+	splitter.Ended("s", target)
+	is.Equal(len(splitter.flights.counts), 0)
+}
+
+// A leaf of a version that no rule lets serve gets nothing, be it ready, lost or only remembered.
+func TestBarredLeafsMayNotBeAsked(t *testing.T) {
+	is := is.New(t)
+	built, splitter, order := started(t, 0)
+	built.put(catalog.RememberedKey, leafset.List{Leafs: []leafset.Record{
+		{ID: "old", Service: "s", Address: "127.0.0.1:1", Version: target, State: leafset.Ready},
+		{ID: "other", Service: "s", Address: "127.0.0.1:1", Version: before, State: leafset.Ready},
+	}})
+	built.phase(order, rollout.RolledBack)
+	built.put(catalog.LeafKey(leafID(target, 1)), nil)
+	built.putLeaf(target, 2, leafset.Draining)
+	for _, barred := range []string{leafID(target, 0), leafID(target, 1), leafID(target, 2), "old"} {
+		is.True(!splitter.MayAsk(barred))
+	}
+	is.True(splitter.MayAsk(leafID(before, 0)) && splitter.MayAsk("other"))
+}
+
+// Draws go to one leaf at a time, the same on all nodes, and to each in turn.
+func TestFocusGoesRound(t *testing.T) {
+	is := is.New(t)
+	built, splitter, _ := started(t, 0)
+	leafs := built.known.View().Leafs.OnTrial("s")
+	seen := map[string]int{}
+	for range focusTurns {
+		focused := splitter.Focus("s", leafs)
+		is.Equal(len(focused), 3)
+		is.Equal(focused[0], splitter.Focus("s", leafs)[0])
+		seen[focused[0].ID]++
+		built.pass(lasts / focusTurns)
+	}
+	is.Equal(seen, map[string]int{leafID(target, 0): 4, leafID(target, 1): 4, leafID(target, 2): 4})
+	is.Equal(splitter.Focus("other", nil), nil)
+}
+
+// Without a leaf on trial nothing is drawn.
+func TestNothingIsDrawnWithoutLeafs(t *testing.T) {
+	is := is.New(t)
+	built, splitter, _ := started(t, 0)
+	for index := range 3 {
+		built.put(catalog.LeafKey(leafID(target, index)), nil)
+	}
+	is.Equal(draw(splitter, 100, false), 0)
+	built.putLeaf(target, 0, leafset.Ready)
+	is.Equal(draw(splitter, 1, false), 1)
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultConfig().Validate())
+	var fields []string
+	for _, fault := range failure.Faults(Config{Share: 2, Slack: -1, Ramp: -1}.Validate()) {
+		fields = append(fields, fault.Field)
+	}
+	is.Equal(fields, []string{"share", "slack", "used", "ramp", "confirmed_within"})
+}
--- a/internal/connshare/connshare_test.go
+++ b/internal/connshare/connshare_test.go
@@ -11,6 +11,7 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/sameslice"
 )
 
 type fixedFleet []catalog.NodeRecord
@@ -172,6 +173,21 @@
 	is.Equal(parts(shards, 52), 21)
 }
 
+// The leafs of two versions of a service are dealt apart: what was dealt of one is kept beside the other.
+func TestVersionsAreDealtApart(t *testing.T) {
+	is := is.New(t)
+	dealer := New(DefaultConfig(), fleetOf(60, 3), fleetOf(60, 3)[0])
+	before, after := leafs(3, 3), leafs(3, 3)
+	for _, leaf := range after {
+		leaf.Version = "v2"
+	}
+	first := dealer.Deal("s", false, before, 52)
+	other := dealer.Deal("s", false, after, 52)
+	is.True(sameslice.Is(dealer.Deal("s", false, before, 52), first))
+	is.True(sameslice.Is(dealer.Deal("s", false, after, 52), other))
+	is.Equal(other[0].Leaf.Version, "v2")
+}
+
 func TestConfigNamesEveryFault(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(DefaultConfig().Validate())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -126,6 +126,7 @@
 func newGateway(t *testing.T, leafs LeafCaller) (*Gateway, *silentJournal) {
 	t.Helper()
 	known := catalog.New(func(key string, err error) { t.Errorf("%s: %v", key, err) })
+	known.EnableRollouts()
 	var gathered []string
 	for index := range shardCount {
 		service := fmt.Sprintf("s%d", index)
--- a/internal/gateway/tree_fleet_test.go
+++ b/internal/gateway/tree_fleet_test.go
@@ -141,6 +141,7 @@
 
 func (b *tree) start(node *treeNode, nodes []catalog.NodeRecord) {
 	node.catalog = catalog.New(func(key string, err error) { b.t.Errorf("%s: %v", key, err) })
+	node.catalog.EnableRollouts()
 	node.journal, node.leafs = &silentJournal{}, &treeLeafs{node: node.record.ID, seen: b.seen}
 	var gathered []string
 	for index := range shardCount {
--- /dev/null
+++ b/internal/gateway/trial_fixture_test.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/canary"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+// trialFleet is a fleet of one node that has all of what is shared.
+type trialFleet struct{ coldFleet }
+
+func (trialFleet) Part(bool) float64 { return 1 }
+
+// always draws every request that may be drawn.
+func always() canary.Config {
+	cfg := canary.DefaultConfig()
+	cfg.Share, cfg.Used = 1, 1
+	return cfg
+}
+
+// never draws none.
+func never() canary.Config {
+	cfg := canary.DefaultConfig()
+	cfg.Share = 0
+	return cfg
+}
+
+// trialed is a gateway whose service s0 has an order to move from v1 (s0a, s0b) to v2 (s0c, s0d).
+type trialed struct {
+	*Gateway
+	t     *testing.T
+	order int64
+	leafs *scriptedLeafs
+	// bad answers of the leafs on trial; nil means that they answer as the others.
+	bad func(leaf string) (time.Duration, *leafhttp.Response, error)
+}
+
+func newTrialed(t *testing.T, cfg canary.Config) *trialed {
+	t.Helper()
+	built := &trialed{t: t, leafs: &scriptedLeafs{}}
+	built.leafs.answer = func(leaf string) (time.Duration, *leafhttp.Response, error) {
+		if built.bad != nil && isOnTrial(leaf) {
+			return built.bad(leaf)
+		}
+		return time.Millisecond, answered(200, records(leaf)), nil
+	}
+	built.Gateway, _ = newGateway(t, built.leafs)
+	built.canary = canary.New(cfg, built.catalog, trialFleet{})
+	built.evidence = evidence.NewCollector(built.catalog)
+	orderTrial(t, built.catalog, "")
+	built.order = built.catalog.Revision()
+	built.learn()
+	return built
+}
+
+// orderTrial puts leafs of two versions of s0 and the order to move from one to the other.
+func orderTrial(t *testing.T, known *catalog.Catalog, zone string) {
+	t.Helper()
+	put(t, known, catalog.VersionsKey, rollout.Versions{ByVersion: map[string][]string{"v1": {"s0"}}})
+	for id, version := range map[string]string{"s0a": "v1", "s0b": "v1", "s0c": "v2", "s0d": "v2"} {
+		put(t, known, catalog.LeafKey(id), trialLeaf(id, version, zone))
+	}
+	put(t, known, catalog.RolloutKey("s0"), rollout.Order{Service: "s0", Target: "v2", DurationMillis: time.Minute.Milliseconds()})
+}
+
+func trialLeaf(id, version, zone string) leafset.Record {
+	return leafset.Record{ID: id, Service: "s0", Address: "127.0.0.1:1", Zone: zone, Version: version, State: leafset.Ready}
+}
+
+func isOnTrial(leaf string) bool { return leaf == "s0c" || leaf == "s0d" }
+
+// learn takes note of the configuration, as newest.
+func (b *trialed) learn() {
+	b.catalog.Confirm(time.Now())
+	b.canary.Learn()
+}
+
+// enter has the fleet be in a phase of the order.
+func (b *trialed) enter(phase rollout.Phase) {
+	b.t.Helper()
+	state := rollout.State{Service: "s0", OrderRevision: b.order, Phase: phase, Serving: "v1", Target: "v2"}
+	put(b.t, b.catalog, catalog.RolloutStateKey("s0"), state)
+	b.learn()
+}
+
+// move ends the ramp to v2.
+func (b *trialed) move() {
+	b.t.Helper()
+	b.enter(rollout.Switching)
+	time.Sleep(canary.DefaultConfig().Ramp)
+	b.catalog.Confirm(time.Now())
+}
+
+// lose has discovery lose leafs for good.
+func (b *trialed) lose(ids ...string) {
+	b.t.Helper()
+	for _, id := range ids {
+		put(b.t, b.catalog, catalog.LeafKey(id), nil)
+	}
+	time.Sleep(10 * time.Second)
+	b.learn()
+}
+
+// asked gives the leafs of s0 that were asked since it was last called.
+func (b *trialed) asked() []string {
+	b.leafs.mu.Lock()
+	defer b.leafs.mu.Unlock()
+	var asked []string
+	for _, leaf := range b.leafs.asked {
+		if leaf[:2] == "s0" {
+			asked = append(asked, leaf)
+		}
+	}
+	b.leafs.asked = nil
+	return asked
+}
+
+// inTrial runs a test in virtual time.
+func inTrial(t *testing.T, cfg canary.Config, test func(is *is.I, b *trialed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(is.New(t), newTrialed(t, cfg)) })
+}
+
+// trialTally gives what was counted for the version on trial.
+func (b *trialed) trialTally(is *is.I) evidence.Tally {
+	var tally evidence.Tally
+	for _, row := range b.evidence.Rows() {
+		is.Equal(row.Order, b.order)
+		if row.Version == "v2" {
+			is.Equal(row.Leaf, "s0c")
+			tally.Add(row.Tally)
+		}
+	}
+	return tally
+}
--- /dev/null
+++ b/internal/gateway/trial_test.go
@@ -0,0 +1,381 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/canary"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/routing"
+	"github.com/portgauge/portgauge/internal/warmup"
+)
+
+// The first attempt that was drawn goes to the version on trial, to one leaf while its turn lasts.
+func TestDrawnAttemptsGoToOneLeafOnTrial(t *testing.T) {
+	for _, path := range []string{"/single/1", "/pages/1"} {
+		inTrial(t, always(), func(is *is.I, b *trialed) {
+			for range 10 {
+				_, err := b.Serve(b.t.Context(), ask(path))
+				is.NoErr(err)
+				is.Equal(b.asked(), []string{"s0c"})
+			}
+			time.Sleep(time.Minute / 12)
+			_, err := b.Serve(b.t.Context(), ask(path))
+			is.NoErr(err)
+			is.Equal(b.asked(), []string{"s0d"})
+		})
+	}
+}
+
+// What the version on trial failed is asked of the one that serves, and so are hedges; the caller gets that answer.
+func TestFailedTrialIsAskedOfTheServingVersion(t *testing.T) {
+	ways := map[string]func(leaf string) (time.Duration, *leafhttp.Response, error){
+		"failure": func(leaf string) (time.Duration, *leafhttp.Response, error) { return 0, answered(500, leaf), nil },
+		"refusal": func(string) (time.Duration, *leafhttp.Response, error) { return 0, refused(503), nil },
+		"broken": func(string) (time.Duration, *leafhttp.Response, error) {
+			return 0, nil, &leafhttp.BrokenAnswerError{Cause: errSilent}
+		},
+		"silence": func(string) (time.Duration, *leafhttp.Response, error) { return time.Hour, nil, nil },
+	}
+	for name, way := range ways {
+		for _, path := range []string{"/single/1", "/pages/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				inTrial(t, always(), func(is *is.I, b *trialed) {
+					for range 5 { // pay for a hedge
+						_, err := b.Serve(b.t.Context(), ask(path))
+						is.NoErr(err)
+					}
+					b.asked()
+					b.bad = way
+					answer, err := b.Serve(b.t.Context(), ask(path))
+					is.NoErr(err)
+					is.Equal(answer.Missing, 0)
+					is.Equal(answer.Status, 200)
+					asked := b.asked()
+					is.Equal(len(asked), 2)
+					is.True(isOnTrial(asked[0]) && !isOnTrial(asked[1]))
+				})
+			})
+		}
+	}
+}
+
+// A draw without a leaf that can be asked goes to the serving version at once, and is made again later.
+func TestDrawWithoutUsableLeafFallsBack(t *testing.T) {
+	inTrial(t, canary.DefaultConfig(), func(is *is.I, b *trialed) {
+		b.warmup = warmup.New(warmup.DefaultConfig(), b.catalog, coldFleet{}, catalog.NodeRecord{ID: "n"})
+		for _, id := range []string{"s0c", "s0d"} {
+			cold := trialLeaf(id, "v2", "")
+			cold.WarmupMillis = 1000
+			put(b.t, b.catalog, catalog.LeafKey(id), cold)
+		}
+		routes := routing.Configuration{Version: 2, Services: []routing.Service{{Name: "s0", ColdRequestsPerSecond: 4}}}
+		routes.Routes = []routing.Route{{Host: "h", Prefix: "/single/", Service: "s0", Repeatability: routing.Repeatable}}
+		put(b.t, b.catalog, catalog.RoutesKey, routes)
+		began := time.Now()
+		for range 50 {
+			_, err := b.Serve(b.t.Context(), ask("/single/1"))
+			is.NoErr(err)
+		}
+		is.Equal(time.Since(began), 50*time.Millisecond)
+		is.True(!slices.ContainsFunc(b.asked(), isOnTrial))
+		time.Sleep(time.Second)
+		for range 4 {
+			_, err := b.Serve(b.t.Context(), ask("/single/1"))
+			is.NoErr(err)
+		}
+		is.True(!slices.ContainsFunc(b.asked(), func(leaf string) bool { return !isOnTrial(leaf) }))
+	})
+}
+
+// A request that must run once at most does not go to the version on trial by its share.
+func TestOnceOnlyRequestsStayWithTheServingVersion(t *testing.T) {
+	inTrial(t, always(), func(is *is.I, b *trialed) {
+		for range 20 {
+			_, err := b.Serve(b.t.Context(), ask("/once/1"))
+			is.NoErr(err)
+		}
+		is.True(!slices.ContainsFunc(b.asked(), isOnTrial))
+	})
+}
+
+// slowToSend asks whether a leaf may be asked as a pool does whose request waited for its connection.
+type slowToSend struct {
+	*scriptedLeafs
+	wait   time.Duration
+	mayAsk func(leaf string) bool
+}
+
+func (s *slowToSend) Start(target leafhttp.Target, request *leafhttp.Request, deadline time.Time, done leafhttp.Done) context.CancelCauseFunc {
+	time.AfterFunc(s.wait, func() {
+		if !s.mayAsk(target.Incarnation) {
+			done(nil, &leafhttp.NeverSentError{Cause: errSilent})
+			return
+		}
+		s.scriptedLeafs.Start(target, request, deadline, done)
+	})
+	return func(error) {}
+}
+
+// What was planned is not sent once the order is taken back, held or over, or the ramp has ended; the caller gets the
+// answer of the version that may be asked.
+func TestWhatWasPlannedIsCheckedWhenItIsSent(t *testing.T) {
+	cases := map[string]struct {
+		cfg    canary.Config
+		change func(b *trialed)
+		want   bool // the answer is of the version on trial
+	}{
+		"taken back":  {always(), func(b *trialed) { put(b.t, b.catalog, catalog.RolloutKey("s0"), nil) }, false},
+		"rolled back": {always(), func(b *trialed) { b.enter(rollout.RolledBack) }, false},
+		"held":        {always(), func(b *trialed) { b.canary.Hold("s0", b.order) }, false},
+		"over":        {always(), func(*trialed) {}, false},
+		"succeeded":   {never(), func(b *trialed) { b.enter(rollout.Succeeded) }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inTrial(t, c.cfg, func(is *is.I, b *trialed) {
+				b.Gateway.leafs = &slowToSend{b.leafs, 20 * time.Millisecond, b.canary.MayAsk}
+				if name == "over" {
+					time.Sleep(time.Minute - 10*time.Millisecond)
+				}
+				go func() {
+					time.Sleep(10 * time.Millisecond)
+					c.change(b)
+				}()
+				answer, err := b.Serve(b.t.Context(), ask("/single/1"))
+				is.NoErr(err)
+				asked := b.asked()
+				is.Equal(len(asked), 1)
+				is.Equal(isOnTrial(asked[0]), c.want)
+				is.Equal(answer.Status, 200)
+			})
+		})
+	}
+}
+
+// A leaf of a version that may not be asked is no candidate, nor warmed or counted, be it ready, remembered or lost a
+// moment ago, also where no other leaf is left.
+func TestBarredLeafsGetNothing(t *testing.T) {
+	inTrial(t, always(), func(is *is.I, b *trialed) {
+		var remembered leafset.List
+		for _, id := range []string{"s0c", "s0d", "s0e"} {
+			remembered.Leafs = append(remembered.Leafs, trialLeaf(id, "v2", ""))
+		}
+		put(b.t, b.catalog, catalog.RememberedKey, remembered)
+		b.enter(rollout.RolledBack)
+		put(b.t, b.catalog, catalog.LeafKey("s0d"), nil)
+		for _, id := range []string{"s0a", "s0b"} {
+			put(b.t, b.catalog, catalog.LeafKey(id), nil)
+		}
+		b.Warm()
+		for range 20 {
+			if _, err := b.Serve(b.t.Context(), ask("/single/1")); err != nil {
+				is.Equal(failure.From(err).Execution, failure.NotRun)
+			}
+			time.Sleep(200 * time.Millisecond) // first the lost leafs are remembered, then none
+		}
+		is.True(!slices.ContainsFunc(b.asked(), func(leaf string) bool { return leaf != "s0a" && leaf != "s0b" }))
+		is.True(!slices.ContainsFunc(b.leafs.warmed, func(leaf string) bool { return leaf == "s0c" || leaf == "s0d" || leaf == "s0e" }))
+		began := time.Now()
+		_, err := b.Serve(b.t.Context(), ask("/single/1"))
+		is.Equal(failure.From(err).Code, failure.Overloaded)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// After the ramp the leafs of the version found good are the ones that are asked, warmed and counted.
+func TestAfterTheRampTheNewLeafsServe(t *testing.T) {
+	inTrial(t, never(), func(is *is.I, b *trialed) {
+		b.move()
+		b.Warm()
+		is.True(slices.ContainsFunc(b.leafs.warmed, isOnTrial))
+		is.True(!slices.Contains(b.leafs.warmed, "s0a") && !slices.Contains(b.leafs.warmed, "s0b"))
+		for _, path := range []string{"/single/1", "/once/1", "/pages/1"} {
+			var serving sync.WaitGroup
+			for range 10 {
+				serving.Go(func() {
+					_, err := b.Serve(b.t.Context(), ask(path))
+					is.NoErr(err)
+				})
+			}
+			serving.Wait()
+		}
+		asked := b.asked()
+		is.True(!slices.ContainsFunc(asked, func(leaf string) bool { return !isOnTrial(leaf) }))
+		is.True(slices.Contains(asked, "s0c") && slices.Contains(asked, "s0d"))
+		b.lose("s0a", "s0b")
+		_, err := b.Serve(b.t.Context(), ask("/single/1"))
+		is.NoErr(err)
+		put(b.t, b.catalog, catalog.LeafKey("s0a"), trialLeaf("s0a", "v1", ""))
+		b.lose("s0c", "s0d")
+		began := time.Now()
+		_, err = b.Serve(b.t.Context(), ask("/single/1"))
+		is.Equal(failure.From(err).Code, failure.Overloaded)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// During the ramp either version is asked again for what the other failed.
+func TestDuringTheRampBothMayBeRetried(t *testing.T) {
+	inTrial(t, always(), func(is *is.I, b *trialed) {
+		b.enter(rollout.Switching)
+		put(b.t, b.catalog, catalog.LeafKey("s0a"), nil)
+		put(b.t, b.catalog, catalog.LeafKey("s0b"), nil)
+		b.bad = func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			if leaf == "s0c" {
+				return 0, answered(500, leaf), nil
+			}
+			return 0, answered(200, leaf), nil
+		}
+		time.Sleep(canary.DefaultConfig().Ramp / 2)
+		for range 10 {
+			answer, err := b.Serve(b.t.Context(), ask("/single/1"))
+			is.NoErr(err)
+			is.Equal(answer.Status, 200)
+		}
+	})
+}
+
+// Where no leaf of the serving version is left, the version on trial gets its share and not more.
+func TestTrialIsNoLastResort(t *testing.T) {
+	inTrial(t, canary.DefaultConfig(), func(is *is.I, b *trialed) {
+		b.lose("s0a", "s0b")
+		answers := 0
+		for range 100 {
+			if _, err := b.Serve(b.t.Context(), ask("/single/1")); err == nil {
+				answers++
+			}
+		}
+		is.Equal(answers, 8)
+		is.Equal(len(b.asked()), 8)
+	})
+}
+
+// Requests that are refused before an attempt do not count for the share.
+func TestRefusedRequestsAreNotCounted(t *testing.T) {
+	half := always()
+	half.Share = 0.5
+	inTrial(t, half, func(is *is.I, b *trialed) {
+		for _, service := range []string{"s1", "s2", "s3"} {
+			b.lose(service+"a", service+"b")
+		}
+		for range 101 { // an odd number, so that one more would be drawn
+			_, err := b.Serve(b.t.Context(), ask("/pages/1"))
+			is.Equal(failure.From(err).Code, failure.Overloaded)
+		}
+		_, err := b.Serve(b.t.Context(), ask("/single/1"))
+		is.NoErr(err)
+		is.True(!slices.ContainsFunc(b.asked(), isOnTrial))
+	})
+}
+
+// An attempt at the version that served keeps the node unsettled until it ends, also one begun before the switch.
+func TestAttemptUnderWayIsNotSettled(t *testing.T) {
+	inTrial(t, never(), func(is *is.I, b *trialed) {
+		b.leafs.answer = func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return 700 * time.Millisecond, answered(200, leaf), nil
+		}
+		cfg := never()
+		cfg.Ramp = 100 * time.Millisecond
+		b.canary = canary.New(cfg, b.catalog, trialFleet{})
+		served := make(chan error)
+		go func() {
+			_, err := b.Serve(b.t.Context(), ask("/once/1"))
+			served <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+		b.enter(rollout.Switching)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(b.canary.SettledRevision(), b.catalog.Revision()-1)
+		is.NoErr(<-served)
+		is.Equal(b.canary.SettledRevision(), b.catalog.Revision())
+	})
+}
+
+// A node opens a connection to a leaf on trial when the order and the leaf have come, once for an order.
+func TestLeafOnTrialIsWarmed(t *testing.T) {
+	inTrial(t, never(), func(is *is.I, b *trialed) {
+		for _, id := range []string{"s0c", "s0d"} {
+			put(b.t, b.catalog, catalog.LeafKey(id), nil)
+		}
+		ctx, cancel := context.WithCancel(b.t.Context())
+		go b.KeepWarm(ctx)
+		synctest.Wait()
+		is.True(!slices.ContainsFunc(b.leafs.warmed, isOnTrial))
+		for index := range 3 {
+			put(b.t, b.catalog, catalog.LeafKey("s0d"), trialLeaf("s0d", "v2", ""))
+			put(b.t, b.catalog, catalog.EvacuationKey(fmt.Sprint(index)), struct{}{})
+		}
+		synctest.Wait()
+		b.leafs.mu.Lock()
+		is.Equal(slices.DeleteFunc(slices.Clone(b.leafs.warmed), func(leaf string) bool { return !isOnTrial(leaf) }), []string{"s0d"})
+		b.leafs.mu.Unlock()
+		put(b.t, b.catalog, catalog.RolloutKey("s0"), rollout.Order{Service: "s0", Target: "v2", DurationMillis: 1000})
+		synctest.Wait()
+		is.Equal(len(slices.DeleteFunc(slices.Clone(b.leafs.warmed), func(leaf string) bool { return !isOnTrial(leaf) })), 2)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// The ends of attempts count for the version of their leaf where they come from it.
+func TestEndsOfAttemptsAreCounted(t *testing.T) {
+	ways := map[string]struct {
+		way      func(leaf string) (time.Duration, *leafhttp.Response, error)
+		answered int64
+		failed   int64
+		givenUp  int64
+	}{
+		"success": {func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return time.Millisecond, answered(200, leaf), nil
+		}, 1, 0, 0},
+		"failure": {func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return time.Millisecond, answered(500, leaf), nil
+		}, 1, 1, 0},
+		"unsigned": {func(string) (time.Duration, *leafhttp.Response, error) {
+			return 0, &leafhttp.Response{Status: 502}, nil
+		}, 0, 0, 0},
+		"refusal": {func(string) (time.Duration, *leafhttp.Response, error) { return 0, refused(503), nil }, 0, 0, 0},
+		"unsent": {func(string) (time.Duration, *leafhttp.Response, error) {
+			return 0, nil, &leafhttp.NeverSentError{Cause: errSilent}
+		}, 0, 0, 0},
+		"no connection": {func(string) (time.Duration, *leafhttp.Response, error) {
+			return 0, nil, &leafhttp.RefusedConnectionError{Cause: errSilent}
+		}, 0, 0, 0},
+		"broken": {func(string) (time.Duration, *leafhttp.Response, error) {
+			return 0, nil, &leafhttp.BrokenAnswerError{Cause: errSilent}
+		}, 0, 0, 0},
+		"silence": {func(string) (time.Duration, *leafhttp.Response, error) { return time.Hour, nil, nil }, 0, 0, 1},
+	}
+	for name, way := range ways {
+		t.Run(name, func(t *testing.T) {
+			inTrial(t, always(), func(is *is.I, b *trialed) {
+				for range 5 { // pay for a hedge
+					_, err := b.Serve(b.t.Context(), ask("/single/1"))
+					is.NoErr(err)
+				}
+				synctest.Wait()
+				before := b.trialTally(is)
+				b.bad = way.way
+				_, err := b.Serve(b.t.Context(), ask("/single/1"))
+				is.NoErr(err)
+				synctest.Wait()
+				after := b.trialTally(is)
+				is.Equal(after.Answered.Total()-before.Answered.Total(), way.answered)
+				is.Equal(after.Failures-before.Failures, way.failed)
+				is.Equal(after.GivenUp.Total()-before.GivenUp.Total(), way.givenUp)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/trial_tree_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/canary"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+// newTrialTree starts a root whose services are all gathered by another node; some of the nodes know of an order to
+// move s0.
+func newTrialTree(t *testing.T, knowing ...string) *tree {
+	t.Helper()
+	small, large := near("root"), near("there")
+	small.Processors, large.Processors = 0.2, 0.8
+	b := newTree(t, small, large, far("far"))
+	for id, node := range b.nodes {
+		node.gateway.canary = canary.New(always(), node.catalog, trialFleet{})
+		put(t, node.catalog, catalog.LeafKey("s0"+zoneNear), nil)
+		put(t, node.catalog, catalog.LeafKey("s0"+zoneFar), nil)
+		orderTrial(t, node.catalog, zoneNear)
+		if !slices.Contains(knowing, id) {
+			put(t, node.catalog, catalog.RolloutKey("s0"), nil)
+		}
+		node.catalog.Confirm(time.Now())
+	}
+	return b
+}
+
+// A node that gathers for another goes by its own rule; the other draws nothing for what it passes on.
+func TestIntermediateDrawsByItsOwnRule(t *testing.T) {
+	cases := map[string]struct {
+		knowing []string
+		drawn   int
+	}{
+		"only the root knows the order":         {[]string{"root"}, 0},
+		"only the intermediate knows the order": {[]string{"there"}, 5},
+		"both know it":                          {[]string{"root", "there"}, 5},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newTrialTree(t, c.knowing...)
+			for range 5 {
+				b.whole(b.ask("root"))
+			}
+			is.Equal(len(b.seen.by("root")), 0)
+			drawn := 0
+			for _, leaf := range b.seen.by("there") {
+				if isOnTrial(leaf) {
+					drawn++
+				}
+			}
+			is.Equal(drawn, c.drawn)
+		})
+	}
+}
+
+// What is passed on does not count for the root's own share.
+func TestPassedOnRequestsAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	b := newTrialTree(t, "root", "there")
+	root := b.nodes["root"].gateway
+	half := always()
+	half.Share = 0.5
+	root.canary = canary.New(half, root.catalog, trialFleet{})
+	for range 5 {
+		b.whole(b.ask("root"))
+	}
+	is.Equal(len(b.seen.by("root")), 0)
+	is.Equal(root.canary.Draw("s0", false), canary.Draw{})
+	is.Equal(root.canary.Draw("s0", false).First, canary.Trial)
+}
+
+// A version found good is gathered where its leafs are.
+func TestPlacementFollowsTheVersionFoundGood(t *testing.T) {
+	is := is.New(t)
+	b := newTrialTree(t, "far")
+	node := b.nodes["far"]
+	placed := newPlacement(node.catalog, zoneFar, nil)
+	entry := node.catalog.View().Routes.Match("h", "/pages/1")
+	is.True(!slices.Contains(placed.of(entry)[0].shards, 0))
+	for _, id := range []string{"s0c", "s0d"} {
+		put(t, node.catalog, catalog.LeafKey(id), trialLeaf(id, "v2", zoneFar))
+	}
+	is.True(!slices.Contains(placed.of(entry)[0].shards, 0))
+	order := node.catalog.View().Rollouts["s0"].Order.Revision
+	put(t, node.catalog, catalog.RolloutStateKey("s0"), rollout.State{Service: "s0", OrderRevision: order, Phase: rollout.Switching, Serving: "v1", Target: "v2"})
+	is.True(slices.Contains(placed.of(entry)[0].shards, 0))
+}
