Roll-outs: tests of retries during the ramp, of regions and of evacuations

Cause: the test of retries during the ramp asked too little: leafs lost a moment ago could answer it. Change: it sees each version asked for what the other failed; another sees that draws keep to regions and leave evacuated zones alone. Tests: the first fails where later attempts keep to either version, the second without the check of regions; that of evacuations, which the set of leafs makes, was not taken out.

--- a/internal/gateway/trial_test.go
+++ b/internal/gateway/trial_test.go
@@ -226,24 +226,37 @@
 	})
 }
 
-// During the ramp either version is asked again for what the other failed.
+// During the ramp either version is asked for what the other failed.
 func TestDuringTheRampBothMayBeRetried(t *testing.T) {
+	inTrial(t, never(), func(is *is.I, b *trialed) {
+		b.leafs.answer = func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			return 0, answered(500, leaf), nil
+		}
+		b.enter(rollout.Switching) // the first attempts are not drawn yet
+		_, err := b.Serve(b.t.Context(), ask("/single/1"))
+		is.NoErr(err)
+		is.True(!isOnTrial(b.asked()[0]))
+		retried := false
+		for range 40 {
+			_, err := b.Serve(b.t.Context(), ask("/single/1"))
+			is.NoErr(err)
+			asked := b.asked()
+			retried = retried || !isOnTrial(asked[0]) && len(asked) > 1 && isOnTrial(asked[1])
+		}
+		is.True(retried)
+	})
 	inTrial(t, always(), func(is *is.I, b *trialed) {
 		b.enter(rollout.Switching)
-		put(b.t, b.catalog, catalog.LeafKey("s0a"), nil)
-		put(b.t, b.catalog, catalog.LeafKey("s0b"), nil)
-		b.bad = func(leaf string) (time.Duration, *leafhttp.Response, error) {
-			if leaf == "s0c" {
-				return 0, answered(500, leaf), nil
-			}
-			return 0, answered(200, leaf), nil
-		}
-		time.Sleep(canary.DefaultConfig().Ramp / 2)
-		for range 10 {
-			answer, err := b.Serve(b.t.Context(), ask("/single/1"))
+		b.bad = func(leaf string) (time.Duration, *leafhttp.Response, error) { return 0, answered(500, leaf), nil }
+		retried := false
+		for range 40 {
+			_, err := b.Serve(b.t.Context(), ask("/single/1"))
 			is.NoErr(err)
-			is.Equal(answer.Status, 200)
+			asked := b.asked()
+			is.True(isOnTrial(asked[0]))
+			retried = retried || len(asked) > 1 && !isOnTrial(asked[1])
 		}
+		is.True(retried)
 	})
 }
 
--- a/internal/gateway/trial_tree_test.go
+++ b/internal/gateway/trial_tree_test.go
@@ -10,6 +10,7 @@
 	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/routing"
 )
 
 // newTrialTree starts a root whose services are all gathered by another node; some of the nodes know of an order to
@@ -93,3 +94,29 @@
 	put(t, node.catalog, catalog.RolloutStateKey("s0"), rollout.State{Service: "s0", OrderRevision: order, Phase: rollout.Switching, Serving: "v1", Target: "v2"})
 	is.True(slices.Contains(placed.of(entry)[0].shards, 0))
 }
+
+// Draws keep to the regions of their route and leave evacuated zones alone, as all attempts do.
+func TestDrawsKeepToRegionsAndEvacuations(t *testing.T) {
+	inTrial(t, always(), func(is *is.I, b *trialed) {
+		b.regions = map[string]string{zoneNear: regionWest, zoneFar: regionWest, zoneFarther: regionSouth}
+		for id, zone := range map[string]string{"s0a": zoneNear, "s0c": zoneFarther, "s0d": zoneFar} {
+			version := "v2"
+			if id == "s0a" {
+				version = "v1"
+			}
+			put(b.t, b.catalog, catalog.LeafKey(id), trialLeaf(id, version, zone))
+		}
+		put(b.t, b.catalog, catalog.RoutesKey, routing.Configuration{Version: 2, Routes: []routing.Route{{
+			Host: "h", Prefix: "/single/", Service: "s0", Repeatability: routing.Repeatable, Regions: []string{regionWest},
+		}}})
+		for range 10 {
+			_, err := b.Serve(b.t.Context(), ask("/single/1"))
+			is.NoErr(err)
+			is.Equal(b.asked(), []string{"s0d"})
+		}
+		put(b.t, b.catalog, catalog.EvacuationKey(zoneFar), struct{}{})
+		_, err := b.Serve(b.t.Context(), ask("/single/1"))
+		is.NoErr(err)
+		is.Equal(b.asked(), []string{"s0a"})
+	})
+}
