Zones out of reach: found by datagrams, refused at once, and left to the zones that can serve

A cut that drops packets showed only as silence: each request of a zone that lacked leafs of 22 of 90 services asked beyond the cut and failed after 100 to 390 ms, though no answer could come.

internal/reachability finds lost zones: silence has a zone looked at by datagram, and only the silence of several of its nodes beside answers of other zones loses it; one datagram each 250 ms finds it back. Leafs and intermediates of lost zones aren't asked, and what only they could complete is refused before anything was sent. A node that lost most of the fleet, and a route's coverage with it, is not ready, so that callers go to the nearest zones.

Tests: cut, one way, healed, one dead leaf, slow leafs, dead nodes, isolated and late node, few requests, false word; the gateway's refusal, choice and readiness.

--- a/internal/configsync/handler.go
+++ b/internal/configsync/handler.go
@@ -12,6 +12,8 @@
 	syncer *Syncer
 	// heard takes reports of leafs; nil drops them.
 	heard func(peer.LeafReports)
+	// reach takes what concerns zones in reach; nil drops it.
+	reach func(from string, reach peer.Reach)
 }
 
 var _ peer.Handler = (*PeerHandler)(nil)
@@ -22,6 +24,9 @@
 	return &PeerHandler{syncer: syncer, heard: heard}
 }
 
+// SetReach sets who takes what concerns zones in reach. It must be set before the handler is used.
+func (h *PeerHandler) SetReach(reach func(from string, reach peer.Reach)) { h.reach = reach }
+
 // HandleDatagram implements peer.Handler.
 func (h *PeerHandler) HandleDatagram(message peer.Message) {
 	if len(message.LeafReports) > 0 {
@@ -30,6 +35,12 @@
 		}
 		return
 	}
+	if message.Reach != nil {
+		if h.reach != nil {
+			h.reach(message.From, *message.Reach)
+		}
+		return
+	}
 	h.syncer.members.HandleDatagram(message)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,6 +114,7 @@
 
 // Ended implements scatter.Observer.
 func (w *gathering) Ended(attempt scatter.Attempt, result scatter.Result[leafhttp.Response], took time.Duration) {
+	w.gateway.learnZone(attempt.Leaf, result, took)
 	w.gateway.journal.AttemptEnded(AttemptRecord{
 		RequestID: w.query.Leaf.ID, Service: w.services[attempt.Shard], Leaf: attempt.Leaf.ID, Kind: attempt.Kind,
 		Reason: result.Reason, Execution: result.Execution, Took: took,
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -12,7 +12,7 @@
 func (w *gathering) candidates(shard int) []balancer.Candidate {
 	service := w.services[shard]
 	limit := w.query.service(service).MaximumConnections
-	candidates := w.gateway.partsOf(service, w.isGathered(), limit, &w.targets[shard])
+	candidates := w.gateway.inReach(w.gateway.partsOf(service, w.isGathered(), limit, &w.targets[shard]))
 	if len(w.query.entry.Regions) == 0 {
 		return candidates
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/leafhttp"
 	"github.com/portgauge/portgauge/internal/leafmemory"
+	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/routing"
 	"github.com/portgauge/portgauge/internal/scatter"
@@ -54,6 +55,8 @@
 	// Fleet and Intermediates let other nodes gather; nil means that this one does it all itself.
 	Fleet         Fleet
 	Intermediates Intermediates
+	// Zones knows which zones are in reach; nil holds all for so.
+	Zones *reachability.Tracker
 }
 
 // Gateway serves requests by the routing table; safe for concurrent use.
@@ -69,6 +72,7 @@
 	warmup   *warmup.Limiter
 	journal  Journal
 	regions  map[string]string // by zone
+	zones    *reachability.Tracker
 
 	latencies *latencyBook
 	patience  *patienceBook
@@ -83,7 +87,7 @@
 func New(parts Parts) *Gateway {
 	g := &Gateway{
 		config: parts.Config, dialect: parts.Dialect, catalog: parts.Catalog, memory: parts.Memory, dealer: parts.Dealer, balancer: parts.Balancer,
-		budgets: parts.Budgets, leafs: parts.Leafs, warmup: parts.Warmup, journal: parts.Journal, regions: parts.Regions,
+		budgets: parts.Budgets, leafs: parts.Leafs, warmup: parts.Warmup, journal: parts.Journal, regions: parts.Regions, zones: parts.Zones,
 		latencies: newLatencyBook(parts.Config.LatencyWindow), patience: newPatienceBook(), shares: routing.NewShares(),
 	}
 	if parts.Config.ServingTree && parts.Fleet != nil && parts.Intermediates != nil {
@@ -92,8 +96,8 @@
 	return g
 }
 
-// Ready reports whether there are routes to serve by.
-func (g *Gateway) Ready() bool { return g.catalog.View().Routes != nil }
+// Ready reports whether there are routes to serve by, and no other zone is the better place for callers.
+func (g *Gateway) Ready() bool { return g.catalog.View().Routes != nil && !g.isStranded() }
 
 // Limits gives the limits of callers in force.
 func (g *Gateway) Limits() routing.Limits {
--- a/internal/gateway/impossible.go
+++ b/internal/gateway/impossible.go
@@ -15,7 +15,7 @@
 const noLeaf = scatter.Reason(balancer.NoReplica)
 
 // refuseWithoutLeafs gives a failure where so many services have no leaf that the answer could not be a
-// success: all are gone, drain, are evacuated or in regions that the route is not allowed. Waiting for one
+// success: all are gone, drain, are evacuated, in lost zones or in regions that the route is not allowed. Waiting for one
 // would only hold the caller, who can come back to this node or another.
 func (w *gathering) refuseWithoutLeafs() error {
 	if w.collected != nil {
@@ -23,7 +23,7 @@
 	}
 	required := max(1, w.query.required)
 	leafs := w.gateway.catalog.View().Leafs
-	isAllowed := func(leaf *leafset.Leaf) bool { return w.allowsZone(leaf.Zone) }
+	isAllowed := func(leaf *leafset.Leaf) bool { return w.allowsZone(leaf.Zone) && w.gateway.zones.Reaches(leaf.Zone) }
 	without := 0
 	for _, service := range w.services {
 		if slices.ContainsFunc(leafs.Ready(service), isAllowed) {
@@ -36,7 +36,7 @@
 	if len(w.services)-without >= required {
 		return nil
 	}
-	failed := failure.New(failure.Overloaded, failure.NotRun, "%d of %d services have no leaf, %d are needed: %s", without, len(w.services), required, noLeaf)
+	failed := failure.New(failure.Overloaded, failure.NotRun, "%d of %d services have no leaf in reach, %d are needed: %s", without, len(w.services), required, noLeaf)
 	return failed.WithRetryAfter(w.query.latestReturn())
 }
 
--- a/internal/gateway/passing.go
+++ b/internal/gateway/passing.go
@@ -129,6 +129,7 @@
 		Outcome: ended.outcome, Reason: ended.reason, Took: took,
 	}
 	p.root.standing.learn(node, record.Outcome)
+	p.learnZone(record.Outcome)
 	w.gateway.journal.Passed(record)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -205,6 +206,7 @@
 		case <-call.Signs():
 			signs++
 			unanswered = 0
+			p.root.zones.Heard(p.group.node.Zone)
 			// The answer is late when the next sign is due: there is nothing to be won by haste.
 			wait = p.work.query.entry.Objective
 			timer.Reset(max(wait, time.Until(p.work.query.objective)))
@@ -214,6 +216,7 @@
 				return p.giveUp(call, signs > 0)
 			}
 			unanswered++
+			p.root.zones.Suspect(p.group.node.Zone)
 			call.Probe()
 			timer.Reset(wait / 2)
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/gateway/reach_test.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/reachability"
+)
+
+// cutAsker lets the nodes of all zones but some answer.
+type cutAsker map[string]bool
+
+func (a cutAsker) Answers(_ context.Context, node catalog.NodeRecord) bool { return !a[node.Zone] }
+func (a cutAsker) Tell(catalog.NodeRecord, string)                         {}
+
+// withoutZones gives what a node in the near zone knows after it lost some zones, of 5 nodes each. It stops
+// at the end of the test.
+func withoutZones(t *testing.T, lost ...string) *reachability.Tracker {
+	t.Helper()
+	cut := cutAsker{}
+	for _, zone := range lost {
+		cut[zone] = true
+	}
+	var nodes []catalog.NodeRecord
+	for _, zone := range []string{zoneNear, zoneFar, zoneFarther} {
+		for index := range 5 {
+			id := fmt.Sprint(zone, index)
+			nodes = append(nodes, catalog.NodeRecord{ID: id, Zone: zone, Address: id})
+		}
+	}
+	zones := reachability.New(reachability.Parts{
+		Config: reachability.DefaultConfig(), Self: nodes[0], Asker: cut, Nodes: func() []catalog.NodeRecord { return nodes },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go zones.Run(ctx)
+	t.Cleanup(cancel)
+	time.Sleep(time.Millisecond)
+	for _, zone := range lost {
+		zones.Suspect(zone)
+	}
+	for range 400 {
+		if !zones.Reaches(lost[len(lost)-1]) && !zones.Reaches(lost[0]) {
+			return zones
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the zones are not lost")
+	return nil
+}
+
+// spread moves the leafs of a gateway's services: those up to a number have one in the near zone and one in
+// the far zone, the others two in the far zone.
+func spread(t *testing.T, g *Gateway, near int) {
+	t.Helper()
+	for index := range shardCount {
+		service := fmt.Sprintf("s%d", index)
+		zones := []string{zoneNear, zoneFar}
+		if index >= near {
+			zones = []string{zoneFar, zoneFar}
+		}
+		for replica, zone := range zones {
+			id := service + string(rune('a'+replica))
+			put(t, g.catalog, catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Zone: zone, State: leafset.Ready})
+		}
+	}
+}
+
+// silentFar answers for leafs of the near zone only.
+func silentFar(g func() *Gateway) func(leaf string) (time.Duration, *leafhttp.Response, error) {
+	return func(leaf string) (time.Duration, *leafhttp.Response, error) {
+		if known, _ := g().catalog.View().Leafs.ByID(leaf); known.Zone == zoneFar {
+			return time.Hour, answered(200, leaf), nil
+		}
+		return time.Millisecond, answered(200, records(leaf)), nil
+	}
+}
+
+// inACut runs a test of a node in the near zone that has lost the far one, with so many services near.
+func inACut(t *testing.T, nearServices int, test func(is *is.I, g *Gateway, leafs *scriptedLeafs)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var g *Gateway
+		leafs := &scriptedLeafs{answer: silentFar(func() *Gateway { return g })}
+		g, _ = newGateway(t, leafs)
+		spread(t, g, nearServices)
+		time.Sleep(time.Minute)
+		g.zones = withoutZones(t, zoneFar)
+		test(is.New(t), g, leafs)
+	})
+}
+
+// What only a lost zone could complete is refused at once, as not run, and no leaf is asked.
+func TestRequestThatALostZoneWouldCompleteIsRefused(t *testing.T) {
+	inACut(t, 7, func(is *is.I, g *Gateway, leafs *scriptedLeafs) {
+		started := time.Now()
+		_, err := g.Serve(context.Background(), ask("/pages/1")) // 8 of 10 are needed
+		failed := failure.From(err)
+		is.Equal(failed.Execution, failure.NotRun)
+		is.Equal(failed.Code, failure.Overloaded)
+		is.True(failed.RetryAfter > 0)
+		is.Equal(time.Since(started), time.Duration(0))
+		is.Equal(len(leafs.asked), 0)
+	})
+}
+
+// Where enough is in reach, leafs there alone are asked, and the answer is no later than planned.
+func TestLeafsInReachAreAsked(t *testing.T) {
+	inACut(t, 8, func(is *is.I, g *Gateway, leafs *scriptedLeafs) {
+		answer, err := g.Serve(context.Background(), ask("/pages/1"))
+		is.NoErr(err)
+		is.Equal(answer.Missing, 2)
+		is.Equal(len(leafs.asked), 8)
+		for _, leaf := range leafs.asked {
+			is.True(strings.HasSuffix(leaf, "a")) // the near ones
+		}
+	})
+}
+
+// A request to one leaf goes to one in reach, without waiting for another.
+func TestSingleRequestGoesToALeafInReach(t *testing.T) {
+	inACut(t, 1, func(is *is.I, g *Gateway, leafs *scriptedLeafs) {
+		for range 20 {
+			started := time.Now()
+			_, err := g.Serve(context.Background(), ask("/once/1"))
+			is.NoErr(err)
+			is.Equal(time.Since(started), time.Millisecond)
+		}
+		for _, leaf := range leafs.asked {
+			is.Equal(leaf, "s0a")
+		}
+	})
+}
+
+// A request whose only leafs are in a lost zone is refused at once.
+func TestSingleRequestOfALostZoneIsRefused(t *testing.T) {
+	inACut(t, 0, func(is *is.I, g *Gateway, leafs *scriptedLeafs) {
+		_, err := g.Serve(context.Background(), ask("/once/1"))
+		is.Equal(failure.From(err).Execution, failure.NotRun)
+		is.Equal(len(leafs.asked), 0)
+	})
+}
+
+// A node that lost most of the fleet, and a route with it, is not ready; one that can serve all, or that is
+// with most of the fleet, is.
+func TestNodeIsReadyUnlessOthersServeBetter(t *testing.T) {
+	cases := []struct {
+		name  string
+		near  int
+		lost  []string
+		ready bool
+	}{
+		{"most and a route lost", 7, []string{zoneFar, zoneFarther}, false},
+		{"most lost, all routes kept", 8, []string{zoneFar, zoneFarther}, true},
+		{"a route lost, with most of the fleet", 7, []string{zoneFar}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g, _ := newGateway(t, &scriptedLeafs{})
+				spread(t, g, c.near)
+				is.True(g.Ready())
+				g.zones = withoutZones(t, c.lost...)
+				is.Equal(g.Ready(), c.ready)
+			})
+		})
+	}
+}
+
+// Groups of a lost zone are not passed on there.
+func TestGroupsAreNotPassedToALostZone(t *testing.T) {
+	is := is.New(t)
+	built := newTree(t, near("n1"), far("f1"))
+	root := built.nodes["n1"].gateway
+	is.Equal(len(root.root.groups(root.catalog.View().Routes.Match("h", "/pages/1"))), 1)
+	root.zones = withoutZones(t, zoneFar)
+	root.root.zones = root.zones
+	is.Equal(len(root.root.groups(root.catalog.View().Routes.Match("h", "/pages/1"))), 0)
+}
+
+// The silence of an intermediate has its zone looked at, though no leaf was asked.
+func TestSilentIntermediateHasItsZoneLookedAt(t *testing.T) {
+	is := is.New(t)
+	built := newTree(t, near("n1"), far("f1"))
+	root := built.nodes["n1"].gateway
+	looked := make(chan string, 100)
+	nodes := []catalog.NodeRecord{near("n1")}
+	for index := range 5 {
+		node := far(fmt.Sprint("f", index))
+		node.Address = node.ID
+		nodes = append(nodes, node)
+	}
+	root.zones = reachability.New(reachability.Parts{
+		Config: reachability.DefaultConfig(), Self: near("n1"), Asker: tellingAsker(looked),
+		Nodes: func() []catalog.NodeRecord { return nodes },
+	})
+	root.root.zones = root.zones
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go root.zones.Run(ctx)
+	time.Sleep(10 * time.Millisecond)
+	built.nodes["f1"].listener.Close()
+	_, _ = built.ask("n1") // how it ends is for other tests to say
+	select {
+	case zone := <-looked:
+		is.Equal(zone, zoneFar)
+	case <-time.After(10 * time.Second):
+		t.Fatal("nobody looked")
+	}
+}
+
+// tellingAsker tells whom it was asked of, and lets nobody answer.
+type tellingAsker chan string
+
+func (a tellingAsker) Answers(_ context.Context, node catalog.NodeRecord) bool {
+	select {
+	case a <- node.Zone:
+	default:
+	}
+	return false
+}
+func (a tellingAsker) Tell(catalog.NodeRecord, string) {}
--- a/internal/gateway/root.go
+++ b/internal/gateway/root.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/routing"
 	"github.com/portgauge/portgauge/internal/scatter"
 	"github.com/portgauge/portgauge/internal/servingtree"
@@ -51,6 +52,7 @@
 	intermediates Intermediates
 	placement     *placement
 	standing      *standing
+	zones         *reachability.Tracker
 	// hop is what the ways to and from an intermediate take.
 	hop lagTracker
 }
@@ -64,7 +66,7 @@
 	return &root{
 		self: parts.Self, fleet: parts.Fleet, intermediates: parts.Intermediates,
 		placement: newPlacement(parts.Catalog, parts.Self.Zone, parts.Regions), standing: newStanding(),
-		hop: lagTracker{lag: firstHop},
+		zones: parts.Zones, hop: lagTracker{lag: firstHop},
 	}
 }
 
@@ -90,6 +92,6 @@
 // choose gives another node in one of some zones that can be asked to gather; false when there is none.
 func (r *root) choose(zones map[string]bool) (catalog.NodeRecord, bool) {
 	return r.standing.choose(r.fleet.Gatherers(), func(node catalog.NodeRecord) bool {
-		return node.Tree != "" && node.ID != r.self.ID && zones[node.Zone]
+		return node.Tree != "" && node.ID != r.self.ID && zones[node.Zone] && r.zones.Reaches(node.Zone)
 	})
 }
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -9,6 +9,7 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/decisionlog"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/reachability"
 )
 
 // beliefJournal tells the decision log of what changes what the node believes.
@@ -25,6 +26,8 @@
 	eventLeafEjected  = "leaf_ejected"
 	eventLeafReturned = "leaf_returned"
 	eventLeafJudged   = "leaf_judged"
+	eventZoneLost     = "zone_lost"
+	eventZoneFound    = "zone_found"
 )
 
 type entryEvent struct {
@@ -55,6 +58,13 @@
 	Told          bool               `json:"told"`
 }
 
+// zoneEvent says that a zone is out of reach, or back.
+type zoneEvent struct {
+	Time  time.Time `json:"time"`
+	Event string    `json:"event"`
+	Zone  string    `json:"zone"`
+}
+
 // leafsEvent says which leafs a node began or ceased to send work to, and where its evacuations stand: of
 // hundreds of leafs that change together, each is named.
 type leafsEvent struct {
@@ -215,3 +225,12 @@
 		Slowness: belief.Slowness, SilenceMillis: belief.Silence.Milliseconds(), Told: belief.Told,
 	})
 }
+
+// zoneChanged logs that the node lost a zone, or reaches it again.
+func (j *beliefJournal) zoneChanged(change reachability.Change) {
+	event := zoneEvent{Time: time.Now(), Event: eventZoneFound, Zone: change.Zone}
+	if change.Lost {
+		event.Event = eventZoneLost
+	}
+	j.log.Write(decisionlog.Failed, event)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,8 @@
 			newAdmin,
 			newLeafKeeper,
 			newLeafGossip,
+			newReachDatagrams,
+			newZones,
 		),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
 			events := &fxevent.ZapLogger{Logger: logger}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,6 +29,7 @@
 	"github.com/portgauge/portgauge/internal/machines"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/search"
@@ -175,16 +178,30 @@
 	Self          catalog.NodeRecord
 	Fleet         *registry.Census
 	Intermediates *servingtree.Client
+	Zones         *reachability.Tracker
 }
 
 func newGateway(parts gatewayParts) *gateway.Gateway {
 	return gateway.New(gateway.Parts{
 		Config: parts.Config.Gateway, Dialect: parts.Dialect, Catalog: parts.Catalog, Memory: parts.Memory, Dealer: parts.Dealer,
 		Balancer: parts.Balancer, Budgets: parts.Budgets, Leafs: parts.Leafs, Warmup: parts.Warmup, Journal: parts.Journal,
-		Self: parts.Self, Regions: parts.Config.Regions, Fleet: parts.Fleet, Intermediates: parts.Intermediates,
+		Self: parts.Self, Regions: parts.Config.Regions, Fleet: parts.Fleet, Intermediates: parts.Intermediates, Zones: parts.Zones,
 	})
 }
 
+func newReachDatagrams(transport *peer.SocketTransport) *reachability.Datagrams {
+	return reachability.NewDatagrams(transport)
+}
+
+func newZones(config settings.Settings, known *catalog.Catalog, self catalog.NodeRecord, asker *reachability.Datagrams, beliefs *beliefJournal) *reachability.Tracker {
+	zones := reachability.New(reachability.Parts{
+		Config: config.Reachability, Self: self, Asker: asker, Changed: beliefs.zoneChanged,
+		Nodes: func() []catalog.NodeRecord { return slices.Collect(maps.Values(known.View().Nodes)) },
+	})
+	asker.OnTold(zones.Suspect)
+	return zones
+}
+
 func newIntermediates(config settings.Settings, lifecycle fx.Lifecycle) *servingtree.Client {
 	client := servingtree.NewClient(config.ServingTree)
 	lifecycle.Append(fx.StopHook(client.Close))
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,6 +21,7 @@
 	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
@@ -62,6 +63,8 @@
 	Writer    *leafmemory.Writer
 	Gossip    *leafgossip.Gossip
 	Beliefs   *beliefJournal
+	Reach     *reachability.Datagrams
+	Zones     *reachability.Tracker
 	Self      catalog.NodeRecord
 	Lessor    store.Lessor `optional:"true"`
 	Logger    *zap.Logger
@@ -73,7 +76,10 @@
 	var running sync.WaitGroup
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer, parts.Gossip.Heard))
+			handler := configsync.NewPeerHandler(parts.Syncer, parts.Gossip.Heard)
+			handler.SetReach(parts.Reach.Heard)
+			parts.Transport.Serve(handler)
+			go parts.Zones.Run(ctx)
 			go parts.Syncer.Run(ctx)
 			go parts.Members.Run(ctx)
 			go parts.Keeper.run(ctx)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -66,6 +66,7 @@
 	StatusQuery  *StatusQuery  `json:"status_query,omitempty"`
 	StatusReply  *StatusReply  `json:"status_reply,omitempty"`
 	LeafReports  LeafReports   `json:"leaf_reports,omitempty"`
+	Reach        *Reach        `json:"reach,omitempty"`
 }
 
 // Probe asks a member whether it lives.
@@ -88,6 +89,15 @@
 	TargetAddress string `json:"target_address"`
 }
 
+// Reach asks a node of any zone for a sign of life, answers that, or tells of a zone that the sender
+// has lost.
+type Reach struct {
+	// Number is that of the question, which the answer repeats; 0 when a zone is told of.
+	Number uint64 `json:"number,omitempty"`
+	Answer bool   `json:"answer,omitempty"`
+	Lost   string `json:"lost,omitempty"`
+}
+
 // Join asks for the members of the zone and tells of the sender.
 type Join struct {
 	Member Member `json:"member"`
--- /dev/null
+++ b/internal/reachability/datagrams_test.go
@@ -0,0 +1,142 @@
+package reachability
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/peer"
+)
+
+// link carries datagrams between nodes, by address.
+type link struct {
+	nodes map[string]*Datagrams
+
+	mu sync.Mutex
+	// lost reports whether a datagram between two nodes is dropped.
+	lost func(from, to string) bool
+}
+
+// drop says which datagrams are dropped from now on.
+func (l *link) drop(lost func(from, to string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lost = lost
+}
+
+func (l *link) drops(from, to string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost(from, to)
+}
+
+// end is the link as one node uses it.
+type end struct {
+	link *link
+	from string
+}
+
+func (e end) Send(to string, message peer.Message) {
+	if e.link.drops(e.from, to) {
+		return
+	}
+	time.AfterFunc(time.Millisecond, func() { e.link.nodes[to].Heard(e.from, *message.Reach) })
+}
+
+// newLink starts a tracker at the first node of each zone.
+func newLink(t *testing.T, w *world) (*link, map[string]*Tracker) {
+	t.Helper()
+	l := &link{nodes: map[string]*Datagrams{}, lost: func(string, string) bool { return false }}
+	trackers := map[string]*Tracker{}
+	ctx, cancel := context.WithCancel(t.Context())
+	for _, node := range w.nodes {
+		datagrams := NewDatagrams(end{l, node.Address})
+		l.nodes[node.Address] = datagrams
+		tracker := New(Parts{Config: DefaultConfig(), Self: node, Asker: datagrams, Nodes: func() []catalog.NodeRecord { return w.nodes }})
+		datagrams.OnTold(tracker.Suspect)
+		go tracker.Run(ctx)
+		trackers[node.ID] = tracker
+	}
+	synctest.Wait()
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(time.Minute)
+	})
+	return l, trackers
+}
+
+// A cut of one direction is found at both of its sides, and so is its end.
+func TestOneWayCutIsFoundAtBothSides(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(5, near, far, mid)
+		l, trackers := newLink(t, w)
+		l.drop(func(from, to string) bool { return from[:3] == far && to[:3] != far })
+		trackers["near-0"].Suspect(far)
+		trackers["far-0"].Suspect(near)
+		time.Sleep(lookTime())
+		is.True(!trackers["near-0"].Reaches(far))
+		is.True(!trackers["far-0"].Reaches(near))
+		is.True(trackers["near-0"].Reaches(mid))
+		l.drop(func(string, string) bool { return false })
+		time.Sleep(time.Second)
+		is.True(trackers["near-0"].Reaches(far))
+		is.True(trackers["far-0"].Reaches(near))
+	})
+}
+
+// What one node finds out its zone's other nodes look into within a moment, without a request of their own.
+func TestOneSuspicionIsEnoughForAZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(5, near, far, mid)
+		l, trackers := newLink(t, w)
+		l.drop(func(from, to string) bool { return (from[:3] == far) != (to[:3] == far) })
+		trackers["near-0"].Suspect(far)
+		time.Sleep(4 * lookTime())
+		for _, id := range []string{"near-0", "near-1", "near-2", "near-3", "near-4"} {
+			is.True(!trackers[id].Reaches(far))
+		}
+	})
+}
+
+// A false word of another node costs a look, and loses nothing.
+func TestFalseWordLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(5, near, far)
+		l, trackers := newLink(t, w)
+		l.nodes["near-0"].Heard("near-1", peer.Reach{Lost: far})
+		time.Sleep(time.Second)
+		is.True(trackers["near-0"].Reaches(far))
+	})
+}
+
+// The number of open questions is bounded, and each ends with its context.
+func TestOpenQuestionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := NewDatagrams(end{&link{lost: func(string, string) bool { return true }}, "a"})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		for range 2 * mostPending {
+			go d.Answers(ctx, catalog.NodeRecord{Address: "b"})
+		}
+		synctest.Wait()
+		is.Equal(d.count(), mostPending)
+		time.Sleep(2 * time.Second)
+		is.Equal(d.count(), 0)
+	})
+}
+
+// count gives the number of open questions.
+func (d *Datagrams) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.pending)
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -70,6 +70,19 @@
 	return table
 }
 
+// Gathering gives the routes that gather, in no order.
+func (t *Table) Gathering() []*Entry {
+	var gathering []*Entry
+	for _, entries := range t.byHost {
+		for _, entry := range entries {
+			if len(entry.Gathered) > 0 {
+				gathering = append(gathering, entry)
+			}
+		}
+	}
+	return gathering
+}
+
 func newEntry(route Route) *Entry {
 	entry := &Entry{
 		Route:     route,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	"github.com/portgauge/portgauge/internal/leafhttp"
 	"github.com/portgauge/portgauge/internal/leafmemory"
 	"github.com/portgauge/portgauge/internal/membership"
+	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
 	"github.com/portgauge/portgauge/internal/search"
@@ -120,6 +121,7 @@
 	RetryBudget     retrybudget.Config  `yaml:"retry_budget"`
 	Registry        registry.Config     `yaml:"registry"`
 	LeafGossip      leafgossip.Config   `yaml:"leaf_gossip"`
+	Reachability    reachability.Config `yaml:"reachability"`
 	Warmup          warmup.Config       `yaml:"warmup"`
 	ServingTree     servingtree.Config  `yaml:"serving_tree"`
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
@@ -150,6 +152,7 @@
 		RetryBudget:     retrybudget.DefaultConfig(),
 		Registry:        registry.DefaultConfig(),
 		LeafGossip:      leafgossip.DefaultConfig(),
+		Reachability:    reachability.DefaultConfig(),
 		Warmup:          warmup.DefaultConfig(),
 		ServingTree:     servingtree.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
@@ -209,6 +212,7 @@
 	checks.Add("retry_budget", s.RetryBudget.Validate())
 	checks.Add("registry", s.Registry.Validate())
 	checks.Add("leaf_gossip", s.LeafGossip.Validate())
+	checks.Add("reachability", s.Reachability.Validate())
 	checks.Add("warmup", s.Warmup.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
 	return checks.Err()
