Callers of a stranded node go elsewhere at once; the loss of one zone has the others looked at

Change: who loses a zone looks at all others, and once more after the pause when told in it; answers of a node that is not ready ask for the connection to be closed, and a refusal of a stranded node tells to come back at once, since the next connection goes elsewhere. Tests: both looks, given up connections.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -246,6 +246,23 @@
 }
 
 // Limits that change apply to connections that are open already.
+// Callers that keep their connections are told to open others while the node is not ready, and only then.
+func TestConnectionsAreGivenUpWhileNotReady(t *testing.T) {
+	is := is.New(t)
+	_, backend, address := start(t, func(context.Context, *gateway.Request) (*gateway.Answer, error) {
+		return &gateway.Answer{Status: http.StatusOK}, nil
+	})
+	get := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	response, _ := exchange(t, address, get)
+	is.True(!response.Close)
+	backend.ready.Store(false)
+	response, _ = exchange(t, address, get)
+	is.True(response.Close)
+	backend.ready.Store(true)
+	response, _ = exchange(t, address, get)
+	is.True(!response.Close)
+}
+
 func TestLimitsInForceAreKept(t *testing.T) {
 	is := is.New(t)
 	_, backend, address := start(t, func(context.Context, *gateway.Request) (*gateway.Answer, error) {
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -169,8 +169,10 @@
 	s.send(writer, statusOf(failed), body)
 }
 
+// send sends an answer. While the node is not ready it asks for the connection to be closed: a caller that keeps
+// its connections would stay with a node that can't serve it, though new ones go elsewhere.
 func (s *Server) send(writer http.ResponseWriter, status int, body []byte) {
-	if s.leaving.Load() {
+	if !s.Ready() {
 		writer.Header().Set("Connection", "close")
 	}
 	writer.WriteHeader(status)
--- a/internal/gateway/impossible.go
+++ b/internal/gateway/impossible.go
@@ -33,9 +33,16 @@
 		return nil
 	}
 	failed := failure.New(failure.Overloaded, failure.NotRun, "%d of %d services have no leaf in reach, %d are needed: %s", without, len(w.services), required, noLeaf)
+	if w.gateway.isStranded() {
+		return failed.WithRetryAfter(strandedRetryAfter)
+	}
 	return failed.WithRetryAfter(w.query.latestReturn())
 }
 
+// strandedRetryAfter is what callers are told whose next connection goes to another zone, where their request can be
+// served: to wait would only cost them time.
+const strandedRetryAfter = time.Millisecond
+
 // hasLeaf reports whether a service has a leaf that may run the request. One on trial does where all requests go
 // there by now, or where this one was drawn.
 func (w *gathering) hasLeaf(index int) bool {
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -198,7 +198,7 @@
 		Config: config.Reachability, Self: self, Asker: asker, Changed: beliefs.zoneChanged,
 		Nodes: func() []catalog.NodeRecord { return slices.Collect(maps.Values(known.View().Nodes)) },
 	})
-	asker.OnTold(zones.Suspect)
+	asker.OnTold(zones.SuspectSoon)
 	return zones
 }
 
--- a/internal/reachability/reachability.go
+++ b/internal/reachability/reachability.go
@@ -150,6 +150,40 @@
 	}()
 }
 
+// SuspectSoon has a zone looked at now and, unless that loses it, once more after the pause between looks: a node
+// that looked a moment before a cut would else be the only one of its zone that learns of it late, and callers are sent
+// to other zones only once no node of a zone is ready.
+func (t *Tracker) SuspectSoon(name string) {
+	known := t.of(name)
+	if known == nil {
+		return
+	}
+	t.Suspect(name)
+	if !known.looksAgain.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(t.parts.Config.Pause+lookAgainSlack, func() {
+		known.looksAgain.Store(false)
+		if !known.lost.Load() {
+			t.Suspect(name)
+		}
+	})
+}
+
+// lookAgainSlack is how long after the pause a zone is looked at once more: a look under way has ended then.
+const lookAgainSlack = 200 * time.Millisecond
+
+// lookAround has every other zone looked at: what cut one off often cuts off more.
+func (t *Tracker) lookAround(lost string) {
+	seen := map[string]bool{lost: true, t.parts.Self.Zone: true}
+	for _, node := range t.parts.Nodes() {
+		if !seen[node.Zone] {
+			seen[node.Zone] = true
+			t.SuspectSoon(node.Zone)
+		}
+	}
+}
+
 // of gives what is kept of a zone; nil for the own one, and where nothing is looked at.
 func (t *Tracker) of(name string) *zone {
 	if t == nil || !t.parts.Config.Enabled || name == t.parts.Self.Zone || name == "" {
@@ -176,6 +210,7 @@
 	known.lost.Store(true)
 	t.lost.Add(1)
 	t.changed(Change{Zone: known.name, Lost: true})
+	t.lookAround(known.name)
 	own := t.nodesOf(func(node catalog.NodeRecord) bool { return node.Zone == t.parts.Self.Zone })
 	for _, node := range own[:min(t.parts.Config.Fanout, len(own))] {
 		t.parts.Asker.Tell(node, known.name)
--- a/internal/reachability/reachability_test.go
+++ b/internal/reachability/reachability_test.go
@@ -143,6 +143,30 @@
 	})
 }
 
+// A node that lost one zone looks at the others by itself: of a zone cut off from all, it learns without being told.
+func TestLossOfOneZoneHasTheOthersLookedAt(t *testing.T) {
+	within(t, func(is *is.I, w *world, tracker *Tracker) {
+		w.set(true, far, mid)
+		tracker.Suspect(far)
+		time.Sleep(2 * lookTime())
+		is.True(!tracker.Reaches(far))
+		is.True(!tracker.Reaches(mid))
+	})
+}
+
+// A node that looked right before a cut, and is told of it in the pause that follows, looks again by itself.
+func TestWordInThePauseIsLookedIntoAfterIt(t *testing.T) {
+	within(t, func(is *is.I, w *world, tracker *Tracker) {
+		tracker.Suspect(far)
+		time.Sleep(lookTime())
+		is.True(tracker.Reaches(far))
+		w.set(true, far)
+		tracker.SuspectSoon(far)
+		time.Sleep(time.Second)
+		is.True(!tracker.Reaches(far))
+	})
+}
+
 // A lost zone is asked by one datagram at a time.
 func TestLostZoneIsAskedSparsely(t *testing.T) {
 	within(t, func(is *is.I, w *world, tracker *Tracker) {
--- a/internal/reachability/zone.go
+++ b/internal/reachability/zone.go
@@ -16,6 +16,8 @@
 	lost atomic.Bool
 	// heard says that the zone was heard of since the last silence was noted, or the last look began.
 	heard atomic.Bool
+	// looksAgain says that a further look is to come.
+	looksAgain atomic.Bool
 
 	mu sync.Mutex
 	// silent are distinct leafs that were silent with nothing heard since, leastSilent at most.
