Peers: messages of roll-outs; the status call counts settled nodes

Cause: judges of a roll-out must hear counts from all nodes, tell them to hold, and know when no node sends by an older rule any more. Change: two message bodies over UDP, hearers as a struct, Settled and LowestSettled in the answer to a status query, by a function in configsync.Parts. Test: a node with a revision in force that is not settled at it is counted as such, over zones and branches.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -185,6 +185,33 @@
 	})
 }
 
+// A node that still sends by an older rule has the newer revision in force and is not settled at it.
+func TestStatusCountsSettledNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 7)
+		defer f.stopAll()
+		revision := f.platform.write(t, "a", 1)
+		time.Sleep(2 * time.Minute)
+		settled := func(asked int64) (nodes uint32, lowest int64) {
+			lowest = asked
+			for _, zone := range f.nodes["z0-n0"].syncer.Status(t.Context(), asked) {
+				is.Equal(zone.InForce, zone.Nodes)
+				nodes += zone.Settled
+				lowest = min(lowest, zone.LowestSettled)
+			}
+			return nodes, lowest
+		}
+		nodes, lowest := settled(revision)
+		is.Equal(nodes, uint32(14))
+		is.Equal(lowest, revision)
+		f.nodes["z1-n3"].unsettled.Store(revision)
+		nodes, lowest = settled(revision)
+		is.Equal(nodes, uint32(13))
+		is.Equal(lowest, revision-1)
+	})
+}
+
 func TestSplitDealsEveryAddressOnce(t *testing.T) {
 	is := is.New(t)
 	for size := range 30 {
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,6 +168,16 @@
 	syncer  *Syncer
 	leafs   *leafNotes
 	stop    context.CancelFunc
+	// unsettled is the revision that the node is not settled at; 0 when it is settled.
+	unsettled atomic.Int64
+}
+
+// settledRevision is the revision in force, or the one before that which the node is not settled at.
+func (n *testNode) settledRevision() int64 {
+	if unsettled := n.unsettled.Load(); unsettled > 0 {
+		return unsettled - 1
+	}
+	return n.catalog.Revision()
 }
 
 // fleet is many nodes over one platform on a memory network, in virtual time.
@@ -201,13 +212,14 @@
 	node := &testNode{id: id, catalog: catalog.New(nil), leafs: &leafNotes{leaving: map[string]time.Time{}}}
 	node.syncer = New(Parts{
 		Config: f.config, Catalog: node.catalog, Store: view, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
+		Settled: node.settledRevision,
 	})
 	self := peer.Member{ID: id, Address: id, Zone: zone, Incarnation: time.Now().UnixMilli()}
 	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, 1)
 	node.syncer.SetMembership(members)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	node.stop = cancel
-	transport.Serve(NewPeerHandler(node.syncer, nil))
+	transport.Serve(NewPeerHandler(node.syncer, Hearers{}))
 	go node.syncer.Run(ctx)
 	go members.Run(ctx)
 	f.nodes[id] = node
--- a/internal/configsync/handler.go
+++ b/internal/configsync/handler.go
@@ -6,31 +6,52 @@
 	"github.com/portgauge/portgauge/internal/peer"
 )
 
-// PeerHandler answers other nodes: it hands each message to membership, configuration or what
-// is known of leafs.
+// Hearers take the messages that neither membership nor configuration is concerned with; what has no hearer is
+// dropped.
+type Hearers struct {
+	// Leafs takes reports of leafs.
+	Leafs func(peer.LeafReports)
+	// Rollouts takes what judges of roll-outs are told and tell.
+	Rollouts RolloutHearer
+}
+
+// RolloutHearer takes what is told of roll-outs, with the peer address of the node that told it.
+type RolloutHearer interface {
+	HeardReports(from string, reports peer.RolloutReports)
+	HeardHold(from string, hold peer.RolloutHold)
+}
+
+// PeerHandler answers other nodes: it hands each message to membership, configuration or one of its hearers.
 type PeerHandler struct {
-	syncer *Syncer
-	// heard takes reports of leafs; nil drops them.
-	heard func(peer.LeafReports)
+	syncer  *Syncer
+	hearers Hearers
 }
 
 var _ peer.Handler = (*PeerHandler)(nil)
 
-// NewPeerHandler makes the handler of a node's peer address. Heard takes reports of leafs, and
-// may be nil.
-func NewPeerHandler(syncer *Syncer, heard func(peer.LeafReports)) *PeerHandler {
-	return &PeerHandler{syncer: syncer, heard: heard}
+// NewPeerHandler makes the handler of a node's peer address.
+func NewPeerHandler(syncer *Syncer, hearers Hearers) *PeerHandler {
+	return &PeerHandler{syncer: syncer, hearers: hearers}
 }
 
 // HandleDatagram implements peer.Handler.
 func (h *PeerHandler) HandleDatagram(message peer.Message) {
-	if len(message.LeafReports) > 0 {
-		if h.heard != nil {
-			h.heard(message.LeafReports)
+	switch {
+	case len(message.LeafReports) > 0:
+		if h.hearers.Leafs != nil {
+			h.hearers.Leafs(message.LeafReports)
+		}
+	case message.RolloutReports != nil:
+		if h.hearers.Rollouts != nil {
+			h.hearers.Rollouts.HeardReports(message.From, *message.RolloutReports)
+		}
+	case message.RolloutHold != nil:
+		if h.hearers.Rollouts != nil {
+			h.hearers.Rollouts.HeardHold(message.From, *message.RolloutHold)
 		}
-		return
+	default:
+		h.syncer.members.HandleDatagram(message)
 	}
-	h.syncer.members.HandleDatagram(message)
 }
 
 // HandleCall implements peer.Handler.
--- a/internal/configsync/status.go
+++ b/internal/configsync/status.go
@@ -65,11 +65,7 @@
 
 // HandleStatus counts this node and those it is asked to ask, over a tree as for pushes.
 func (s *Syncer) HandleStatus(ctx context.Context, query peer.StatusQuery) peer.StatusReply {
-	revision := s.catalog.Revision()
-	total := peer.StatusReply{Nodes: 1, LowestRevision: revision}
-	if revision >= query.Revision {
-		total.InForce = 1
-	}
+	total := s.ownStatus(query.Revision)
 	subtree := query.Subtree
 	if query.WholeZone {
 		subtree = s.otherAddresses()
@@ -87,12 +83,29 @@
 			total.Nodes += reply.Nodes
 			total.InForce += reply.InForce
 			total.LowestRevision = min(total.LowestRevision, reply.LowestRevision)
+			total.Settled += reply.Settled
+			total.LowestSettled = min(total.LowestSettled, reply.LowestSettled)
 		})
 	}
 	asked.Wait()
 	return total
 }
 
+// ownStatus counts this node alone.
+func (s *Syncer) ownStatus(wanted int64) peer.StatusReply {
+	// Settled first: it never claims more than the revision in force, read after it.
+	settledAt := s.settledAt()
+	revision := s.catalog.Revision()
+	own := peer.StatusReply{Nodes: 1, LowestRevision: revision, LowestSettled: settledAt}
+	if revision >= wanted {
+		own.InForce = 1
+	}
+	if settledAt >= wanted {
+		own.Settled = 1
+	}
+	return own
+}
+
 // askBranch asks the first node of a branch that answers; those before it are not counted.
 func (s *Syncer) askBranch(ctx context.Context, branch []string, revision int64) (peer.StatusReply, bool) {
 	for index, address := range branch {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -43,6 +43,9 @@
 	Seeds []string
 	// Relayed is told of messages sent, by kind; it may be nil.
 	Relayed func(kind string)
+	// Settled gives the revision at which the node is settled: it sends nothing by an older rule and has nothing
+	// in flight by one. Nil means that it always is at the revision in force.
+	Settled func() int64
 }
 
 // Syncer is the configuration side of one node; safe for concurrent use.
@@ -56,6 +59,7 @@
 	logger    *zap.Logger
 	seeds     []string // guarded by mu
 	relayed   func(kind string)
+	settledAt func() int64
 	members   *membership.Membership
 
 	startedAt   time.Time
@@ -82,6 +86,10 @@
 	if relayed == nil {
 		relayed = func(string) {}
 	}
+	settledAt := parts.Settled
+	if settledAt == nil {
+		settledAt = parts.Catalog.Revision
+	}
 	return &Syncer{
 		config:    parts.Config,
 		catalog:   parts.Catalog,
@@ -92,6 +100,7 @@
 		logger:    parts.Logger,
 		seeds:     parts.Seeds,
 		relayed:   relayed,
+		settledAt: settledAt,
 		startedAt: time.Now(),
 		ready:     make(chan struct{}),
 		pushes:    make(chan catalog.Change, pushBacklog),
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -73,7 +73,7 @@
 	var running sync.WaitGroup
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer, parts.Gossip.Heard))
+			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer, configsync.Hearers{Leafs: parts.Gossip.Heard}))
 			go parts.Syncer.Run(ctx)
 			go parts.Members.Run(ctx)
 			go parts.Keeper.run(ctx)
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -66,6 +66,9 @@
 	StatusQuery  *StatusQuery  `json:"status_query,omitempty"`
 	StatusReply  *StatusReply  `json:"status_reply,omitempty"`
 	LeafReports  LeafReports   `json:"leaf_reports,omitempty"`
+
+	RolloutReports *RolloutReports `json:"rollout_reports,omitempty"`
+	RolloutHold    *RolloutHold    `json:"rollout_hold,omitempty"`
 }
 
 // Probe asks a member whether it lives.
@@ -140,7 +143,24 @@
 	Elsewhere []string `json:"elsewhere,omitempty"`
 }
 
-// StatusQuery asks how many nodes have a revision in force.
+// RolloutReports are counts of attempts at the versions of services, told to the judges of roll-outs.
+type RolloutReports struct {
+	// Node is the id of the node that counted.
+	Node string `json:"node"`
+	// StartUnixNano names the process that counted: one that starts anew counts from nothing.
+	StartUnixNano int64 `json:"start_unix_nano"`
+	// Rows are the counts, packed by package rolloutcontrol.
+	Rows []byte `json:"rows"`
+}
+
+// RolloutHold says that nothing more may be sent to the version on trial by an order.
+type RolloutHold struct {
+	Service string `json:"service"`
+	// Order is the revision of the order.
+	Order int64 `json:"order"`
+}
+
+// StatusQuery asks how many nodes have a revision in force, and how many are settled at it.
 type StatusQuery struct {
 	Revision int64 `json:"revision"`
 	// WholeZone asks the receiver to ask all members of its zone; otherwise it asks the
@@ -154,4 +174,8 @@
 	Nodes          uint32 `json:"nodes"`
 	InForce        uint32 `json:"in_force"`
 	LowestRevision int64  `json:"lowest_revision"`
+	// Settled counts the nodes that send nothing by a rule from before the revision and have nothing in flight by
+	// one; LowestSettled is the least revision at which a node is settled.
+	Settled       uint32 `json:"settled"`
+	LowestSettled int64  `json:"lowest_settled"`
 }
