Node: roll-outs wired, with settings, metrics and decision log

Cause: the loops of roll-outs ran nowhere. Change: group rollouts of the settings, off unless the platform gives the bound of a share; loops, messages and the status call wired; lines of the decision log and series of the metrics. What draws, counts and judges is given in node/rollouts.go, for now as parts that do nothing. A store without guarded writes refuses the start.

--- a/internal/node/dialect.go
+++ b/internal/node/dialect.go
@@ -41,7 +41,9 @@
 	Machines machines.Lister `name:"platform"`
 	// Lessor is nil where the platform has no leases.
 	Lessor store.Lessor
-	HTTP   httpdialect.Dialect
+	// Guarded is nil where the platform takes no writes under conditions on other keys.
+	Guarded store.Guarded
+	HTTP    httpdialect.Dialect
 }
 
 // newPlatform connects to the platform by the dialect that the settings name.
@@ -58,7 +60,8 @@
 		})
 		lifecycle.Append(fx.StopHook(connected.Close))
 		lessor, _ := connected.(store.Lessor)
-		return platformParts{Store: connected, Lessor: lessor, HTTP: dialect.HTTP}, nil
+		guarded, _ := connected.(store.Guarded)
+		return platformParts{Store: connected, Lessor: lessor, Guarded: guarded, HTTP: dialect.HTTP}, nil
 	}
 	return platformParts{}, failure.Invalid("platform.dialect", "%q is not known to this program", config.Platform.Dialect)
 }
@@ -71,5 +74,6 @@
 		return platformParts{}, err
 	}
 	lifecycle.Append(fx.StopHook(client.Close))
-	return platformParts{Store: client, Machines: client, HTTP: httpdialect.Default()}, nil
+	guarded, _ := store.Store(client).(store.Guarded)
+	return platformParts{Store: client, Machines: client, Guarded: guarded, HTTP: httpdialect.Default()}, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,10 @@
 			newAdmin,
 			newLeafKeeper,
 			newLeafGossip,
+			newSplitter,
+			newCounts,
+			newJudging,
+			newRollouts,
 		),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
 			events := &fxevent.ZapLogger{Logger: logger}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -29,6 +29,7 @@
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/rolloutcontrol"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
 	"github.com/portgauge/portgauge/internal/settings"
@@ -86,11 +87,15 @@
 	return self
 }
 
-func newCatalog(metrics *telemetry.Metrics, logger *zap.Logger) *catalog.Catalog {
-	return catalog.New(func(key string, err error) {
+func newCatalog(config settings.Settings, metrics *telemetry.Metrics, logger *zap.Logger) *catalog.Catalog {
+	known := catalog.New(func(key string, err error) {
 		metrics.ConfigRejected.Inc()
 		logger.Error("stored value can't be put into force", zap.String("key", key), zap.Error(err))
 	})
+	if config.Rollouts.Enabled {
+		known.EnableRollouts()
+	}
+	return known
 }
 
 func newCensus(config settings.Settings, known *catalog.Catalog, self catalog.NodeRecord) *registry.Census {
@@ -205,11 +210,12 @@
 	})
 }
 
-func newSyncer(config settings.Settings, known *catalog.Catalog, kept store.Store, lister machines.Lister, transport *peer.SocketTransport, choice *balancer.Balancer, metrics *telemetry.Metrics, logger *zap.Logger) *configsync.Syncer {
+func newSyncer(config settings.Settings, known *catalog.Catalog, kept store.Store, lister machines.Lister, transport *peer.SocketTransport, choice *balancer.Balancer, splitter rolloutcontrol.Splitter, metrics *telemetry.Metrics, logger *zap.Logger) *configsync.Syncer {
 	syncer := configsync.New(configsync.Parts{
 		Config: config.ConfigSync, Catalog: known, Store: kept, Machines: lister, Transport: transport,
 		Leafs: choice, Logger: logger, Seeds: config.Seeds,
 		Relayed: func(kind string) { metrics.ConfigRelayed.WithLabelValues(kind).Inc() },
+		Settled: splitter.SettledRevision,
 	})
 	choice.OnDraining(syncer.LeafDraining)
 	return syncer
--- /dev/null
+++ b/internal/node/rollout_journal.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"time"
+
+	"github.com/portgauge/portgauge/internal/decisionlog"
+	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/rolloutcontrol"
+)
+
+// rolloutJournal tells the decision log of roll-outs.
+type rolloutJournal struct{ log *decisionlog.Log }
+
+var _ rolloutcontrol.Journal = rolloutJournal{}
+
+// Names of events of roll-outs.
+const (
+	eventOrderSeen       = "rollout_order_seen"
+	eventPhaseLearned    = "rollout_phase_learned"
+	eventPhaseWritten    = "rollout_phase_written"
+	eventPhaseNotWritten = "rollout_phase_not_written"
+	eventHoldSent        = "rollout_hold_sent"
+	eventHoldHeard       = "rollout_hold_heard"
+	eventRowsDropped     = "rollout_rows_dropped"
+	eventVersionsWritten = "service_versions_written"
+)
+
+type orderEvent struct {
+	Time           time.Time `json:"time"`
+	Event          string    `json:"event"`
+	Service        string    `json:"service"`
+	Order          int64     `json:"order"`
+	Target         string    `json:"target"`
+	DurationMillis int64     `json:"duration_millis"`
+	// Rank is the node's place among the judges; -1 when it is none.
+	Rank int `json:"rank"`
+}
+
+type phaseEvent struct {
+	Time     time.Time     `json:"time"`
+	Event    string        `json:"event"`
+	Service  string        `json:"service"`
+	Order    int64         `json:"order"`
+	Phase    rollout.Phase `json:"phase"`
+	Serving  string        `json:"serving"`
+	Target   string        `json:"target"`
+	Revision int64         `json:"revision,omitempty"`
+	Reason   string        `json:"reason,omitempty"`
+	By       string        `json:"by,omitempty"`
+	// Counts are what decided, AgeMillis how old the newest of them was.
+	Counts    []rolloutcontrol.VersionCounts `json:"counts,omitempty"`
+	AgeMillis int64                          `json:"age_millis,omitempty"`
+	Error     string                         `json:"error,omitempty"`
+}
+
+type holdEvent struct {
+	Time    time.Time `json:"time"`
+	Event   string    `json:"event"`
+	Service string    `json:"service"`
+	Order   int64     `json:"order"`
+	Reason  string    `json:"reason,omitempty"`
+	Nodes   int       `json:"nodes,omitempty"`
+	From    string    `json:"from,omitempty"`
+}
+
+type rowsDroppedEvent struct {
+	Time  time.Time `json:"time"`
+	Event string    `json:"event"`
+	From  string    `json:"from,omitempty"`
+	Rows  int       `json:"rows,omitempty"`
+	Error string    `json:"error,omitempty"`
+}
+
+type versionsEvent struct {
+	Time     time.Time `json:"time"`
+	Event    string    `json:"event"`
+	Services int       `json:"services"`
+	Error    string    `json:"error,omitempty"`
+}
+
+// OrderSeen implements rolloutcontrol.Journal.
+func (j rolloutJournal) OrderSeen(record rolloutcontrol.OrderRecord) {
+	j.log.Write(decisionlog.Failed, orderEvent{
+		Time: time.Now(), Event: eventOrderSeen, Service: record.Order.Service, Order: record.Order.Revision,
+		Target: record.Order.Target, DurationMillis: record.Order.DurationMillis, Rank: record.Rank,
+	})
+}
+
+// PhaseLearned implements rolloutcontrol.Journal.
+func (j rolloutJournal) PhaseLearned(state rollout.State) {
+	j.log.Write(decisionlog.Failed, newPhaseEvent(eventPhaseLearned, state))
+}
+
+// PhaseWritten implements rolloutcontrol.Journal.
+func (j rolloutJournal) PhaseWritten(record rolloutcontrol.PhaseRecord) {
+	event := newPhaseEvent(eventPhaseWritten, record.State)
+	if record.Err != nil {
+		event.Event, event.Error = eventPhaseNotWritten, record.Err.Error()
+	}
+	event.Revision, event.Counts, event.AgeMillis = record.Revision, record.Counts, record.Age.Milliseconds()
+	j.log.Write(decisionlog.Failed, event)
+}
+
+func newPhaseEvent(name string, state rollout.State) phaseEvent {
+	return phaseEvent{
+		Time: time.Now(), Event: name, Service: state.Service, Order: state.OrderRevision, Phase: state.Phase, Serving: state.Serving,
+		Target: state.Target, Revision: state.Revision, Reason: state.Reason, By: state.DecidedBy,
+	}
+}
+
+// Held implements rolloutcontrol.Journal.
+func (j rolloutJournal) Held(record rolloutcontrol.HoldRecord) {
+	event := holdEvent{
+		Time: time.Now(), Event: eventHoldSent, Service: record.Service, Order: record.Order, Reason: record.Reason,
+		Nodes: record.Nodes, From: record.From,
+	}
+	if record.From != "" {
+		event.Event = eventHoldHeard
+	}
+	j.log.Write(decisionlog.Failed, event)
+}
+
+// RowsDropped implements rolloutcontrol.Journal.
+func (j rolloutJournal) RowsDropped(record rolloutcontrol.DroppedRecord) {
+	j.log.Write(decisionlog.Ordinary, rowsDroppedEvent{
+		Time: time.Now(), Event: eventRowsDropped, From: record.From, Rows: record.Rows, Error: textOf(record.Err),
+	})
+}
+
+// VersionsWritten implements rolloutcontrol.Journal.
+func (j rolloutJournal) VersionsWritten(record rolloutcontrol.VersionsRecord) {
+	j.log.Write(decisionlog.Failed, versionsEvent{
+		Time: time.Now(), Event: eventVersionsWritten, Services: record.Services, Error: textOf(record.Err),
+	})
+}
+
+// textOf gives the text of an error, empty for none.
+func textOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/node/rollouts.go
@@ -0,0 +1,135 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/configsync"
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/rolloutcontrol"
+	"github.com/portgauge/portgauge/internal/settings"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/telemetry"
+)
+
+// rolloutParts are what carries roll-outs out at a node is made from.
+type rolloutParts struct {
+	fx.In
+
+	Config    settings.Settings
+	Catalog   *catalog.Catalog
+	Self      catalog.NodeRecord
+	Counts    rolloutcontrol.Counts
+	Splitter  rolloutcontrol.Splitter
+	Judging   rolloutcontrol.JudgingFactory
+	Store     store.Store
+	Guarded   store.Guarded `optional:"true"`
+	Syncer    *configsync.Syncer
+	Transport *peer.SocketTransport
+	Beliefs   *beliefJournal
+	Metrics   *telemetry.Metrics
+}
+
+// rollouts carry roll-outs out at a node; without a controller they are off.
+type rollouts struct {
+	controller *rolloutcontrol.Controller
+	versions   *rolloutcontrol.VersionsWriter
+}
+
+// newRollouts makes what the settings ask for. The store must take writes under conditions.
+func newRollouts(parts rolloutParts) (*rollouts, error) {
+	cfg := parts.Config.Rollouts
+	if !cfg.Enabled {
+		return &rollouts{}, nil
+	}
+	if parts.Guarded == nil {
+		return nil, failure.Invalid("rollouts.enabled", "the store of dialect %q takes no writes under conditions", parts.Config.Platform.Dialect)
+	}
+	journal := rolloutJournal{log: parts.Beliefs.log}
+	controller := rolloutcontrol.New(rolloutcontrol.Parts{
+		Config: cfg, Catalog: parts.Catalog, Self: parts.Self, Counts: parts.Counts, Splitter: parts.Splitter, Judging: parts.Judging,
+		States: rolloutcontrol.GuardedStates{Store: parts.Store, Guarded: parts.Guarded, RetryPause: cfg.RetryPause},
+		Fleet:  fleetStatus{parts.Syncer}, Sender: parts.Transport, Journal: journal,
+	})
+	if err := parts.Metrics.RegisterRollouts(controller.Standings); err != nil {
+		return nil, err
+	}
+	return &rollouts{
+		controller: controller,
+		versions:   rolloutcontrol.NewVersionsWriter(cfg, parts.Catalog, parts.Store, parts.Self.ID, journal),
+	}, nil
+}
+
+// hearer gives what takes other nodes' word on roll-outs; nil where they are off.
+func (r *rollouts) hearer() configsync.RolloutHearer {
+	if r.controller == nil {
+		return nil
+	}
+	return r.controller
+}
+
+// run carries roll-outs out until the context ends.
+func (r *rollouts) run(ctx context.Context) {
+	if r.controller == nil {
+		return
+	}
+	var running sync.WaitGroup
+	running.Go(func() { r.versions.Run(ctx) })
+	running.Go(func() { r.controller.Run(ctx) })
+	running.Wait()
+}
+
+// fleetStatus asks all nodes how far they are, by the status call.
+type fleetStatus struct{ syncer *configsync.Syncer }
+
+var _ rolloutcontrol.Fleet = fleetStatus{}
+
+// Settled implements rolloutcontrol.Fleet.
+func (f fleetStatus) Settled(ctx context.Context, revision int64) rolloutcontrol.FleetStatus {
+	var status rolloutcontrol.FleetStatus
+	for index, zone := range f.syncer.Status(ctx, revision) {
+		status.Answered += int(zone.Nodes)
+		if index == 0 || zone.LowestSettled < status.LowestSettled {
+			status.LowestSettled = zone.LowestSettled
+		}
+	}
+	return status
+}
+
+// What draws requests for versions on trial, counts them and judges them is given here: each of the three below
+// stands for one that does nothing.
+
+func newSplitter(known *catalog.Catalog) rolloutcontrol.Splitter { return noSplitter{known} }
+
+func newCounts() rolloutcontrol.Counts { return noCounts{} }
+
+func newJudging() rolloutcontrol.JudgingFactory {
+	return func(string, string, time.Duration) rolloutcontrol.Judging { return noJudging{} }
+}
+
+// noSplitter draws nothing for any version on trial, so that the node is settled at whatever is in force.
+type noSplitter struct{ catalog *catalog.Catalog }
+
+func (noSplitter) Hold(string, int64) {}
+
+func (s noSplitter) SettledRevision() int64 { return s.catalog.Revision() }
+
+// noCounts counts nothing.
+type noCounts struct{}
+
+func (noCounts) TakeChanged(int) []evidence.Row { return nil }
+
+func (noCounts) Rows() []evidence.Row { return nil }
+
+// noJudging finds nothing out, so that every version is rolled back.
+type noJudging struct{}
+
+func (noJudging) Update(time.Duration, []evidence.Row) rolloutcontrol.Judgement {
+	return rolloutcontrol.Judgement{Finding: rolloutcontrol.Undecided}
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -62,6 +62,7 @@
 	Writer    *leafmemory.Writer
 	Gossip    *leafgossip.Gossip
 	Beliefs   *beliefJournal
+	Rollouts  *rollouts
 	Self      catalog.NodeRecord
 	Lessor    store.Lessor `optional:"true"`
 	Logger    *zap.Logger
@@ -73,13 +74,14 @@
 	var running sync.WaitGroup
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer, configsync.Hearers{Leafs: parts.Gossip.Heard}))
+			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer, configsync.Hearers{Leafs: parts.Gossip.Heard, Rollouts: parts.Rollouts.hearer()}))
 			go parts.Syncer.Run(ctx)
 			go parts.Members.Run(ctx)
 			go parts.Keeper.run(ctx)
 			go parts.Writer.Run(ctx)
 			go parts.Gossip.Run(ctx)
 			go parts.Beliefs.run(ctx)
+			running.Go(func() { parts.Rollouts.run(ctx) })
 			if parts.Lessor != nil {
 				record := registry.New(parts.Config.Registry, parts.Lessor, parts.Self, parts.Logger)
 				running.Go(func() { record.Run(ctx) })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/rolloutcontrol"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
 	"github.com/portgauge/portgauge/internal/warmup"
@@ -123,6 +124,8 @@
 	Warmup          warmup.Config       `yaml:"warmup"`
 	ServingTree     servingtree.Config  `yaml:"serving_tree"`
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
+
+	Rollouts rolloutcontrol.Config `yaml:"rollouts"`
 }
 
 // Default gives the settings that hold where none are given.
@@ -153,6 +156,7 @@
 		Warmup:          warmup.DefaultConfig(),
 		ServingTree:     servingtree.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
+		Rollouts:        rolloutcontrol.DefaultConfig(),
 	}
 }
 
@@ -211,6 +215,7 @@
 	checks.Add("leaf_gossip", s.LeafGossip.Validate())
 	checks.Add("warmup", s.Warmup.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
+	checks.Add("rollouts", s.Rollouts.Validate())
 	return checks.Err()
 }
 
--- /dev/null
+++ b/internal/telemetry/rollouts.go
@@ -0,0 +1,48 @@
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/portgauge/portgauge/internal/rolloutcontrol"
+)
+
+// rolloutCollector tells of the roll-outs under way when it is asked, so that those that are over leave nothing
+// behind: at most as many series as there are roll-outs, and versions and routes of those that the node judges.
+type rolloutCollector struct {
+	standings func() []rolloutcontrol.Standing
+	phase     *prometheus.Desc
+	attempts  *prometheus.Desc
+	failures  *prometheus.Desc
+}
+
+var _ prometheus.Collector = (*rolloutCollector)(nil)
+
+// RegisterRollouts has the metrics tell of roll-outs under way.
+func (m *Metrics) RegisterRollouts(standings func() []rolloutcontrol.Standing) error {
+	counted := []string{"service", "version", "route"}
+	return m.Registry.Register(&rolloutCollector{
+		standings: standings,
+		phase:     prometheus.NewDesc(namespace+"_rollout_phase", "1 for the phase of each roll-out under way.", []string{"service", "phase", "target"}, nil),
+		attempts:  prometheus.NewDesc(namespace+"_rollout_attempts", "Attempts of all nodes for a roll-out under way, at its judges.", counted, nil),
+		failures:  prometheus.NewDesc(namespace+"_rollout_failures", "Those of the attempts that the leaf itself failed.", counted, nil),
+	})
+}
+
+// Describe implements prometheus.Collector.
+func (c *rolloutCollector) Describe(described chan<- *prometheus.Desc) {
+	described <- c.phase
+	described <- c.attempts
+	described <- c.failures
+}
+
+// Collect implements prometheus.Collector.
+func (c *rolloutCollector) Collect(metrics chan<- prometheus.Metric) {
+	for _, standing := range c.standings() {
+		metrics <- prometheus.MustNewConstMetric(c.phase, prometheus.GaugeValue, 1, standing.Service, string(standing.Phase), standing.Target)
+		for _, counts := range standing.Counts {
+			labels := []string{standing.Service, counts.Version, counts.Route}
+			metrics <- prometheus.MustNewConstMetric(c.attempts, prometheus.GaugeValue, float64(counts.Attempts), labels...)
+			metrics <- prometheus.MustNewConstMetric(c.failures, prometheus.GaugeValue, float64(counts.Failures), labels...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/telemetry/rollouts_test.go
@@ -0,0 +1,36 @@
+package telemetry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/rolloutcontrol"
+)
+
+// Roll-outs under way have series, and none once they are over.
+func TestRolloutsLeaveNoSeriesBehind(t *testing.T) {
+	is := is.New(t)
+	standings := []rolloutcontrol.Standing{{
+		Service: "s", Phase: rollout.Canary, Target: "b",
+		Counts: []rolloutcontrol.RouteCounts{{Version: "b", Route: "r", Attempts: 3, Failures: 1}},
+	}}
+	metrics := NewMetrics()
+	is.NoErr(metrics.RegisterRollouts(func() []rolloutcontrol.Standing { return standings }))
+	values := func() map[string]float64 {
+		families, err := metrics.Registry.Gather()
+		is.NoErr(err)
+		found := map[string]float64{}
+		for _, family := range families {
+			switch family.GetName() {
+			case "portgauge_rollout_phase", "portgauge_rollout_attempts", "portgauge_rollout_failures":
+				found[family.GetName()] = family.GetMetric()[0].GetGauge().GetValue()
+			}
+		}
+		return found
+	}
+	is.Equal(values(), map[string]float64{"portgauge_rollout_phase": 1, "portgauge_rollout_attempts": 3, "portgauge_rollout_failures": 1})
+	standings = nil
+	is.Equal(len(values()), 0)
+}
