--- a/internal/rolloutcontrol/controller_test.go
+++ b/internal/rolloutcontrol/controller_test.go
@@ -291,23 +291,59 @@
 // Judges that hear nothing at first hear all counts later.
 func TestReportsThatWereLostAreMadeUpFor(t *testing.T) {
 	scene(t, func(is *is.I, f *fleet) {
-		f.order("s", "b", time.Hour)
+		revision := f.order("s", "b", time.Hour)
 		f.network.SetLoss(1)
 		f.serve(2*time.Second, never)
+		time.Sleep(2 * f.cfg.ReportInterval) // whatever changed was told, and lost
 		f.network.SetLoss(0)
 		time.Sleep(2 * f.cfg.ResendInterval)
-		rows, _ := f.node(f.judge("s", 0)).controller.tallies.sum(orderKey{"s", f.node("n0").catalog.View().Rollouts["s"].Order.Revision})
-		heard, told := int64(0), int64(0)
-		for _, row := range rows {
-			heard += row.Attempts()
-		}
-		for _, node := range f.all() {
-			for _, row := range node.Rows() {
-				told += row.Attempts()
-			}
+		is.True(f.told() > 0)
+		is.Equal(f.heardBy(f.judge("s", 0), revision), f.told())
+	})
+}
+
+// A node that a hold did not reach is told again as long as it counts.
+func TestHoldThatWasLostIsToldAgain(t *testing.T) {
+	scene(t, func(is *is.I, f *fleet) {
+		missed := f.nonJudge("s")
+		revision := f.order("s", "b", usual)
+		f.serve(2*time.Second, never)
+		f.store.setDown(true)
+		f.network.Cut(func(_, to string) bool { return to == missed })
+		f.serve(2*time.Second, 0)
+		is.True(!f.node(missed).isHeld(orderKey{"s", revision}))
+		f.network.Cut(nil)
+		f.serve(2*f.cfg.ReportInterval, 0)
+		is.True(f.node(missed).isHeld(orderKey{"s", revision}))
+	})
+}
+
+// A judge that heard no counts itself takes another's word that the version is bad.
+func TestJudgesBelieveAHold(t *testing.T) {
+	scene(t, func(is *is.I, f *fleet) {
+		first, second, third := f.judge("s", 0), f.judge("s", 1), f.judge("s", 2)
+		f.order("s", "b", usual)
+		f.serve(time.Second, never)
+		f.store.fail(func(m *memoryStore) { m.refused[first] = true })
+		f.network.Cut(func(from, to string) bool { return from != first && (to == second || to == third) })
+		f.node(second).stopCounting()
+		f.node(third).stopCounting()
+		f.serve(4*time.Second, 0)
+		is.Equal(f.store.phases("s"), rollsBack)
+	})
+}
+
+// New judges of a service hear what was counted before they were judges.
+func TestNewJudgesHearAllCounts(t *testing.T) {
+	scene(t, func(is *is.I, f *fleet) {
+		revision := f.order("s", "b", time.Hour)
+		f.serve(2*time.Second, never)
+		time.Sleep(f.cfg.ResendInterval / 2) // so that nothing is told again soon
+		f.store.set(catalog.NodeKey(f.judge("s", 0)), nil)
+		time.Sleep(syncDelay + 2*f.cfg.ReportInterval)
+		for _, judge := range f.judges("s") {
+			is.Equal(f.heardBy(judge.ID, revision), f.told())
 		}
-		is.True(told > 0)
-		is.Equal(heard, told)
 	})
 }
 
@@ -318,20 +354,8 @@
 		reports := f.judge("s", 0)
 		f.serve(2*time.Second, never)
 		time.Sleep(time.Second)
-		restarted := "n0"
-		for _, id := range []string{"n0", "n1", "n2", "n3", "n4"} {
-			if rankOf(f.judges("s"), id) < 0 {
-				restarted = id
-			}
-		}
-		count := func() int64 {
-			rows, _ := f.node(reports).controller.tallies.sum(orderKey{"s", revision})
-			sum := int64(0)
-			for _, row := range rows {
-				sum += row.Attempts()
-			}
-			return sum
-		}
+		restarted := f.nonJudge("s")
+		count := func() int64 { return f.heardBy(reports, revision) }
 		before := count()
 		f.kill(restarted)
 		node := f.start(restarted)
--- /dev/null
+++ b/internal/rolloutcontrol/node_test.go
@@ -0,0 +1,228 @@
+package rolloutcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	json "github.com/goccy/go-json"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+// testNode is one node; it is its own counts, splitter, sender, journal and fleet.
+type testNode struct {
+	id         string
+	fleet      *fleet
+	catalog    *catalog.Catalog
+	controller *Controller
+	transport  *peer.MemoryTransport
+	stop       context.CancelFunc
+
+	mu        sync.Mutex
+	rows      map[evidence.Key]evidence.Tally
+	changed   map[evidence.Key]bool
+	held      map[orderKey]bool
+	paused    chan struct{} // closed when the pause ends; nil while there is none
+	cut       bool
+	silent    bool // it asks nothing
+	unsettled bool
+	sentBytes int
+}
+
+func (n *testNode) TakeChanged(most int) []evidence.Row {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var rows []evidence.Row
+	for key := range n.changed {
+		if len(rows) < most {
+			rows = append(rows, n.row(key))
+			delete(n.changed, key)
+		}
+	}
+	return rows
+}
+
+func (n *testNode) Rows() []evidence.Row {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var rows []evidence.Row
+	for key := range n.rows {
+		rows = append(rows, n.row(key))
+	}
+	return rows
+}
+
+// row gives a copy of the counts of a key; the lock must be held.
+func (n *testNode) row(key evidence.Key) evidence.Row {
+	counts := evidence.Tally{}
+	counts.Add(n.rows[key])
+	return evidence.Row{Key: key, Tally: counts}
+}
+
+func (n *testNode) observe(key evidence.Key, failed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	counts := n.rows[key]
+	counts.Observe(failed, 10*time.Millisecond)
+	n.rows[key] = counts
+	n.changed[key] = true
+}
+
+func (n *testNode) Hold(service string, order int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.held[orderKey{service, order}] = true
+}
+
+func (n *testNode) isHeld(order orderKey) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.held[order]
+}
+
+func (n *testNode) SettledRevision() int64 { return n.catalog.Revision() }
+
+func (n *testNode) Send(address string, message peer.Message) {
+	line, err := json.Marshal(message)
+	if err != nil || len(line) > peer.MaximumDatagram {
+		n.fleet.t.Errorf("a datagram of %d bytes: %v", len(line), err)
+	}
+	n.mu.Lock()
+	if message.RolloutReports != nil {
+		n.sentBytes += len(line) + headerBytes
+	}
+	n.mu.Unlock()
+	n.transport.Send(address, message)
+}
+
+func (n *testNode) HandleDatagram(message peer.Message) {
+	switch {
+	case message.RolloutReports != nil:
+		n.controller.HeardReports(message.From, *message.RolloutReports)
+	case message.RolloutHold != nil:
+		n.controller.HeardHold(message.From, *message.RolloutHold)
+	}
+}
+
+func (n *testNode) HandleCall(context.Context, peer.Message) peer.Message { return peer.Message{} }
+
+// Settled counts the nodes that this one reaches.
+func (n *testNode) Settled(context.Context, int64) FleetStatus {
+	status := FleetStatus{}
+	for _, other := range n.fleet.all() {
+		if !other.isReachable() || !n.isReachable() {
+			continue
+		}
+		settled := other.catalog.Revision()
+		if other.isUnsettled() {
+			settled = 0
+		}
+		if status.Answered == 0 || settled < status.LowestSettled {
+			status.LowestSettled = settled
+		}
+		status.Answered++
+	}
+	return status
+}
+
+func (n *testNode) OrderSeen(OrderRecord)          {}
+func (n *testNode) PhaseLearned(rollout.State)     {}
+func (n *testNode) PhaseWritten(PhaseRecord)       {}
+func (n *testNode) Held(HoldRecord)                {}
+func (n *testNode) RowsDropped(DroppedRecord)      {}
+func (n *testNode) VersionsWritten(VersionsRecord) {}
+
+// awake waits until the node is not paused.
+func (n *testNode) awake() {
+	n.mu.Lock()
+	paused := n.paused
+	n.mu.Unlock()
+	if paused != nil {
+		<-paused
+	}
+}
+
+func (n *testNode) isCut() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut
+}
+
+func (n *testNode) stopCounting() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent = true
+}
+
+func (n *testNode) setUnsettled() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unsettled = true
+}
+
+func (n *testNode) isUnsettled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.unsettled
+}
+
+func (n *testNode) isReachable() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.cut && n.paused == nil
+}
+
+// sync brings the node's configuration up to the store's.
+func (n *testNode) sync() {
+	if n.isReachable() {
+		n.catalog.Replace(n.fleet.store.snapshot())
+	}
+}
+
+func (n *testNode) ask(fails bool) {
+	n.mu.Lock()
+	isQuiet := n.paused != nil || n.silent
+	n.mu.Unlock()
+	if isQuiet {
+		return
+	}
+	view := n.catalog.View()
+	for service := range view.Rollouts {
+		rule := view.Leafs.Rule(service)
+		if rule.Trial == "" || n.isHeld(orderKey{service, rule.Order}) {
+			continue
+		}
+		for _, leaf := range view.Leafs.OnTrial(service) {
+			n.observe(evidence.Key{Service: service, Order: rule.Order, Route: "r", Version: leaf.Version, Leaf: leaf.ID}, fails)
+			break
+		}
+		n.observe(evidence.Key{Service: service, Order: rule.Order, Route: "r", Version: rule.Serving}, false)
+	}
+}
+
+// plainJudging finds a version bad by 10 failures, and good without any after half of the time.
+type plainJudging struct {
+	trial    string
+	duration time.Duration
+}
+
+func newPlainJudging(_, trial string, duration time.Duration) Judging {
+	return plainJudging{trial, duration}
+}
+
+func (j plainJudging) Update(elapsed time.Duration, rows []evidence.Row) Judgement {
+	for _, one := range countVersions(rows) {
+		switch {
+		case one.Version != j.trial:
+		case one.Failures >= 10:
+			return Judgement{Bad, "10 answers failed"}
+		case elapsed >= j.duration/2 && one.Attempts >= 5:
+			return Judgement{Good, "none failed"}
+		}
+	}
+	return Judgement{Finding: Undecided}
+}
--- a/internal/rolloutcontrol/packing.go
+++ b/internal/rolloutcontrol/packing.go
@@ -46,8 +46,12 @@
 	if p.names == nil {
 		p.names = map[string]uint64{}
 	}
+	names := []string{row.Service, row.Route, row.Version, row.Leaf, row.Zone}
+	if slices.ContainsFunc(names, func(name string) bool { return len(name) > longestName }) {
+		return false
+	}
 	before, known := len(p.content), len(p.names)
-	for _, name := range []string{row.Service, row.Route, row.Version, row.Leaf, row.Zone} {
+	for _, name := range names {
 		p.name(name)
 	}
 	p.number(row.Order)
--- /dev/null
+++ b/internal/rolloutcontrol/reports_test.go
@@ -0,0 +1,199 @@
+package rolloutcontrol
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/peer"
+)
+
+func drawRow(t *rapid.T) evidence.Row {
+	name := rapid.StringN(0, 12, 40)
+	counts := rapid.SliceOfN(rapid.Int64Range(0, 1000), 0, 48)
+	return evidence.Row{
+		Key: evidence.Key{
+			Service: name.Draw(t, "service"), Order: rapid.Int64Range(0, 1<<50).Draw(t, "order"), Route: name.Draw(t, "route"),
+			Version: name.Draw(t, "version"), Leaf: name.Draw(t, "leaf"), Zone: name.Draw(t, "zone"),
+		},
+		Tally: evidence.Tally{
+			Failures: rapid.Int64Range(0, 1000).Draw(t, "failures"),
+			Answered: counts.Draw(t, "answered"), GivenUp: counts.Draw(t, "given up"),
+		},
+	}
+}
+
+// Rows that fit into a datagram come out as they went in, and those that don't leave no trace.
+func TestPackKeepsRows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rows := rapid.SliceOfN(rapid.Custom(drawRow), 0, 30).Draw(t, "rows")
+		room := packedRoom("node")
+		var packed packer
+		var sent []evidence.Row
+		for _, row := range rows {
+			if packed.add(row, room) {
+				sent = append(sent, row)
+			}
+		}
+		if len(packed.content) > room {
+			t.Fatalf("%d bytes in a room of %d", len(packed.content), room)
+		}
+		got, err := unpack(packed.content)
+		if err != nil || len(got) != len(sent) {
+			t.Fatalf("%d of %d rows: %v", len(got), len(sent), err)
+		}
+		for index, row := range got {
+			if row.Key != sent[index].Key || row.Failures != sent[index].Failures || !sameCounts(row.Answered, sent[index].Answered) || !sameCounts(row.GivenUp, sent[index].GivenUp) {
+				t.Fatalf("got %v of %v", row, sent[index])
+			}
+		}
+	})
+}
+
+// sameCounts compares histograms but for empty buckets at their ends.
+func sameCounts(a, b evidence.Histogram) bool {
+	return slices.Equal(withoutTail(a), withoutTail(b))
+}
+
+func withoutTail(counts evidence.Histogram) evidence.Histogram {
+	for len(counts) > 0 && counts[len(counts)-1] == 0 {
+		counts = counts[:len(counts)-1]
+	}
+	return counts
+}
+
+func FuzzUnpack(f *testing.F) {
+	var packed packer
+	packed.add(evidence.Row{Key: evidence.Key{Service: "s", Leaf: "l"}, Tally: evidence.Tally{Answered: evidence.Histogram{0, 1}}}, 1000)
+	f.Add(packed.content)
+	f.Add([]byte{0, 255, 255, 255, 255, 255, 255, 255, 255, 127})
+	f.Fuzz(func(t *testing.T, content []byte) {
+		rows, err := unpack(content)
+		if err != nil && len(rows) > 0 {
+			t.Fatal("rows of a report that can't be read")
+		}
+	})
+}
+
+// In whatever order reports come, and however often, the sums are those of the newest row of each process.
+func TestSumsDontDependOnTheOrderOfReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		order := orderKey{"s", 1}
+		type report struct {
+			from reporter
+			row  evidence.Row
+		}
+		var all []report
+		want := int64(0)
+		for number := range rapid.IntRange(1, 6).Draw(t, "processes") {
+			from := reporter{fmt.Sprint("n", number/2), int64(number % 2)}
+			steps := rapid.IntRange(1, 5).Draw(t, "steps")
+			var counts evidence.Tally
+			for range steps {
+				counts.Observe(false, time.Millisecond)
+				var told evidence.Tally
+				told.Add(counts)
+				all = append(all, report{from, evidence.Row{Key: evidence.Key{Service: "s", Order: 1, Version: "b"}, Tally: told}})
+			}
+			want += int64(steps)
+		}
+		all = append(all, all...)
+		var heard tallies
+		for _, one := range rapid.Permutation(all).Draw(t, "reports") {
+			heard.hear(one.from, "address", []evidence.Row{one.row}, time.Now())
+		}
+		rows, _ := heard.sum(order)
+		if len(rows) != 1 || rows[0].Attempts() != want {
+			t.Fatalf("%v, not %d attempts", rows, want)
+		}
+	})
+}
+
+// A judge keeps so many rows and no more, takes newer counts of those that it keeps, and has room again once an
+// order is over.
+func TestTalliesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var heard tallies
+	rowOf := func(leaf, attempts int) evidence.Row {
+		return evidence.Row{
+			Key:   evidence.Key{Service: "s", Order: 1, Leaf: fmt.Sprint(leaf)},
+			Tally: evidence.Tally{Answered: evidence.Histogram{int64(attempts)}},
+		}
+	}
+	for leaf := range mostRows {
+		is.Equal(heard.hear(reporter{"n", 1}, "a", []evidence.Row{rowOf(leaf, 1)}, time.Now()), 0)
+	}
+	is.Equal(heard.hear(reporter{"n", 1}, "a", []evidence.Row{rowOf(mostRows, 1), rowOf(0, 2)}, time.Now()), 1)
+	is.Equal(heard.hear(reporter{"other", 1}, "b", []evidence.Row{rowOf(0, 1)}, time.Now()), 1)
+	is.Equal(heard.addresses(orderKey{"s", 1}), []string{"a"})
+	rows, _ := heard.sum(orderKey{"s", 1})
+	is.Equal(attemptsOf(rows), int64(mostRows+1))
+	heard.keep(func(orderKey) bool { return false })
+	is.Equal(heard.size, 0)
+	is.Equal(len(heard.orders), 0)
+}
+
+// The judges are of distinct zones as far as there are, the same for all nodes, and one that goes changes no other.
+func TestJudgesAreOfDistinctZonesAndStay(t *testing.T) {
+	is := is.New(t)
+	nodes := map[string]catalog.NodeRecord{}
+	for number := range 20 {
+		id := fmt.Sprint("n", number)
+		nodes[id] = catalog.NodeRecord{ID: id, Zone: fmt.Sprint("z", number%2)}
+	}
+	first := map[string]bool{}
+	for number := range 100 {
+		service := fmt.Sprint("s", number)
+		judges := judgesOf(nodes, service, 3)
+		is.Equal(len(judges), 3)
+		is.True(judges[0].Zone != judges[1].Zone)
+		first[judges[0].ID] = true
+		gone := nodes[judges[1].ID]
+		delete(nodes, gone.ID)
+		is.Equal(judgesOf(nodes, service, 3)[0], judges[0])
+		nodes[gone.ID] = gone
+	}
+	is.True(len(first) > 10) // the duty is dealt
+	is.Equal(len(judgesOf(map[string]catalog.NodeRecord{"n0": {ID: "n0"}}, "s", 3)), 1)
+}
+
+func TestConfigNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(DefaultConfig().Validate())
+	is.Equal(len(failure.Faults(Config{MaximumRetryPause: -1}.Validate())), 13)
+}
+
+// countingSender counts the rows that are sent.
+type countingSender struct{ rows int }
+
+func (c *countingSender) Send(_ string, message peer.Message) {
+	rows, err := unpack(message.RolloutReports.Rows)
+	if err != nil {
+		panic(err)
+	}
+	c.rows += len(rows)
+}
+
+// A name that no judge would read does not keep other rows from being sent.
+func TestRowThatFitsNowhereIsDropped(t *testing.T) {
+	is := is.New(t)
+	sent := &testNode{id: "n", rows: map[evidence.Key]evidence.Tally{}, changed: map[evidence.Key]bool{}}
+	long := evidence.Key{Service: strings.Repeat("x", longestName+1), Order: 1}
+	sent.observe(long, false)
+	sent.observe(evidence.Key{Service: "s", Order: 1}, false)
+	dropped, datagrams := 0, countingSender{}
+	r := newReports(DefaultConfig(), catalog.NodeRecord{ID: "n"}, sent, &datagrams, nil, func(rows int) { dropped += rows })
+	judges := func(string) []catalog.NodeRecord { return []catalog.NodeRecord{{ID: "judge", Address: "judge"}} }
+	r.step(time.Now(), judges, func(orderKey) bool { return true })
+	is.Equal(dropped, 1)
+	is.Equal(datagrams.rows, 1)
+	is.Equal(len(r.boxes), 0)
+}
