--- a/internal/rolloutcontrol/reporter.go
+++ b/internal/rolloutcontrol/reporter.go
@@ -13,7 +13,8 @@
 	"github.com/portgauge/portgauge/internal/peer"
 )
 
-// Counts are what a node itself counted for the orders under way.
+// Counts are what a node itself counted for the orders under way. The rows that it gives are the caller's own: counting
+// on does not change them.
 type Counts interface {
 	// TakeChanged gives up to a number of rows that changed since they were last taken.
 	TakeChanged(most int) []evidence.Row
