--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,10 @@
 			newLeafGossip,
 			newReachDatagrams,
 			newZones,
+			newSplitter,
+			newCounts,
+			newJudging,
+			newRollouts,
 		),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
 			events := &fxevent.ZapLogger{Logger: logger}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -65,6 +65,7 @@
 	Beliefs   *beliefJournal
 	Reach     *reachability.Datagrams
 	Zones     *reachability.Tracker
+	Rollouts  *rollouts
 	Self      catalog.NodeRecord
 	Lessor    store.Lessor `optional:"true"`
 	Logger    *zap.Logger
@@ -76,9 +77,9 @@
 	var running sync.WaitGroup
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			handler := configsync.NewPeerHandler(parts.Syncer, parts.Gossip.Heard)
-			handler.SetReach(parts.Reach.Heard)
-			parts.Transport.Serve(handler)
+			parts.Transport.Serve(configsync.NewPeerHandler(parts.Syncer, configsync.Hearers{
+				Leafs: parts.Gossip.Heard, Reach: parts.Reach.Heard, Rollouts: parts.Rollouts.hearer(),
+			}))
 			go parts.Zones.Run(ctx)
 			go parts.Syncer.Run(ctx)
 			go parts.Members.Run(ctx)
@@ -86,6 +87,7 @@
 			go parts.Writer.Run(ctx)
 			go parts.Gossip.Run(ctx)
 			go parts.Beliefs.run(ctx)
+			running.Go(func() { parts.Rollouts.run(ctx) })
 			if parts.Lessor != nil {
 				record := registry.New(parts.Config.Registry, parts.Lessor, parts.Self, parts.Logger)
 				running.Go(func() { record.Run(ctx) })
