Verdict on a version: sequential tests of failures and latency, leaf by leaf, and the cases that weigh it

Cause: a roll-out must tell a bad version from an unlucky one by few answers. Change: internal/verdict weighs failures and late answers, route by route, against what the serving version does at the same time; no leaf counts for more than a part. internal/lab/canary plays cases in virtual time, portgauge-lab experiment canary weighs three ways by them. Tests: innocent and guilty cases with fixed seeds, properties of the finding, partial and shrinking counts.

--- a/cmd/portgauge-lab/experiment.go
+++ b/cmd/portgauge-lab/experiment.go
@@ -11,8 +11,8 @@
 
 // experimentCommand runs an experiment.
 type experimentCommand struct {
-	Name        string        `arg:"" help:"Experiment: ${enum}." enum:"tail,slow-replica,overload,brownout,node-cost"`
-	Repetitions int           `help:"How often each arm runs." default:"3"`
+	Name        string        `arg:"" help:"Experiment: ${enum}." enum:"tail,slow-replica,overload,brownout,node-cost,canary"`
+	Repetitions int           `help:"How often each arm runs; of canary: the seeds a case." default:"3"`
 	Slice       time.Duration `help:"How long one arm runs at a time." default:"10s"`
 	PerSecond   float64       `help:"Searches a second; 0 means the experiment's own rate."`
 }
--- /dev/null
+++ b/internal/lab/canary/answers.go
@@ -0,0 +1,151 @@
+package canary
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// What leafs do. The spread is of the logarithm of the latency.
+const (
+	firstMedian = 15 * time.Millisecond
+	nextMedian  = 45 * time.Millisecond
+	spread      = 0.35
+	deadline    = 1500 * time.Millisecond
+	zones       = 3
+
+	coldFactor = 1.6
+	coldFor    = 3 * time.Second
+
+	slowLeafFactor = 5
+	greyShare      = 0.4
+	flapPeriod     = 1500 * time.Millisecond
+	bothFailShare  = 0.15
+	burstFactor    = 3
+	// The mishaps that pass last for the middle third of the order.
+	mishapFrom = 1.0 / 3
+	mishapTo   = 2.0 / 3
+)
+
+// A pause of a leaf lasts 100 to 250 ms each 2.4 to 6 s, 4% of the time.
+const (
+	shortestPause = 100 * time.Millisecond
+	longestPause  = 250 * time.Millisecond
+	pauseShare    = 0.04
+)
+
+// leaf is one leaf of a version.
+type leaf struct {
+	id      string
+	zone    int
+	number  int
+	onTrial bool
+	pause   time.Duration
+	phase   time.Duration
+}
+
+func newLeaf(id string, number int, onTrial bool, random *rand.Rand) leaf {
+	pause := shortestPause + time.Duration(random.Int64N(int64(longestPause-shortestPause)))
+	period := time.Duration(float64(pause) / pauseShare)
+	return leaf{
+		id: id, zone: number % zones, number: number, onTrial: onTrial, pause: pause,
+		phase: time.Duration(random.Int64N(int64(period))),
+	}
+}
+
+// paused gives how long a pause goes on at a time, or 0.
+func (l *leaf) paused(at time.Duration) time.Duration {
+	period := time.Duration(float64(l.pause) / pauseShare)
+	return max(0, l.pause-(at+l.phase)%period)
+}
+
+// answer is what became of an attempt.
+type answer struct {
+	at      time.Duration
+	took    time.Duration
+	failed  bool
+	givenUp bool
+	// isBad says that it was bad by the version's fault.
+	isBad bool
+	route int
+	leaf  *leaf
+}
+
+// attempt plays a request at a leaf; loaded says whether the leaf gets as many as in full service.
+func (p *play) attempt(at time.Duration, l *leaf, route int, loaded bool) answer {
+	work := firstMedian
+	if route > 0 {
+		work = nextMedian
+	}
+	factor := math.Exp(spread * p.random.NormFloat64())
+	a := answer{route: route, leaf: l}
+	if l.onTrial && at < coldFor {
+		factor *= coldFactor
+	}
+	if l.onTrial && p.shows(at, route, loaded) {
+		factor = p.blame(&a, factor)
+	}
+	a.took = time.Duration(factor * float64(work))
+	p.happen(&a, at, l)
+	a.took += l.paused(at)
+	if a.took > deadline {
+		a.took, a.givenUp, a.failed = deadline, true, false
+	}
+	a.at = at + a.took
+	return a
+}
+
+// shows reports whether the version's fault shows in a request.
+func (p *play) shows(at time.Duration, route int, loaded bool) bool {
+	fault := p.of.Fault
+	return float64(at) >= fault.From*float64(p.of.Duration) &&
+		(!fault.LastRoute || route == p.of.Routes-1) && (!fault.UnderLoad || loaded)
+}
+
+func (p *play) blame(a *answer, factor float64) float64 {
+	fault := p.of.Fault
+	if p.random.Float64() < fault.Failing {
+		a.failed, a.isBad = true, true
+	}
+	if fault.Slow > 1 && p.random.Float64() < fault.SlowShare {
+		a.isBad = true
+		return factor * fault.Slow
+	}
+	return factor
+}
+
+// happen lets the mishap befall an attempt.
+func (p *play) happen(a *answer, at time.Duration, l *leaf) {
+	part := float64(at) / float64(p.of.Duration)
+	passing := part >= mishapFrom && part < mishapTo
+	chosen := l.onTrial && l.number == 0
+	switch p.of.Mishap {
+	case DeadLeaf:
+		a.lose(chosen, time.Millisecond)
+	case SlowLeaf:
+		if chosen {
+			a.took *= slowLeafFactor
+		}
+	case GreyLeaf:
+		a.failed = a.failed || chosen && p.random.Float64() < greyShare
+	case Flapping:
+		a.lose(chosen && at/flapPeriod%2 == 0, deadline)
+	case ZoneCut:
+		a.lose(passing && l.zone == 0, deadline)
+	case Burst:
+		if passing {
+			a.took *= burstFactor
+		}
+	case BothFail:
+		a.failed = a.failed || passing && p.random.Float64() < bothFailShare
+	case OldGrey:
+		a.failed = a.failed || !l.onTrial && l.number == 0 && p.random.Float64() < greyShare
+	}
+}
+
+// lose lets an attempt get no answer.
+func (a *answer) lose(lost bool, after time.Duration) {
+	if lost {
+		a.took, a.failed, a.givenUp = after, false, true
+	}
+}
--- /dev/null
+++ b/internal/lab/canary/play.go
@@ -0,0 +1,196 @@
+package canary
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/verdict"
+)
+
+// Names of the two versions.
+const (
+	Serving = "v1"
+	OnTrial = "v2"
+)
+
+// The share of the requests that an unproven version gets, as the nodes keep it.
+const (
+	share = 0.1
+	slack = 50
+	used  = 0.8
+	// The slack is spent in the second quarter of the order, in so many moments, each at one leaf.
+	slackFrom = 0.25
+	slackTo   = 0.5
+	moments   = 6
+	// ramp is the part of the order in which the requests move to a version found good.
+	ramp = 0.05
+	// every is how often the counts are judged.
+	every = 300 * time.Millisecond
+)
+
+// Judge judges by the counts so far.
+type Judge interface {
+	Update(elapsed time.Duration, rows []evidence.Row) verdict.Finding
+}
+
+// Outcome is what a judge found in a case.
+type Outcome struct {
+	// Last is the finding at the end.
+	Last verdict.Finding
+	// GoodAt and BadAt are when it was found so, 0 for never.
+	GoodAt, BadAt time.Duration
+	// Answers and BadAnswers are those of the version on trial until it was found bad or the order ended.
+	Answers    int
+	BadAnswers int
+	// SpentInSwitch says that it was found good before.
+	SpentInSwitch bool
+}
+
+// play is a case that is played.
+type play struct {
+	of      Case
+	random  *rand.Rand
+	leafs   [2][]leaf
+	pending []answer
+	tallies map[evidence.Key]*evidence.Tally
+	order   []evidence.Key
+	outcome Outcome
+	// spent are the requests that the version got beyond its share, and sent those within it.
+	spent, sent, requests float64
+}
+
+// Play plays a case before a judge.
+func Play(of Case, seed uint64, judge Judge) Outcome {
+	p := newPlay(of.withDefaults(), seed)
+	at, judged := p.next(0), every
+	for ; judged <= p.of.Duration && p.outcome.Last != verdict.Bad; judged += every {
+		for at < judged {
+			p.request(at)
+			at = p.next(at)
+		}
+		p.deliver(judged)
+		if p.of.Mishap != NoReports || judged < p.of.Duration/4 || judged > p.of.Duration/2 {
+			p.judge(judged, judge)
+		}
+	}
+	return p.outcome
+}
+
+func newPlay(of Case, seed uint64) *play {
+	p := &play{of: of, random: rand.New(rand.NewPCG(seed, 1)), tallies: map[evidence.Key]*evidence.Tally{}}
+	p.outcome.Last = verdict.Undecided
+	for number := range of.Leafs {
+		p.leafs[0] = append(p.leafs[0], newLeaf(fmt.Sprint("old-", number), number, false, p.random))
+		p.leafs[1] = append(p.leafs[1], newLeaf(fmt.Sprint("new-", number), number, true, p.random))
+	}
+	return p
+}
+
+// next gives when the next request comes.
+func (p *play) next(at time.Duration) time.Duration {
+	perSecond := p.of.PerSecond
+	part := float64(at) / float64(p.of.Duration)
+	if p.of.Mishap == Burst && part >= mishapFrom && part < mishapTo {
+		perSecond *= burstFactor
+	}
+	return at + time.Duration(p.random.ExpFloat64()/perSecond*float64(time.Second))
+}
+
+// request sends a request to one of the versions.
+func (p *play) request(at time.Duration) {
+	p.requests++
+	route := p.random.IntN(p.of.Routes)
+	p.pending = append(p.pending, p.choose(at, route))
+}
+
+func (p *play) choose(at time.Duration, route int) answer {
+	if p.outcome.Last == verdict.Good {
+		moved := float64(at-p.outcome.GoodAt) / (ramp * float64(p.of.Duration))
+		version := 0
+		if p.random.Float64() < moved {
+			version = 1
+		}
+		return p.attempt(at, p.anyOf(version), route, true)
+	}
+	if l := p.inMoment(at); l != nil {
+		p.spent++
+		return p.attempt(at, l, route, true)
+	}
+	if p.sent+1 <= share*used*p.requests+p.random.Float64() {
+		p.sent++
+		return p.attempt(at, p.anyOf(1), route, false)
+	}
+	return p.attempt(at, p.anyOf(0), route, false)
+}
+
+func (p *play) anyOf(version int) *leaf {
+	return &p.leafs[version][p.random.IntN(p.of.Leafs)]
+}
+
+// inMoment gives the leaf that gets all requests now, from the slack, or nil.
+func (p *play) inMoment(at time.Duration) *leaf {
+	part := (float64(at)/float64(p.of.Duration) - slackFrom) / (slackTo - slackFrom)
+	if part < 0 || part >= 1 {
+		return nil
+	}
+	moment := math.Floor(part * moments)
+	if p.spent >= slack*used*(moment+1)/moments {
+		return nil
+	}
+	return &p.leafs[1][int(moment)%p.of.Leafs]
+}
+
+// deliver counts the answers until a time.
+func (p *play) deliver(until time.Duration) {
+	left := p.pending[:0]
+	for _, a := range p.pending {
+		if a.at > until {
+			left = append(left, a)
+			continue
+		}
+		p.count(a)
+	}
+	p.pending = left
+}
+
+func (p *play) count(a answer) {
+	key := evidence.Key{Service: "s", Order: 1, Route: fmt.Sprint("/", a.route), Version: Serving, Leaf: a.leaf.id, Zone: fmt.Sprint("z", a.leaf.zone)}
+	if a.leaf.onTrial {
+		key.Version = OnTrial
+		p.outcome.Answers++
+		if a.isBad {
+			p.outcome.BadAnswers++
+		}
+	}
+	if p.tallies[key] == nil {
+		p.tallies[key] = &evidence.Tally{}
+		p.order = append(p.order, key)
+	}
+	if a.givenUp {
+		p.tallies[key].ObserveGivenUp(a.took)
+		return
+	}
+	p.tallies[key].Observe(a.failed, a.took)
+}
+
+func (p *play) judge(at time.Duration, judge Judge) {
+	rows := make([]evidence.Row, 0, len(p.order))
+	for _, key := range p.order {
+		rows = append(rows, evidence.Row{Key: key, Tally: *p.tallies[key]})
+	}
+	finding := judge.Update(at, rows)
+	if finding == p.outcome.Last {
+		return
+	}
+	p.outcome.Last = finding
+	switch finding {
+	case verdict.Good:
+		p.outcome.GoodAt = at
+	case verdict.Bad:
+		p.outcome.BadAt = at
+		p.outcome.SpentInSwitch = p.outcome.GoodAt > 0
+	}
+}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -15,7 +15,7 @@
 
 // Options are shared by all experiments.
 type Options struct {
-	// Repetitions is how often each arm runs, in turn with the others.
+	// Repetitions is how often each arm runs, in turn with the others; of canary the seeds of each case.
 	Repetitions int
 	// Slice is how long one arm runs at a time.
 	Slice time.Duration
@@ -31,6 +31,7 @@
 		"overload":     runOverload,
 		"brownout":     runBrownout,
 		"node-cost":    runNodeCost,
+		"canary":       runCanary,
 	}
 	run, found := experiments[name]
 	if !found {
--- /dev/null
+++ b/internal/verdict/cases_test.go
@@ -0,0 +1,100 @@
+package verdict_test
+
+import (
+	"testing"
+
+	"github.com/portgauge/portgauge/internal/lab/canary"
+)
+
+const seeds = 24
+
+func weigh(of canary.Case) canary.Measure { return canary.Weigh(of, canary.Ways()[0], seeds) }
+
+// Whatever happens to a good version that is not its fault, it is rarely refused.
+func TestInnocentIsFoundGoodInTime(t *testing.T) {
+	for _, mishap := range canary.Mishaps() {
+		for _, leafs := range []int{3, 30} {
+			of := canary.Case{Name: string(mishap), PerSecond: 500, Leafs: leafs, Mishap: mishap}
+			t.Run(of.Name, func(t *testing.T) {
+				m := weigh(of)
+				if m.Wrong() > 0.1 {
+					t.Fatal(m.String())
+				}
+				if m.GoodParts[len(m.GoodParts)/2] > 0.65 || m.GoodParts[0] < 0.5 {
+					t.Fatal(m.String())
+				}
+			})
+		}
+	}
+}
+
+// With few requests a mishap may cost a good version its order, but it is rarely found bad by it. Failures of both
+// versions are the hardest: all requests of a moment go to one version, so there is little to compare with.
+func TestInnocentWithFewRequestsIsNotFoundBad(t *testing.T) {
+	for _, mishap := range canary.Mishaps() {
+		most := seeds / 10
+		if mishap == canary.BothFail {
+			most = seeds / 4
+		}
+		for _, rate := range []float64{1, 5, 40} {
+			of := canary.Case{Name: string(mishap), PerSecond: rate, Mishap: mishap}
+			t.Run(of.Name, func(t *testing.T) {
+				m := weigh(of)
+				if m.Bad > most {
+					t.Fatal(m.String())
+				}
+			})
+		}
+	}
+}
+
+// guilty are faults that must be found by at most so many bad answers in the middle of the seeds, or 95 in 100.
+var guilty = []struct {
+	of           canary.Case
+	median, most int
+}{
+	{canary.Case{Name: "fails 0.05", PerSecond: 500, Fault: canary.Fault{Failing: 0.05}}, 12, 25},
+	{canary.Case{Name: "fails 0.2", PerSecond: 40, Fault: canary.Fault{Failing: 0.2}}, 8, 15},
+	{canary.Case{Name: "fails 0.4", PerSecond: 5, Fault: canary.Fault{Failing: 0.4}}, 8, 12},
+	{canary.Case{Name: "fails 1", PerSecond: 5, Fault: canary.Fault{Failing: 1}}, 8, 12},
+	{canary.Case{Name: "fails 1, many leafs", PerSecond: 500, Leafs: 30, Fault: canary.Fault{Failing: 1}}, 15, 25},
+	{canary.Case{Name: "fails from half on", PerSecond: 40, Fault: canary.Fault{Failing: 0.4, From: 0.5}}, 10, 20},
+	{canary.Case{Name: "fails while switching", PerSecond: 40, Fault: canary.Fault{Failing: 0.4, From: 0.8}}, 15, 30},
+	{canary.Case{Name: "fails on one route", PerSecond: 40, Routes: 2, Fault: canary.Fault{Failing: 0.4, LastRoute: true}}, 8, 15},
+	{canary.Case{Name: "fails under load", PerSecond: 40, Fault: canary.Fault{Failing: 0.4, UnderLoad: true}}, 10, 15},
+	{canary.Case{Name: "all 3 times slower", PerSecond: 40, Fault: canary.Fault{Slow: 3, SlowShare: 1}}, 50, 70},
+	{canary.Case{Name: "all 8 times slower", PerSecond: 5, Fault: canary.Fault{Slow: 8, SlowShare: 1}}, 20, 35},
+	{canary.Case{Name: "some 5 times slower", PerSecond: 500, Fault: canary.Fault{Slow: 5, SlowShare: 0.3}}, 40, 80},
+	{canary.Case{Name: "slow on one route", PerSecond: 500, Routes: 2, Fault: canary.Fault{Slow: 4, SlowShare: 0.5, LastRoute: true}}, 40, 80},
+	{canary.Case{Name: "slow from half on", PerSecond: 500, Fault: canary.Fault{Slow: 4, SlowShare: 0.5, From: 0.5}}, 40, 80},
+}
+
+func TestGuiltyIsFoundBadByFewAnswers(t *testing.T) {
+	for _, g := range guilty {
+		t.Run(g.of.Name, func(t *testing.T) {
+			m := weigh(g.of)
+			if m.Bad < seeds*9/10 || m.Good > 0 {
+				t.Fatal(m.String())
+			}
+			if m.BadAnswers[len(m.BadAnswers)/2] > g.median || m.BadAnswers[len(m.BadAnswers)*95/100] > g.most {
+				t.Fatal(m.String())
+			}
+		})
+	}
+}
+
+// With too few answers to find a version bad by, it is at least rarely found good.
+func TestGuiltyWithFewRequestsRarelyServes(t *testing.T) {
+	for _, of := range []canary.Case{
+		{Name: "fails 0.2", PerSecond: 5, Fault: canary.Fault{Failing: 0.2}},
+		{Name: "fails 1", PerSecond: 1, Fault: canary.Fault{Failing: 1}},
+		{Name: "all 5 times slower", PerSecond: 5, Fault: canary.Fault{Slow: 5, SlowShare: 1}},
+	} {
+		t.Run(of.Name, func(t *testing.T) {
+			m := weigh(of)
+			if m.Wrong() > 0.1 {
+				t.Fatal(m.String())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/verdict/finding.go
@@ -0,0 +1,159 @@
+package verdict
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// Signal is a sort of bad answer.
+type Signal string
+
+// The signals.
+const (
+	Failed Signal = "failed"
+	Late   Signal = "failed or late"
+)
+
+// Bounds of a trial, and what it needs at least.
+const (
+	// mostRoutes bounds the routes that are followed; others are ignored.
+	mostRoutes = 8
+	// leastForMedian is the answers of the serving version that make a median of a route.
+	leastForMedian = 5
+	// leastToCompare is the serving version's answers lately without which a version is compared with the serving
+	// version of another time; its limits are then aloneFactor times as long.
+	leastToCompare = 5
+	aloneFactor    = 2
+	// answersOfFalseAlarm is the answers that Config.FalseAlarm is told for.
+	answersOfFalseAlarm = 100
+	// mostSuspicious is the level above which a version isn't found good, mostByLittle where there is little evidence.
+	mostSuspicious = 2.0
+	mostByLittle   = 1.0
+	// rareRoute is the part of all answers below which a route is judged by what there is; not measured yet.
+	rareRoute = 0.1
+)
+
+// suspect is the suspicion with the highest level.
+type suspect struct {
+	level  float64
+	route  string
+	signal int
+	seen   ratio
+}
+
+// worst gives what speaks most against the version.
+func (t *Trial) worst() suspect {
+	worst := suspect{level: math.Inf(-1)}
+	worst = t.worstOf(worst, "", t.pooled)
+	for name, route := range t.routes {
+		worst = t.worstOf(worst, name, route.suspicions)
+	}
+	return worst
+}
+
+func (t *Trial) worstOf(worst suspect, route string, suspicions []*suspicion) suspect {
+	most := t.mostOfLeaf(t.last)
+	for i, s := range suspicions {
+		level := s.level(most)
+		if level > worst.level || level == worst.level && route < worst.route {
+			worst = suspect{level: level, route: route, signal: i, seen: s.seen}
+		}
+	}
+	return worst
+}
+
+// find sets the finding. Bad stays, Good stays unless it turns into Bad.
+func (t *Trial) find(elapsed time.Duration, worst suspect) {
+	switch {
+	case t.finding == Bad:
+	case worst.level >= t.threshold():
+		t.finding = Bad
+	case t.finding == Undecided && t.isGood(elapsed, worst):
+		t.finding = Good
+	}
+}
+
+// isGood reports whether enough speaks for the version, at a time in the order.
+func (t *Trial) isGood(elapsed time.Duration, worst suspect) bool {
+	part := float64(elapsed) / float64(t.duration)
+	if part < t.cfg.GoodFrom || elapsed-t.since < t.settle() || t.figures[1].Attempts < int64(t.cfg.LeastAnswers) {
+		return false
+	}
+	return t.isGoodByEnough() || part >= t.cfg.GoodByLittle && t.isGoodByLittle(worst)
+}
+
+// isGoodByEnough reports whether on all routes together and on each with traffic the least bad version would have
+// shown: by the leafs without the worst, which may be unlucky.
+func (t *Trial) isGoodByEnough() bool {
+	if !t.haveEnough(t.pooled) {
+		return false
+	}
+	for _, route := range t.routes {
+		if t.isRare(route) {
+			if !t.haveNothingAgainst(route.suspicions) {
+				return false
+			}
+			continue
+		}
+		if !t.haveEnough(route.suspicions) {
+			return false
+		}
+	}
+	return true
+}
+
+// isRare reports whether a route has hardly any of the answers.
+func (t *Trial) isRare(route *route) bool {
+	return route.suspicions[0].seen.all < rareRoute*t.pooled[0].seen.all
+}
+
+func (t *Trial) haveEnough(suspicions []*suspicion) bool {
+	for _, s := range suspicions {
+		if s.clearedByOthers() > math.Log(t.cfg.Miss) || s.levelByOthers() > mostSuspicious {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Trial) haveNothingAgainst(suspicions []*suspicion) bool {
+	for _, s := range suspicions {
+		if s.cleared(t.mostOfLeaf(t.last)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// isGoodByLittle reports whether what there is speaks for the version; no leaf is excused.
+func (t *Trial) isGoodByLittle(worst suspect) bool {
+	return worst.level <= mostByLittle && t.haveNothingAgainst(t.all())
+}
+
+// settle is a tenth of a short order, since a judge must decide within it.
+func (t *Trial) settle() time.Duration { return min(t.cfg.Settle, t.duration/10) }
+
+func (t *Trial) judgement(worst suspect) Judgement {
+	signal := Failed
+	if worst.signal > 0 {
+		signal = Late
+	}
+	j := Judgement{
+		Finding: t.finding, Serving: t.figures[0], Trial: t.figures[1], Route: worst.route, Signal: signal,
+		Confidence: 1 / (1 + math.Exp(-worst.level)),
+	}
+	j.Reason = t.reason(j, worst)
+	return j
+}
+
+// reason says the finding in a sentence.
+func (t *Trial) reason(j Judgement, worst suspect) string {
+	route := "all routes"
+	if worst.route != "" {
+		route = "route " + worst.route
+	}
+	return fmt.Sprintf("Version %s is %s: on %s %.0f of %.0f answers %s, weight %.1f of %.1f; of all attempts %d of %d failed and %d were slow, of %s %d of %d and %d.",
+		t.trial, j.Finding, route, worst.seen.bad, worst.seen.all, j.Signal, worst.level, t.threshold(),
+		j.Trial.Failures, j.Trial.Attempts, j.Trial.Slow, t.serving, j.Serving.Failures, j.Serving.Attempts, j.Serving.Slow)
+}
--- /dev/null
+++ b/internal/verdict/helpers_test.go
@@ -0,0 +1,59 @@
+package verdict_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/verdict"
+)
+
+const (
+	order = 12 * time.Second
+	usual = 20 * time.Millisecond
+	leafs = 3
+)
+
+// counts are rows that grow.
+type counts map[evidence.Key]*evidence.Tally
+
+// answers counts answers of a leaf on the only route, the last of them failed.
+func (c counts) answers(version string, leaf, n, failed int, took time.Duration) {
+	key := evidence.Key{Service: "s", Order: 1, Route: "/", Version: version, Leaf: fmt.Sprint(version, "-", leaf)}
+	if c[key] == nil {
+		c[key] = &evidence.Tally{}
+	}
+	for i := range n {
+		c[key].Observe(i >= n-failed, took)
+	}
+}
+
+// both counts clean answers of all leafs: ten of the serving version's for each of the version on trial.
+func (c counts) both(n int) {
+	for leaf := range leafs {
+		c.answers("v1", leaf, 10*n, 0, usual)
+		c.answers("v2", leaf, n, 0, usual)
+	}
+}
+
+func (c counts) rows() []evidence.Row {
+	var rows []evidence.Row
+	for key, tally := range c {
+		row := evidence.Row{Key: key}
+		row.Add(*tally)
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func newTrial() *verdict.Trial { return verdict.New(verdict.DefaultConfig(), "v1", "v2", order) }
+
+// play updates a trial from one time to another, each half second with what grow adds to the counts.
+func play(t *verdict.Trial, c counts, from, to time.Duration, grow func()) verdict.Judgement {
+	var j verdict.Judgement
+	for at := from; at <= to; at += 500 * time.Millisecond {
+		grow()
+		j = t.Update(at, c.rows())
+	}
+	return j
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,286 @@
+// Package verdict tells a bad version of a service from an unlucky one, by the counts of how its leafs and those of
+// the serving version answer at the same time. It has no clock and keeps nothing but sums.
+//
+// Route by route it weighs several signals: answers that failed, and answers that failed or took longer than some
+// multiples of the serving version's median. Each is a sequential test of a mixture of shares of bad answers against
+// the serving version's usual share, which starts anew whenever it speaks for the version.
+package verdict
+
+import (
+	"math"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/evidence"
+)
+
+// Finding is what the counts say of the version on trial.
+type Finding string
+
+// The findings. Bad is final; Good may turn into Bad.
+const (
+	Undecided Finding = "undecided"
+	Good      Finding = "good"
+	Bad       Finding = "bad"
+)
+
+// Figures are the counts of one version.
+type Figures struct {
+	Attempts int64
+	Failures int64
+	// Slow are the answers later than the middle one of the limits.
+	Slow int64
+}
+
+// Judgement is a finding with what it was found by.
+type Judgement struct {
+	Finding Finding
+	// Reason says it in a sentence with the figures.
+	Reason  string
+	Serving Figures
+	Trial   Figures
+	// Route is the route that speaks most against the version, empty for all routes together.
+	Route string
+	// Signal is what speaks most against it there.
+	Signal Signal
+	// Confidence is how likely the version is bad rather than good by that signal alone, 0 to 1, with neither likelier
+	// at first.
+	Confidence float64
+}
+
+// Trial is the trial of one order; not safe for concurrent use.
+type Trial struct {
+	cfg            Config
+	serving, trial string
+	duration       time.Duration
+
+	rows    map[evidence.Key]*followed
+	routes  map[string]*route
+	pooled  []*suspicion
+	leafs   map[string]bool
+	finding Finding
+	// last is the time of the last update, firstTrial when the version on trial was first heard of.
+	last, firstTrial time.Duration
+	// since is when the picture began to be whole, attempts the most that were seen of it.
+	since    time.Duration
+	attempts int64
+	begun    bool
+	figures  [2]Figures
+}
+
+// route is what is known of one route.
+type route struct {
+	usual      *usual
+	suspicions []*suspicion
+	// limits are those of the signals of late answers, empty until the usual latency is known.
+	limits []time.Duration
+}
+
+// New begins the trial of a version beside the serving one, for an order of a duration.
+func New(cfg Config, serving, trial string, duration time.Duration) *Trial {
+	return &Trial{
+		cfg: cfg, serving: serving, trial: trial, duration: duration, finding: Undecided,
+		rows: map[evidence.Key]*followed{}, routes: map[string]*route{}, pooled: cfg.suspicions(), leafs: map[string]bool{},
+	}
+}
+
+// suspicions makes those of one route, by signal.
+func (c *Config) suspicions() []*suspicion {
+	all := []*suspicion{newSuspicion(c.BadShares, c.LeastBadShare)}
+	for range c.SlowFactors {
+		all = append(all, newSuspicion(c.slowShares(), c.LeastSlowShare))
+	}
+	return all
+}
+
+// slowShares are the shares that late answers are weighed by: smaller ones than the least that must be found would
+// be shown by any small difference between the versions, given time.
+func (c *Config) slowShares() []float64 {
+	var shares []float64
+	for _, share := range c.BadShares {
+		if share >= c.LeastSlowShare/2 {
+			shares = append(shares, share)
+		}
+	}
+	return append(shares, c.LeastSlowShare)
+}
+
+// Update judges by the counts of the whole fleet so far, with one row for each key, at a time since the order.
+func (t *Trial) Update(elapsed time.Duration, rows []evidence.Row) Judgement {
+	t.takePicture(elapsed, rows)
+	t.setLimits(rows)
+	of := t.freshOf(elapsed, rows)
+	for _, route := range t.routes {
+		route.usual.fade(max(0, elapsed-t.last), t.cfg.Recent)
+	}
+	t.last = max(t.last, elapsed)
+	t.weigh(of, elapsed)
+	worst := t.worst()
+	t.find(elapsed, worst)
+	return t.judgement(worst)
+}
+
+// takePicture counts the versions' figures, and notes since when the rows are a whole picture: one with fewer
+// attempts than before is of a judge that still hears the reports.
+func (t *Trial) takePicture(elapsed time.Duration, rows []evidence.Row) {
+	attempts := int64(0)
+	for _, row := range rows {
+		attempts += row.Attempts()
+	}
+	if !t.begun || attempts < t.attempts {
+		t.begun, t.since = true, elapsed
+	}
+	t.attempts = max(t.attempts, attempts)
+}
+
+// setLimits derives from the serving version's median of each route from when its answers are late.
+func (t *Trial) setLimits(rows []evidence.Row) {
+	medians := map[string]*evidence.Tally{}
+	for _, row := range rows {
+		if row.Version == t.serving && t.route(row.Route) != nil {
+			if medians[row.Route] == nil {
+				medians[row.Route] = &evidence.Tally{}
+			}
+			medians[row.Route].Add(row.Tally)
+		}
+	}
+	for name, tally := range medians {
+		if tally.Answered.Total() >= leastForMedian {
+			t.routes[name].limits = t.cfg.limits(tally.Answered.Quantile(0.5))
+		}
+	}
+}
+
+func (c *Config) limits(median time.Duration) []time.Duration {
+	var limits []time.Duration
+	for _, factor := range c.SlowFactors {
+		limits = append(limits, time.Duration(factor*float64(median))+c.Way)
+	}
+	return limits
+}
+
+// route gives what is known of a route; nil for those beyond mostRoutes.
+func (t *Trial) route(name string) *route {
+	known := t.routes[name]
+	if known == nil && len(t.routes) < mostRoutes {
+		known = &route{usual: newUsual(1 + len(t.cfg.SlowFactors)), suspicions: t.cfg.suspicions()}
+		t.routes[name] = known
+	}
+	return known
+}
+
+// freshOf gives what the rows have more than before.
+func (t *Trial) freshOf(elapsed time.Duration, rows []evidence.Row) []fresh {
+	var of []fresh
+	for _, row := range rows {
+		route := t.route(row.Route)
+		before := t.rows[row.Key]
+		isKnown := row.Version == t.serving || row.Version == t.trial
+		if route == nil || !isKnown || before == nil && len(t.rows) >= mostRows {
+			continue
+		}
+		if before == nil {
+			before = &followed{}
+			t.rows[row.Key] = before
+		}
+		if row.Attempts() < before.counted.Attempts() {
+			continue
+		}
+		if row.Version == t.trial && len(t.leafs) == 0 {
+			t.firstTrial = elapsed
+		}
+		t.count(row, before, route)
+		of = append(of, before.follow(row, t.limitsOf(row.Key, route, elapsed), elapsed, t.cfg))
+	}
+	return of
+}
+
+// limitsOf gives the limits of a row's route; wider ones for a version on trial whose leafs may be cold, and where the
+// serving version gets too little to compare with at the same time. A leaf that starts later than the others is one
+// leaf only.
+func (t *Trial) limitsOf(key evidence.Key, route *route, elapsed time.Duration) []time.Duration {
+	if key.Version != t.trial || len(route.limits) == 0 {
+		return route.limits
+	}
+	factor := 1.0
+	if elapsed-t.firstTrial < t.cfg.ColdFor {
+		factor = t.cfg.ColdFactor
+	}
+	if route.usual.near[0].all < leastToCompare {
+		factor = max(factor, aloneFactor)
+	}
+	limits := make([]time.Duration, len(route.limits))
+	for i, limit := range route.limits {
+		limits[i] = time.Duration(factor * float64(limit))
+	}
+	return limits
+}
+
+// count adds a row's growth to the figures of its version.
+func (t *Trial) count(row evidence.Row, before *followed, route *route) {
+	of := &t.figures[0]
+	if row.Version == t.trial {
+		of = &t.figures[1]
+		t.leafs[row.Leaf] = true
+	}
+	of.Attempts += row.Attempts() - before.counted.Attempts()
+	of.Failures += row.Failures - before.counted.Failures
+	if len(route.limits) > 0 {
+		limit := route.limits[len(route.limits)/2]
+		slow, _ := row.Slow(limit)
+		slowBefore, _ := before.timed.Slow(limit)
+		of.Slow += max(0, slow-slowBefore)
+	}
+}
+
+// weigh takes what the serving version did first, so that the version on trial is compared with the same time.
+func (t *Trial) weigh(of []fresh, elapsed time.Duration) {
+	for _, f := range of {
+		if f.key.Version == t.serving {
+			t.routes[f.key.Route].usual.observe(f)
+		}
+	}
+	for _, route := range t.routes {
+		route.usual.sum()
+	}
+	for _, f := range of {
+		if f.key.Version == t.trial {
+			t.weighTrial(f)
+		}
+	}
+	for _, s := range t.all() {
+		s.restart(t.mostOfLeaf(elapsed))
+	}
+}
+
+func (t *Trial) weighTrial(f fresh) {
+	route := t.routes[f.key.Route]
+	for i, signal := range f.signals {
+		share := route.usual.share(i, f.key.Zone)
+		route.suspicions[i].observe(f.key.Leaf, signal, share)
+		t.pooled[i].observe(f.key.Leaf, signal, share)
+	}
+}
+
+// all gives the suspicions of all routes.
+func (t *Trial) all() []*suspicion {
+	all := append([]*suspicion(nil), t.pooled...)
+	for _, route := range t.routes {
+		all = append(all, route.suspicions...)
+	}
+	return all
+}
+
+// threshold is the level from which a version is bad. It grows with the answers, since a sum that starts anew
+// has more chances to exceed it by accident.
+func (t *Trial) threshold() float64 {
+	return -math.Log(t.cfg.FalseAlarm) + math.Log1p(float64(t.figures[1].Attempts)/answersOfFalseAlarm)
+}
+
+// mostOfLeaf is the most that a leaf may give. A leaf that is the only one known of its version by the middle of the
+// order is the version.
+func (t *Trial) mostOfLeaf(elapsed time.Duration) float64 {
+	if len(t.leafs) == 1 && elapsed > t.duration/2 {
+		return math.MaxFloat64
+	}
+	return t.cfg.LeafPart * t.threshold()
+}
--- /dev/null
+++ b/internal/verdict/verdict_test.go
@@ -0,0 +1,187 @@
+package verdict_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/verdict"
+)
+
+func TestCleanVersionIsGoodButNotBeforeHalf(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	is.Equal(play(trial, c, 0, order/2, func() { c.both(3) }).Finding, verdict.Undecided)
+	j := play(trial, c, order/2, order*65/100, func() { c.both(3) })
+	is.Equal(j.Finding, verdict.Good)
+	is.Equal(j.Trial.Failures, int64(0))
+	is.True(j.Trial.Attempts > 0 && j.Serving.Attempts == 10*j.Trial.Attempts)
+}
+
+func TestBadIsFoundByFailuresAndTold(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	play(trial, c, 0, time.Second, func() { c.both(3) })
+	for leaf := range leafs {
+		c.answers("v2", leaf, 3, 3, usual)
+	}
+	j := trial.Update(2*time.Second, c.rows())
+	is.Equal(j.Finding, verdict.Bad)
+	is.Equal(j.Signal, verdict.Failed)
+	is.Equal(j.Trial.Failures, int64(9))
+	is.True(j.Confidence > 0.999)
+	is.True(strings.Contains(j.Reason, "9 of 36 failed"))
+}
+
+func TestBadStays(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	play(trial, c, 0, time.Second, func() { c.both(1) })
+	for leaf := range leafs {
+		c.answers("v2", leaf, 5, 5, usual)
+	}
+	is.Equal(trial.Update(2*time.Second, c.rows()).Finding, verdict.Bad)
+	is.Equal(play(trial, c, 3*time.Second, order, func() { c.both(100) }).Finding, verdict.Bad)
+}
+
+func TestOneLeafDoesNotCondemn(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	j := play(trial, c, 0, order*65/100, func() {
+		c.both(3)
+		c.answers("v2", 0, 20, 20, 8*usual)
+	})
+	is.Equal(j.Finding, verdict.Good)
+}
+
+// A version of which only one leaf answers is no better than that leaf.
+func TestOnlyLeafCondemnsAfterHalf(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	grow := func() {
+		c.answers("v1", 0, 20, 0, usual)
+		c.answers("v2", 0, 2, 2, usual)
+	}
+	is.Equal(play(trial, c, 0, order/2, grow).Finding, verdict.Undecided)
+	is.Equal(play(trial, c, order/2, order, grow).Finding, verdict.Bad)
+}
+
+func TestGoodTurnsBadWhileSwitching(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	is.Equal(play(trial, c, 0, order*65/100, func() { c.both(3) }).Finding, verdict.Good)
+	for leaf := range leafs {
+		c.answers("v2", leaf, 40, 8, usual)
+	}
+	is.Equal(trial.Update(order*7/10, c.rows()).Finding, verdict.Bad)
+}
+
+// A leaf that is asked of a route hardly ever does not hold up what the other route shows.
+func TestRareRouteIsJudgedByWhatThereIs(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	rare := evidence.Row{Key: evidence.Key{Service: "s", Order: 1, Route: "/rare", Version: "v2", Leaf: "v2-1"}}
+	rare.Observe(false, usual)
+	var j verdict.Judgement
+	for at := time.Duration(0); at <= order*65/100; at += 500 * time.Millisecond {
+		c.both(3)
+		j = trial.Update(at, append(c.rows(), rare))
+	}
+	is.Equal(j.Finding, verdict.Good)
+}
+
+func TestNothingIsUndecided(t *testing.T) {
+	is := is.New(t)
+	trial := newTrial()
+	for at := time.Duration(0); at <= order; at += time.Second {
+		is.Equal(trial.Update(at, nil).Finding, verdict.Undecided)
+	}
+}
+
+// A judge that began anew hears the nodes one after the other.
+func TestPartialPictureIsNotGoodAtOnce(t *testing.T) {
+	is := is.New(t)
+	whole := counts{}
+	whole.both(40)
+	trial := newTrial()
+	is.Equal(trial.Update(order*7/10, whole.rows()).Finding, verdict.Undecided)
+	for leaf := range leafs {
+		whole.answers("v2", leaf, 30, 10, usual)
+	}
+	is.Equal(trial.Update(order*7/10+time.Second/2, whole.rows()).Finding, verdict.Bad)
+}
+
+func TestShrinkingRowsAreNotGood(t *testing.T) {
+	is := is.New(t)
+	trial, c, part := newTrial(), counts{}, counts{}
+	play(trial, c, 0, order/2, func() { c.both(3) })
+	part.both(5)
+	is.Equal(play(trial, part, order/2, order, func() {}).Finding, verdict.Undecided)
+}
+
+func TestConfigNamesFaults(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(verdict.DefaultConfig().Validate())
+	named := map[string]bool{}
+	for _, fault := range failure.Faults(verdict.Config{Way: -1, ColdFor: -1, Settle: -1, Alike: 2, SlowFactors: []float64{0.5}}.Validate()) {
+		named[fault.Field] = true
+	}
+	is.Equal(len(named), 17)
+}
+
+// drawRows draws a history of rows for both versions.
+func drawCounts(t *rapid.T, c counts) {
+	for leaf := range leafs {
+		n := rapid.IntRange(0, 30).Draw(t, "answers")
+		failed := rapid.IntRange(0, n).Draw(t, "failed")
+		took := time.Duration(rapid.IntRange(1, 10).Draw(t, "took")) * usual
+		c.answers("v1", leaf, rapid.IntRange(0, 100).Draw(t, "serving"), rapid.IntRange(0, 3).Draw(t, "serving failed"), usual)
+		c.answers("v2", leaf, n, failed, took)
+	}
+}
+
+// More bad answers in the last update never make of a bad version a good or undecided one.
+func TestMoreBadAnswersNeverExcuse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := counts{}
+		fewer, more := newTrial(), newTrial()
+		at := time.Duration(rapid.IntRange(0, 12).Draw(t, "at")) * time.Second
+		for range rapid.IntRange(0, 3).Draw(t, "updates") {
+			drawCounts(t, c)
+			fewer.Update(at, c.rows())
+			more.Update(at, c.rows())
+			at += time.Second
+		}
+		drawCounts(t, c)
+		with := fewer.Update(at, c.rows()).Finding
+		c.answers("v2", rapid.IntRange(0, leafs-1).Draw(t, "leaf"), 1, 1, usual)
+		if got := more.Update(at, c.rows()).Finding; with == verdict.Bad && got != verdict.Bad {
+			t.Fatalf("bad by fewer bad answers, %s by one more", got)
+		}
+	})
+}
+
+// Whatever rows come, in whatever order, nothing panics, and bad stays bad.
+func TestAnyRowsAreBorne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		trial, found := newTrial(), verdict.Undecided
+		for range rapid.IntRange(1, 8).Draw(t, "updates") {
+			c := counts{}
+			drawCounts(t, c)
+			at := time.Duration(rapid.IntRange(0, 20).Draw(t, "at")) * time.Second
+			j := trial.Update(at, c.rows())
+			if found == verdict.Bad && j.Finding != verdict.Bad || found == verdict.Good && j.Finding == verdict.Undecided {
+				t.Fatalf("%s after %s", j.Finding, found)
+			}
+			if j.Confidence < 0 || j.Confidence > 1 || j.Confidence != j.Confidence {
+				t.Fatalf("confidence %f", j.Confidence)
+			}
+			found = j.Finding
+		}
+	})
+}
