Verdict: one leaf's pauses, attempts without answers and a burst condemn nothing

Change: shares are of answers, late answers of one leaf in one moment give a most, a signal is silent above a usual share, the other leafs' part grows with the threshold. Tests: attempts without answers neither clear nor excuse.

--- a/internal/verdict/finding.go
+++ b/internal/verdict/finding.go
@@ -27,6 +27,12 @@
 	aloneFactor    = 2
 	// answersOfFalseAlarm is the answers that Config.FalseAlarm is told for.
 	answersOfFalseAlarm = 100
+	// partOfMany is the least part of the threshold that one of three leafs or more may give, so that three suffice
+	// whatever the threshold.
+	partOfMany = 0.45
+	// mostOfMoment is the most that late answers of a leaf in one moment give: it pauses in a tenth of moments, so a late
+	// one is at most ten times likelier of a bad version.
+	mostOfMoment = 2.3
 	// mostSuspicious is the level above which a version isn't found good, mostByLittle where there is little evidence.
 	mostSuspicious = 2.0
 	mostByLittle   = 1.0
@@ -77,7 +83,7 @@
 // isGood reports whether enough speaks for the version, at a time in the order.
 func (t *Trial) isGood(elapsed time.Duration, worst suspect) bool {
 	part := float64(elapsed) / float64(t.duration)
-	if part < t.cfg.GoodFrom || elapsed-t.since < t.settle() || t.figures[1].Attempts < int64(t.cfg.LeastAnswers) {
+	if part < t.cfg.GoodFrom || elapsed-t.since < t.settle() || t.pooled[0].seen.all < float64(t.cfg.LeastAnswers) {
 		return false
 	}
 	return t.isGoodByEnough() || part >= t.cfg.GoodByLittle && t.isGoodByLittle(worst)
--- a/internal/verdict/fresh.go
+++ b/internal/verdict/fresh.go
@@ -33,25 +33,29 @@
 type fresh struct {
 	key     evidence.Key
 	signals []ratio
+	// moments is in how many moments of a leaf, at least one, the answers came that were late or not.
+	moments float64
 }
 
-// follow gives what a row has more than before; limits are empty while the usual latency is unknown.
+// follow gives what a row has more than before; limits are empty while the usual latency is unknown. An attempt
+// without an answer says nothing of failures.
 func (f *followed) follow(row evidence.Row, limits []time.Duration, elapsed time.Duration, cfg Config) fresh {
 	signals := make([]ratio, 1+len(cfg.SlowFactors))
 	signals[0] = ratio{
-		bad: float64(row.Failures - f.counted.Failures),
-		all: float64(row.Attempts() - f.counted.Attempts()),
+		bad: float64(max(0, row.Failures-f.counted.Failures)),
+		all: float64(max(0, row.Answered.Total()-f.counted.Answered.Total())),
 	}
 	f.counted, f.countedAt = clone(row.Tally), elapsed
 	if len(limits) == 0 {
-		return fresh{row.Key, signals}
+		return fresh{row.Key, signals, 1}
 	}
+	moments := max(1, float64(elapsed-f.timedAt)/float64(cfg.Moment))
 	for i, limit := range limits {
 		late := lateSince(row.Tally, f.timed, limit)
-		signals[i+1] = late.times(cfg.discount(late.all, elapsed-f.timedAt))
+		signals[i+1] = late.times(cfg.discount(late.all / moments))
 	}
 	f.timed, f.timedAt = f.counted, elapsed
-	return fresh{row.Key, signals}
+	return fresh{row.Key, signals, moments}
 }
 
 // lateSince gives the answers that failed or took longer than a limit. Failures count as late, so that fast
@@ -64,11 +68,8 @@
 	return ratio{bad: float64(min(bad, all)), all: float64(all)}
 }
 
-// discount gives what an answer counts among n of one leaf within a span, since a pause delays all of a moment.
-func (c *Config) discount(n float64, span time.Duration) float64 {
-	moments := max(1, float64(span)/float64(c.Moment))
-	return 1 / (1 + max(0, n/moments-1)*c.Alike)
-}
+// discount gives what an answer counts among n of one leaf in a moment, since a pause delays all of them.
+func (c *Config) discount(n float64) float64 { return 1 / (1 + max(0, n-1)*c.Alike) }
 
 func clone(tally evidence.Tally) evidence.Tally {
 	tally.Answered, tally.GivenUp = slices.Clone(tally.Answered), slices.Clone(tally.GivenUp)
--- a/internal/verdict/suspicion.go
+++ b/internal/verdict/suspicion.go
@@ -23,13 +23,14 @@
 	return s
 }
 
-// observe weighs what a leaf answered; usual is the serving version's share of bad answers.
-func (s *suspicion) observe(leaf string, answers ratio, usual float64) {
+// observe weighs what a leaf answered, which may give a most against the version; usual is the serving version's share
+// of bad answers.
+func (s *suspicion) observe(leaf string, answers ratio, usual, most float64) {
 	s.seen.add(answers)
 	for i, share := range s.shares {
-		s.weight[i][leaf] += logRatio(answers, usual, share)
+		s.weight[i][leaf] += min(most, logRatio(answers, usual, share))
 	}
-	s.clear[leaf] += logRatio(answers, usual, s.least)
+	s.clear[leaf] += min(most, logRatio(answers, usual, s.least))
 }
 
 // logRatio gives how much likelier, as a logarithm, answers are if a share more than usual is bad.
--- a/internal/verdict/usual.go
+++ b/internal/verdict/usual.go
@@ -15,7 +15,8 @@
 	assumedSlower   = 0.35
 	// leastUsual is the least share of bad answers that is taken for usual, whatever was seen.
 	leastUsual = 0.002
-	mostUsual  = 0.9
+	// mostUsual is the share above which a signal tells nothing: nearly all answers of both versions are bad by it.
+	mostUsual = 0.7
 	// nearWeight is the answers of the same time (and of the same zone) that weigh as much as the whole order.
 	nearWeight = 20.0
 	// A serving leaf is left out, so that it excuses nothing, if it is so many times worse than the others.
@@ -109,7 +110,7 @@
 	if signals := u.zones[zone]; signals != nil {
 		share = max(share, towards(signals[signal], lately, nearWeight))
 	}
-	return min(max(share, leastUsual), mostUsual)
+	return max(share, leastUsual)
 }
 
 func assumed(signal int) float64 {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -256,8 +256,15 @@
 	route := t.routes[f.key.Route]
 	for i, signal := range f.signals {
 		share := route.usual.share(i, f.key.Zone)
-		route.suspicions[i].observe(f.key.Leaf, signal, share)
-		t.pooled[i].observe(f.key.Leaf, signal, share)
+		if share > mostUsual {
+			continue
+		}
+		most := math.Inf(1)
+		if i > 0 {
+			most = mostOfMoment * f.moments
+		}
+		route.suspicions[i].observe(f.key.Leaf, signal, share, most)
+		t.pooled[i].observe(f.key.Leaf, signal, share, most)
 	}
 }
 
@@ -273,14 +280,19 @@
 // threshold is the level from which a version is bad. It grows with the answers, since a sum that starts anew
 // has more chances to exceed it by accident.
 func (t *Trial) threshold() float64 {
-	return -math.Log(t.cfg.FalseAlarm) + math.Log1p(float64(t.figures[1].Attempts)/answersOfFalseAlarm)
+	return t.firstThreshold() + math.Log1p(float64(t.figures[1].Attempts)/answersOfFalseAlarm)
 }
 
+func (t *Trial) firstThreshold() float64 { return -math.Log(t.cfg.FalseAlarm) }
+
 // mostOfLeaf is the most that a leaf may give. A leaf that is the only one known of its version by the middle of the
-// order is the version.
+// order is the version. Of several, the others' part of the threshold grows with the answers as it does.
 func (t *Trial) mostOfLeaf(elapsed time.Duration) float64 {
-	if len(t.leafs) == 1 && elapsed > t.duration/2 {
+	switch {
+	case len(t.leafs) == 1 && elapsed > t.duration/2:
 		return math.MaxFloat64
+	case len(t.leafs) <= 2:
+		return t.cfg.LeafPart * t.threshold()
 	}
-	return t.cfg.LeafPart * t.threshold()
+	return max(t.cfg.LeafPart*t.firstThreshold(), partOfMany*t.threshold())
 }
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -103,6 +103,32 @@
 	}
 }
 
+// A version that never answers shows nothing good.
+func TestAttemptsWithoutAnswersAreNotGood(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	j := play(trial, c, 0, order, func() {
+		for leaf := range leafs {
+			c.answers("v1", leaf, 10, 0, usual)
+			c.answers("v2", leaf, 0, 0, usual)
+			c.giveUp("v2", leaf, 3, time.Millisecond)
+		}
+	})
+	is.Equal(j.Finding, verdict.Undecided)
+}
+
+// Attempts that were given up sooner than a limit don't make failures rarer.
+func TestAttemptsWithoutAnswersDoNotExcuse(t *testing.T) {
+	is := is.New(t)
+	trial, c := newTrial(), counts{}
+	play(trial, c, 0, time.Second, func() { c.both(3) })
+	for leaf := range leafs {
+		c.answers("v2", leaf, 3, 3, usual)
+		c.giveUp("v2", leaf, 1000, time.Millisecond)
+	}
+	is.Equal(trial.Update(2*time.Second, c.rows()).Finding, verdict.Bad)
+}
+
 // A judge that began anew hears the nodes one after the other.
 func TestPartialPictureIsNotGoodAtOnce(t *testing.T) {
 	is := is.New(t)
