--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/lab/canary"
 	"github.com/portgauge/portgauge/internal/verdict"
 )
 
@@ -59,6 +60,28 @@
 	is.Equal(j.Finding, verdict.Good)
 }
 
+// A leaf that is ill all the time and a pause of another together don't condemn a version, whenever the pause is.
+func TestPauseBesideAnIllLeafDoesNotCondemn(t *testing.T) {
+	is := is.New(t)
+	for pause := 5 * time.Second; pause < order; pause += time.Second / 2 {
+		trial, c := newTrial(), counts{}
+		play(trial, c, 0, pause, func() {
+			c.both(1)
+			c.answers("v2", 0, 5, 0, 8*usual)
+		})
+		c.answers("v2", 1, 10, 0, 10*usual)
+		is.True(trial.Update(pause+time.Second/2, c.rows()).Finding != verdict.Bad)
+	}
+}
+
+// A long burst that makes nearly all answers of both versions late condemns neither.
+func TestLongBurstDoesNotCondemn(t *testing.T) {
+	m := weigh(canary.Case{Name: "long burst", PerSecond: 200, Duration: 2 * time.Minute, Mishap: canary.Burst})
+	if m.Wrong() > 0.1 {
+		t.Fatal(m.String())
+	}
+}
+
 // A version of which only one leaf answers is no better than that leaf.
 func TestOnlyLeafCondemnsAfterHalf(t *testing.T) {
 	is := is.New(t)
