Roll-outs wired: the share, the counts and the verdict in the node

The gateway draws by canary.Splitter and counts into evidence.Collector; judges use verdict.Trial, whose finding is the one type for it. A leaf that may not be asked by its version costs nothing of its cold share.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,8 +77,7 @@
 			newReachDatagrams,
 			newZones,
 			newSplitter,
-			newCounts,
-			newJudging,
+			newCollector,
 			newRollouts,
 		),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -14,11 +14,13 @@
 
 	"github.com/portgauge/portgauge/internal/admin"
 	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/configwriter"
 	"github.com/portgauge/portgauge/internal/connshare"
 	"github.com/portgauge/portgauge/internal/decisionlog"
+	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/front"
 	"github.com/portgauge/portgauge/internal/gateway"
 	"github.com/portgauge/portgauge/internal/httpdialect"
@@ -32,7 +34,6 @@
 	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
-	"github.com/portgauge/portgauge/internal/rolloutcontrol"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
 	"github.com/portgauge/portgauge/internal/settings"
@@ -140,9 +141,12 @@
 	return connshare.New(config.ConnectionShare, census, self)
 }
 
-func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, memory *leafmemory.Memory, cold *warmup.Limiter, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
+func newHTTPPool(config settings.Settings, dialect httpdialect.Dialect, memory *leafmemory.Memory, cold *warmup.Limiter, splitter *canary.Splitter, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) *leafhttp.Pool {
 	pool := leafhttp.New(config.LeafHTTP, dialect, metrics.LeafConnections.Inc)
-	pool.SetMayAsk(func(incarnation string) bool { return memory.MayAsk(incarnation) && cold.Take(incarnation) })
+	pool.SetMayAsk(func(incarnation string) bool {
+		mayAsk := memory.MayAsk(incarnation) && (splitter == nil || splitter.MayAsk(incarnation))
+		return mayAsk && cold.Take(incarnation) // last, so that a leaf that may not be asked costs nothing of its share
+	})
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
@@ -179,6 +183,8 @@
 	Budgets       *retrybudget.Budgets
 	Leafs         *leafhttp.Pool
 	Warmup        *warmup.Limiter
+	Canary        *canary.Splitter
+	Evidence      *evidence.Collector
 	Journal       gateway.Journal
 	Self          catalog.NodeRecord
 	Fleet         *registry.Census
@@ -189,7 +195,8 @@
 func newGateway(parts gatewayParts) *gateway.Gateway {
 	return gateway.New(gateway.Parts{
 		Config: parts.Config.Gateway, Dialect: parts.Dialect, Catalog: parts.Catalog, Memory: parts.Memory, Dealer: parts.Dealer,
-		Balancer: parts.Balancer, Budgets: parts.Budgets, Leafs: parts.Leafs, Warmup: parts.Warmup, Journal: parts.Journal,
+		Balancer: parts.Balancer, Budgets: parts.Budgets, Leafs: parts.Leafs, Warmup: parts.Warmup,
+		Canary: parts.Canary, Evidence: parts.Evidence, Journal: parts.Journal,
 		Self: parts.Self, Regions: parts.Config.Regions, Fleet: parts.Fleet, Intermediates: parts.Intermediates, Zones: parts.Zones,
 	})
 }
@@ -227,12 +234,16 @@
 	})
 }
 
-func newSyncer(config settings.Settings, known *catalog.Catalog, kept store.Store, lister machines.Lister, transport *peer.SocketTransport, choice *balancer.Balancer, splitter rolloutcontrol.Splitter, metrics *telemetry.Metrics, logger *zap.Logger) *configsync.Syncer {
+func newSyncer(config settings.Settings, known *catalog.Catalog, kept store.Store, lister machines.Lister, transport *peer.SocketTransport, choice *balancer.Balancer, splitter *canary.Splitter, metrics *telemetry.Metrics, logger *zap.Logger) *configsync.Syncer {
+	var settled func() int64 // of a node without roll-outs, what is in force
+	if splitter != nil {
+		settled = splitter.SettledRevision
+	}
 	syncer := configsync.New(configsync.Parts{
 		Config: config.ConfigSync, Catalog: known, Store: kept, Machines: lister, Transport: transport,
 		Leafs: choice, Logger: logger, Seeds: config.Seeds,
 		Relayed: func(kind string) { metrics.ConfigRelayed.WithLabelValues(kind).Inc() },
-		Settled: splitter.SettledRevision,
+		Settled: settled,
 	})
 	choice.OnDraining(syncer.LeafDraining)
 	return syncer
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -7,15 +7,18 @@
 
 	"go.uber.org/fx"
 
+	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/rolloutcontrol"
 	"github.com/portgauge/portgauge/internal/settings"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/telemetry"
+	"github.com/portgauge/portgauge/internal/verdict"
 )
 
 // rolloutParts are what carries roll-outs out at a node is made from.
@@ -25,9 +28,8 @@
 	Config    settings.Settings
 	Catalog   *catalog.Catalog
 	Self      catalog.NodeRecord
-	Counts    rolloutcontrol.Counts
-	Splitter  rolloutcontrol.Splitter
-	Judging   rolloutcontrol.JudgingFactory
+	Counts    *evidence.Collector
+	Splitter  *canary.Splitter
 	Store     store.Store
 	Guarded   store.Guarded `optional:"true"`
 	Syncer    *configsync.Syncer
@@ -53,9 +55,10 @@
 	}
 	journal := rolloutJournal{log: parts.Beliefs.log}
 	controller := rolloutcontrol.New(rolloutcontrol.Parts{
-		Config: cfg, Catalog: parts.Catalog, Self: parts.Self, Counts: parts.Counts, Splitter: parts.Splitter, Judging: parts.Judging,
-		States: rolloutcontrol.GuardedStates{Store: parts.Store, Guarded: parts.Guarded, RetryPause: cfg.RetryPause},
-		Fleet:  fleetStatus{parts.Syncer}, Sender: parts.Transport, Journal: journal,
+		Config: cfg, Catalog: parts.Catalog, Self: parts.Self, Counts: parts.Counts, Splitter: parts.Splitter,
+		Judging: judging(parts.Config.RolloutVerdict),
+		States:  rolloutcontrol.GuardedStates{Store: parts.Store, Guarded: parts.Guarded, RetryPause: cfg.RetryPause},
+		Fleet:   fleetStatus{parts.Syncer}, Sender: parts.Transport, Journal: journal,
 	})
 	if err := parts.Metrics.RegisterRollouts(controller.Standings); err != nil {
 		return nil, err
@@ -102,34 +105,25 @@
 	return status
 }
 
-// What draws requests for versions on trial, counts them and judges them is given here: each of the three below
-// stands for one that does nothing.
-
-func newSplitter(known *catalog.Catalog) rolloutcontrol.Splitter { return noSplitter{known} }
-
-func newCounts() rolloutcontrol.Counts { return noCounts{} }
-
-func newJudging() rolloutcontrol.JudgingFactory {
-	return func(string, string, time.Duration) rolloutcontrol.Judging { return noJudging{} }
+// newSplitter makes what draws requests for versions on trial; nil where roll-outs are off.
+func newSplitter(config settings.Settings, known *catalog.Catalog, census *registry.Census) *canary.Splitter {
+	if !config.Rollouts.Enabled {
+		return nil
+	}
+	return canary.New(config.Canary, known, census)
 }
 
-// noSplitter draws nothing for any version on trial, so that the node is settled at whatever is in force.
-type noSplitter struct{ catalog *catalog.Catalog }
-
-func (noSplitter) Hold(string, int64) {}
-
-func (s noSplitter) SettledRevision() int64 { return s.catalog.Revision() }
-
-// noCounts counts nothing.
-type noCounts struct{}
-
-func (noCounts) TakeChanged(int) []evidence.Row { return nil }
-
-func (noCounts) Rows() []evidence.Row { return nil }
-
-// noJudging finds nothing out, so that every version is rolled back.
-type noJudging struct{}
+// newCollector makes what counts how versions answer; nil where roll-outs are off.
+func newCollector(config settings.Settings, known *catalog.Catalog) *evidence.Collector {
+	if !config.Rollouts.Enabled {
+		return nil
+	}
+	return evidence.NewCollector(known)
+}
 
-func (noJudging) Update(time.Duration, []evidence.Row) rolloutcontrol.Judgement {
-	return rolloutcontrol.Judgement{Finding: rolloutcontrol.Undecided}
+// judging makes what finds out whether the version of an order is good.
+func judging(cfg verdict.Config) rolloutcontrol.JudgingFactory {
+	return func(serving, trial string, duration time.Duration) rolloutcontrol.Judging {
+		return verdict.New(cfg, serving, trial, duration)
+	}
 }
--- a/internal/rolloutcontrol/judge.go
+++ b/internal/rolloutcontrol/judge.go
@@ -6,6 +6,7 @@
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/verdict"
 )
 
 // follow does what this node must do now for the roll-out of a service, and gives when to look again, 0 for the
@@ -31,10 +32,10 @@
 	order := orderKey{t.order.Service, t.order.Revision}
 	rows, newest := c.tallies.sum(order)
 	if reason, isHeld := c.holds.reason(order); isHeld {
-		t.judgement = Judgement{Finding: Bad, Reason: reason}
+		t.judgement = verdict.Judgement{Finding: verdict.Bad, Reason: reason}
 	}
 	t.judge(now, c.parts.Judging, rows, newest)
-	if t.judgement.Finding == Bad {
+	if t.judgement.Finding == verdict.Bad {
 		c.hold(order, t.judgement.Reason)
 	}
 	untilMargin := t.order.Duration() - c.cfg.marginOf(t.order.Duration()) - t.elapsed(now)
--- a/internal/rolloutcontrol/judging.go
+++ b/internal/rolloutcontrol/judging.go
@@ -7,28 +7,13 @@
 	"time"
 
 	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/verdict"
 )
 
-// Finding is what counts say of a version on trial.
-type Finding string
-
-// The findings.
-const (
-	Undecided Finding = "undecided"
-	Good      Finding = "good"
-	Bad       Finding = "bad"
-)
-
-// Judgement is a finding and a sentence on what led to it.
-type Judgement struct {
-	Finding Finding
-	Reason  string
-}
-
 // Judging finds out whether the version on trial by one order is good.
 type Judging interface {
 	// Update takes the counts of all nodes so far, added up by key, at a time since the order.
-	Update(elapsed time.Duration, rows []evidence.Row) Judgement
+	Update(elapsed time.Duration, rows []evidence.Row) verdict.Judgement
 }
 
 // JudgingFactory makes the judging of an order.
--- a/internal/rolloutcontrol/node_test.go
+++ b/internal/rolloutcontrol/node_test.go
@@ -12,6 +12,7 @@
 	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/verdict"
 )
 
 // testNode is one node; it is its own counts, splitter, sender, journal and fleet.
@@ -226,15 +227,15 @@
 	return plainJudging{trial, duration}
 }
 
-func (j plainJudging) Update(elapsed time.Duration, rows []evidence.Row) Judgement {
+func (j plainJudging) Update(elapsed time.Duration, rows []evidence.Row) verdict.Judgement {
 	for _, one := range countVersions(rows) {
 		switch {
 		case one.Version != j.trial:
 		case one.Failures >= 10:
-			return Judgement{Bad, "10 answers failed"}
+			return verdict.Judgement{Finding: verdict.Bad, Reason: "10 answers failed"}
 		case elapsed >= j.duration/2 && one.Attempts >= 5:
-			return Judgement{Good, "none failed"}
+			return verdict.Judgement{Finding: verdict.Good, Reason: "none failed"}
 		}
 	}
-	return Judgement{Finding: Undecided}
+	return verdict.Judgement{Finding: verdict.Undecided}
 }
--- a/internal/rolloutcontrol/trial.go
+++ b/internal/rolloutcontrol/trial.go
@@ -6,6 +6,7 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/verdict"
 )
 
 // FleetStatus is what the nodes that answered say of how far they are.
@@ -32,7 +33,7 @@
 	isServingKnown bool
 
 	judging   Judging
-	judgement Judgement
+	judgement verdict.Judgement
 	rows      []evidence.Row
 	newest    time.Time // when the newest of the rows came
 
@@ -104,14 +105,14 @@
 // judge looks at the counts. A version once found bad stays so, one found good until it is found bad.
 func (t *trial) judge(now time.Time, factory JudgingFactory, rows []evidence.Row, newest time.Time) {
 	t.rows, t.newest = rows, newest
-	if t.judgement.Finding == Bad || !t.isServingKnown {
+	if t.judgement.Finding == verdict.Bad || !t.isServingKnown {
 		return
 	}
 	if t.judging == nil {
 		t.judging = factory(t.serving, t.order.Target, t.order.Duration())
 	}
 	found := t.judging.Update(t.elapsed(now), rows)
-	if found.Finding == Bad || t.judgement.Finding != Good {
+	if found.Finding == verdict.Bad || t.judgement.Finding != verdict.Good {
 		t.judgement = found
 	}
 }
@@ -121,11 +122,11 @@
 	switch {
 	case t.state == nil && t.isServingKnown && t.serving == t.order.Target:
 		return rollout.Succeeded, "the version serves already"
-	case t.judgement.Finding == Bad:
+	case t.judgement.Finding == verdict.Bad:
 		return rollout.RolledBack, t.judgement.Reason
 	case t.phase() == rollout.Switching:
 		return t.nextOfSwitching(now, cfg, registered)
-	case t.judgement.Finding == Good:
+	case t.judgement.Finding == verdict.Good:
 		return rollout.Switching, t.judgement.Reason
 	case t.elapsed(now) >= t.order.Duration()-cfg.marginOf(t.order.Duration()):
 		return rollout.RolledBack, tooLittle(t.order.Target, t.rows)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/configwriter"
 	"github.com/portgauge/portgauge/internal/connshare"
@@ -31,6 +32,7 @@
 	"github.com/portgauge/portgauge/internal/rolloutcontrol"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
+	"github.com/portgauge/portgauge/internal/verdict"
 	"github.com/portgauge/portgauge/internal/warmup"
 )
 
@@ -128,6 +130,10 @@
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
 
 	Rollouts rolloutcontrol.Config `yaml:"rollouts"`
+	// Canary is the share of a version on trial.
+	Canary canary.Config `yaml:"canary"`
+	// RolloutVerdict is how a bad version is told from an unlucky one.
+	RolloutVerdict verdict.Config `yaml:"rollout_verdict"`
 }
 
 // Default gives the settings that hold where none are given.
@@ -160,6 +166,8 @@
 		ServingTree:     servingtree.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
 		Rollouts:        rolloutcontrol.DefaultConfig(),
+		Canary:          canary.DefaultConfig(),
+		RolloutVerdict:  verdict.DefaultConfig(),
 	}
 }
 
@@ -220,6 +228,8 @@
 	checks.Add("warmup", s.Warmup.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
 	checks.Add("rollouts", s.Rollouts.Validate())
+	checks.Add("canary", s.Canary.Validate())
+	checks.Add("rollout_verdict", s.RolloutVerdict.Validate())
 	return checks.Err()
 }
 
