--- a/internal/verdict/cases_test.go
+++ b/internal/verdict/cases_test.go
@@ -62,6 +62,7 @@
 	{canary.Case{Name: "fails while switching", PerSecond: 40, Fault: canary.Fault{Failing: 0.4, From: 0.8}}, 15, 30},
 	{canary.Case{Name: "fails on one route", PerSecond: 40, Routes: 2, Fault: canary.Fault{Failing: 0.4, LastRoute: true}}, 8, 15},
 	{canary.Case{Name: "fails under load", PerSecond: 40, Fault: canary.Fault{Failing: 0.4, UnderLoad: true}}, 10, 15},
+	{canary.Case{Name: "fails beside a grey serving leaf", PerSecond: 40, Mishap: canary.OldGrey, Fault: canary.Fault{Failing: 0.2}}, 12, 20},
 	{canary.Case{Name: "all 3 times slower", PerSecond: 40, Fault: canary.Fault{Slow: 3, SlowShare: 1}}, 50, 70},
 	{canary.Case{Name: "all 8 times slower", PerSecond: 5, Fault: canary.Fault{Slow: 8, SlowShare: 1}}, 20, 35},
 	{canary.Case{Name: "some 5 times slower", PerSecond: 500, Fault: canary.Fault{Slow: 5, SlowShare: 0.3}}, 40, 80},
--- a/internal/verdict/config.go
+++ b/internal/verdict/config.go
@@ -45,16 +45,44 @@
 	LeastAnswers int `yaml:"least_answers"`
 }
 
-// DefaultConfig suits versions with 3 to 30 leafs that get a tenth of 1 to 500 requests a second.
+// DefaultConfig suits versions with 3 to 30 leafs that get a tenth of 1 to 500 requests a second. The figures are of
+// `portgauge-lab experiment canary` with 32 seeds a case: good versions refused, good ones found bad, bad ones that
+// served at the end, and bad answers on average until one was found bad. With these values 17.0%, 0.45%, 16.9% and
+// 30.6.
 func DefaultConfig() Config {
 	return Config{
-		FalseAlarm: 1e-5, Miss: 0.05,
-		BadShares: []float64{0.05, 0.1, 0.2, 0.4, 0.8}, LeastBadShare: 0.1, LeastSlowShare: 0.3,
-		SlowFactors: []float64{1, 2, 4}, Way: 2 * time.Millisecond,
-		LeafPart: 0.6, Alike: 0.3, Moment: 250 * time.Millisecond,
+		// 1e-4: 17.1%, 0.55%, 16.3%, 28.0; 1e-6: 17.0%, 0.25%, 17.1%, 33.8.
+		FalseAlarm: 1e-5,
+		// 0.2: 12.7% refused, 18.0% served; 0.01: 17.4%, 16.8%, but later.
+		Miss: 0.05,
+		// 0.3 alone serves more; see the table in docs/design/rollouts.md.
+		BadShares: []float64{0.05, 0.1, 0.2, 0.4, 0.8},
+		// 0.05: 19.5% refused, 16.8% served.
+		LeastBadShare: 0.1,
+		// 0.15: 20.6% refused, 15.6% served.
+		LeastSlowShare: 0.3,
+		// 2 alone: 11.2% refused, 28.5% served; 2 and 4: 13.7%, 28.0%.
+		SlowFactors: []float64{1, 2, 4},
+		// Round trip between zones of one region; not measured yet.
+		Way: 2 * time.Millisecond,
+		// 0.9: 0.69% found bad, 16.6% served; 0.55: 0.45%, 16.9%.
+		LeafPart: 0.6,
+		// 0: 0.50% found bad, 27.4 bad answers; 0.6: 0.45%, 32.2.
+		Alike: 0.3,
+		// The longest pause that is usual.
+		Moment: 250 * time.Millisecond,
+		// Leafs are cold for 3 s and take 1.6 times as long; with no allowance 52.6% refused, 32% found bad.
 		ColdFor: 4 * time.Second, ColdFactor: 2,
-		Recent: time.Second, Settle: 3 * time.Second,
-		GoodFrom: 0.6, GoodByLittle: 0.75, LeastAnswers: 3,
+		// 4s: 18.5% refused, 1.7% found bad; 0.3s: 16.7%, 0.60%, 19.1% served.
+		Recent: time.Second,
+		// Reports of all nodes come within about a second; not measured yet.
+		Settle: 3 * time.Second,
+		// 0.5: 17.1% served, 34.6 bad answers; 0.65: 17.1%, 29.0, with less time left to move the requests.
+		GoodFrom: 0.6,
+		// Leaves a quarter of the order to move the requests; not measured yet.
+		GoodByLittle: 0.75,
+		// 2: 14.2% refused, 18.5% served; 5: 22.9%, 11.8%.
+		LeastAnswers: 3,
 	}
 }
 
--- a/internal/verdict/finding.go
+++ b/internal/verdict/finding.go
@@ -15,14 +15,15 @@
 	Late   Signal = "failed or late"
 )
 
-// Bounds of a trial, and what it needs at least.
+// Bounds of a trial, and what it needs at least. Figures are as at DefaultConfig.
 const (
 	// mostRoutes bounds the routes that are followed; others are ignored.
 	mostRoutes = 8
-	// leastForMedian is the answers of the serving version that make a median of a route.
+	// leastForMedian is the answers of the serving version that make a median of a route; not measured yet.
 	leastForMedian = 5
 	// leastToCompare is the serving version's answers lately without which a version is compared with the serving
-	// version of another time; its limits are then aloneFactor times as long.
+	// version of another time; its limits are then aloneFactor times as long. Without it 1.0% instead of 0.45% of good
+	// versions are found bad.
 	leastToCompare = 5
 	aloneFactor    = 2
 	// answersOfFalseAlarm is the answers that Config.FalseAlarm is told for.
@@ -31,9 +32,12 @@
 	// whatever the threshold.
 	partOfMany = 0.45
 	// mostOfMoment is the most that late answers of a leaf in one moment give: it pauses in a tenth of moments, so a late
-	// one is at most ten times likelier of a bad version.
+	// one is at most ten times likelier of a bad version. Without it 5 of 80 good versions with an ill leaf were found
+	// bad in orders of 10 minutes at 200 requests a second, with it none.
 	mostOfMoment = 2.3
 	// mostSuspicious is the level above which a version isn't found good, mostByLittle where there is little evidence.
+	// Without the first 1,576 instead of 1,487 of 4,992 bad versions were found good at some time, without the second
+	// 18.2% instead of 16.9% served.
 	mostSuspicious = 2.0
 	mostByLittle   = 1.0
 	// rareRoute is the part of all answers below which a route is judged by what there is; not measured yet.
--- a/internal/verdict/usual.go
+++ b/internal/verdict/usual.go
@@ -7,19 +7,27 @@
 
 // What is assumed of a serving version that little is known of, as if so many answers had been seen. Failures are
 // rare; about a third of answers exceed the first limit, which lies within half an octave above the median, and
-// pauses take 4% of the time.
+// pauses take 4% of the time. A weight of 5 refuses 18.2% of good versions instead of 17.0% (as at DefaultConfig).
 const (
 	assumedWeight   = 40.0
 	assumedFailures = 0.005
 	assumedSlowest  = 0.06
 	assumedSlower   = 0.35
-	// leastUsual is the least share of bad answers that is taken for usual, whatever was seen.
+)
+
+// What is made of what the serving version does.
+const (
+	// leastUsual is the least share of bad answers that is taken for usual, whatever was seen. With 0.01 0.15% instead of
+	// 0.45% of good versions are found bad, and 17.5% instead of 16.9% of bad ones serve.
 	leastUsual = 0.002
 	// mostUsual is the share above which a signal tells nothing: nearly all answers of both versions are bad by it.
+	// Without it 29% of 24 good versions were found bad in a burst of 40 s at 200 requests a second.
 	mostUsual = 0.7
-	// nearWeight is the answers of the same time (and of the same zone) that weigh as much as the whole order.
+	// nearWeight is the answers of the same time (and of the same zone) that weigh as much as the whole order. With 5
+	// 16.6% of good versions are refused and 16.3% of bad ones serve, within what the seeds vary.
 	nearWeight = 20.0
-	// A serving leaf is left out, so that it excuses nothing, if it is so many times worse than the others.
+	// A serving leaf is left out, so that it excuses nothing, if it is so many times worse than the others. Without it
+	// 97% of 200 versions that fail a tenth served beside a serving leaf that fails 40%, with it 2.5%.
 	outlierFactor = 3.0
 	outlierBad    = 3.0
 	outlierLeafs  = 3
