Config sync: watchers that stand by ask the first watcher, not the store

Change: a watcher that stands by asks those ahead of it for what they have, at no call of the store. Only when nobody's word shows that the configuration in force was the newest within 1.75 s, it looks at the store by one call and pushes what it finds at once. For that the first watcher's calls wait 1.5 s (2 s before), and the rest after changes is part of the wait. It looks once when it begins to stand by, so that it has proved its way to the store. config_sync.look_after takes the place of standby_silence.

A push of a watcher that stands by is checked node by node.

Tests: standbys make no call while the first is well; looks begin and stop with its outage; a change is in force within 3 s whether the first dies, has no store, a silent watch, or is frozen, at nine moments each; the wait after a rest. The fake store counts what it tells each node and can fall silent; no test was changed.

--- /dev/null
+++ b/internal/configsync/check_test.go
@@ -0,0 +1,27 @@
+package configsync
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Whichever node a push goes through first, one that reaches half of the zone only does not leave the other half
+// behind: the tree of a push depends on its moment.
+func TestPushThatReachesHalfOfAZoneIsChecked(t *testing.T) {
+	for _, late := range []time.Duration{0, 10, 50, 100, 200, 333, 500, 700} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 16)
+			defer f.stopAll()
+			time.Sleep(15*time.Second + late*time.Millisecond)
+			f.network.SetLoss(0.3)
+			f.network.Cut(func(from, to string) bool { return (from < "z0-n2") != (to < "z0-n2") && from > to })
+			revision := f.platform.write(t, "a", 1)
+			time.Sleep(3 * time.Second)
+			is.Equal(len(f.lagging(revision)), 0)
+		})
+	}
+}
--- a/internal/configsync/config.go
+++ b/internal/configsync/config.go
@@ -36,8 +36,9 @@
 	JoinInterval time.Duration `yaml:"join_interval"`
 	// WatchSilence is how long a watch may be silent before it is opened anew.
 	WatchSilence time.Duration `yaml:"watch_silence"`
-	// StandbySilence is the same for a watcher that stands by, whose watch waits and rests longer.
-	StandbySilence time.Duration `yaml:"standby_silence"`
+	// LookAfter is after how long without word that the configuration in force is the newest a watcher that
+	// stands by looks at the store. The first watcher has such word at least each platform.watch_wait.
+	LookAfter time.Duration `yaml:"look_after"`
 	// MachineListInterval is how often watchers read the machine list.
 	MachineListInterval time.Duration `yaml:"machine_list_interval"`
 	// LeavingHold is how long word that a leaf is leaving holds unless repeated.
@@ -59,7 +60,7 @@
 		PullDelay:           700 * time.Millisecond,
 		JoinInterval:        30 * time.Second,
 		WatchSilence:        3 * time.Second,
-		StandbySilence:      5 * time.Second,
+		LookAfter:           1750 * time.Millisecond,
 		MachineListInterval: time.Second,
 		LeavingHold:         30 * time.Second,
 	}
@@ -83,7 +84,7 @@
 		{"pull_delay", c.PullDelay},
 		{"join_interval", c.JoinInterval},
 		{"watch_silence", c.WatchSilence},
-		{"standby_silence", c.StandbySilence},
+		{"look_after", c.LookAfter},
 		{"machine_list_interval", c.MachineListInterval},
 		{"leaving_hold", c.LeavingHold},
 	}
--- a/internal/configsync/first_state.go
+++ b/internal/configsync/first_state.go
@@ -23,7 +23,7 @@
 	firstPullTimeout = 250 * time.Millisecond
 )
 
-// errCaughtUp ends the watch by which a node brings a stale state up to date.
+// errCaughtUp ends the watch by which a node brings its state up to date.
 var errCaughtUp = merry.New("the state is up to date")
 
 // readFirst gets the node's first state, from a peer or the store. A node that starts does so whether it
@@ -122,7 +122,7 @@
 
 // catchUp takes the changes since the revision in force.
 func (s *Syncer) catchUp(ctx context.Context) error {
-	err := s.store.Watch(ctx, s.catalog.Revision(), store.Primary, func(event store.Event) error {
+	err := s.store.Watch(ctx, s.catalog.Revision(), store.Standby, func(event store.Event) error {
 		if err := s.takeEvent(ctx, event); err != nil {
 			return err
 		}
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -29,6 +29,9 @@
 	machines []machines.Machine
 	lists    int
 	watches  int
+	// told counts the events of watches, by node; silent holds the nodes whose watches tell nothing more.
+	told   map[string]int
+	silent map[string]bool
 	// roles are those of the last watches, by node.
 	roles map[string]store.WatchRole
 	// staleLists counts the stale reads, which are answered by the state so many changes ago.
@@ -91,6 +94,7 @@
 	p.mu.Lock()
 	p.watches++
 	p.roles[p.node] = role
+	receive = p.counted(receive)
 	isForgotten := after < p.forgotten
 	p.mu.Unlock()
 	if isForgotten {
@@ -100,7 +104,12 @@
 		p.mu.Lock()
 		missed, changed, down := p.log[after:], p.changed, p.cutOff[p.node]
 		newest, forgetful := int64(len(p.log)), p.forgetful
+		silent := p.silent[p.node]
 		p.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if down {
 			return errDown
 		}
@@ -133,6 +142,16 @@
 	}
 }
 
+// counted counts the events that a watch tells of.
+func (p platformView) counted(receive func(store.Event) error) func(store.Event) error {
+	return func(event store.Event) error {
+		p.mu.Lock()
+		p.told[p.node]++
+		p.mu.Unlock()
+		return receive(event)
+	}
+}
+
 func (p platformView) ListMachines(_ context.Context, query machines.Query) (machines.List, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -180,7 +199,8 @@
 
 func newFleet(t *testing.T, zones, perZone int) *fleet {
 	f := &fleet{
-		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}, roles: map[string]store.WatchRole{}},
+		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}, roles: map[string]store.WatchRole{},
+			told: map[string]int{}, silent: map[string]bool{}},
 		network: peer.NewMemoryNetwork(1, time.Millisecond), nodes: map[string]*testNode{},
 	}
 	for zone := range zones {
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -129,6 +129,9 @@
 		return false
 	}
 	defer s.pulling.Store(false)
+	if s.initialised.Load() {
+		defer s.backUpPush(s.catalog.Revision())
+	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeoutFactor*s.config.CallTimeout)
 	defer cancel()
 	taken, elsewhere := s.pullOnce(ctx, address)
--- a/internal/configsync/push.go
+++ b/internal/configsync/push.go
@@ -36,6 +36,7 @@
 		batch = s.collect(batch, collect)
 		lastPush = time.Now()
 		s.pushChanges(ctx, batch)
+		s.checkPushLater(ctx)
 	}
 }
 
--- /dev/null
+++ b/internal/configsync/standby_test.go
@@ -0,0 +1,118 @@
+package configsync
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// first gives the node of a zone that is the first of its watchers.
+func (f *fleet) first(zone string) string {
+	for id, node := range f.nodes {
+		if node.syncer.members.Self().Zone == zone && node.syncer.rank() == 0 {
+			return id
+		}
+	}
+	return ""
+}
+
+// toldToStandbys counts the events that the store told watchers which stand by.
+func (f *fleet) toldToStandbys() int {
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+	told := 0
+	for id, node := range f.nodes {
+		if node.syncer.rank() > 0 {
+			told += f.platform.told[id]
+		}
+	}
+	return told
+}
+
+// Watchers that stand by make no call of the store while the first of their zone is well, and have every
+// change all the same.
+func TestStandbysLeaveTheStoreAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 12)
+		defer f.stopAll()
+		time.Sleep(15 * time.Second)
+		before := f.toldToStandbys()
+		for number := range 30 {
+			revision := f.platform.write(t, "a", uint32(number))
+			time.Sleep(time.Second)
+			is.Equal(len(f.lagging(revision)), 0)
+		}
+		is.Equal(f.toldToStandbys(), before)
+	})
+}
+
+// While the first watcher has no store, one that stands by looks now and then, and stops when it is well again.
+func TestStandbyLooksWhileTheFirstHasNoStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 1, 12)
+		defer f.stopAll()
+		time.Sleep(15 * time.Second)
+		first := f.first("z0")
+		before := f.toldToStandbys()
+		f.platform.setCutOff(first, true)
+		time.Sleep(20 * time.Second)
+		looks := f.toldToStandbys() - before
+		is.True(looks >= 8 && looks <= 12)
+		f.platform.setCutOff(first, false)
+		time.Sleep(5 * time.Second)
+		after := f.toldToStandbys()
+		time.Sleep(20 * time.Second)
+		is.Equal(f.toldToStandbys(), after)
+	})
+}
+
+func (p *memoryPlatform) setCutOff(id string, cutOff bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutOff[id] = cutOff
+}
+
+// whatEndsAFirstWatcher are the ways in which the first watcher of a zone stops to tell of changes.
+var whatEndsAFirstWatcher = map[string]func(f *fleet, id string){
+	"dies":         func(f *fleet, id string) { f.nodes[id].stop(); f.network.Remove(id); delete(f.nodes, id) },
+	"has no store": func(f *fleet, id string) { f.platform.setCutOff(id, true) },
+	"has a silent watch": func(f *fleet, id string) {
+		f.platform.mu.Lock()
+		defer f.platform.mu.Unlock()
+		f.platform.silent[id] = true
+	},
+	"is frozen, and its watch too": func(f *fleet, id string) {
+		f.network.Freeze(id, true)
+		f.platform.setCutOff(id, true)
+		delete(f.nodes, id) // it can't have the change
+	},
+}
+
+// A change is in force in the whole zone within 3 s, whatever befell its first watcher just before.
+func TestChangeIsInForceInTimeWithoutTheFirstWatcher(t *testing.T) {
+	const bound = 3 * time.Second
+	for name, end := range whatEndsAFirstWatcher {
+		t.Run(name, func(t *testing.T) {
+			for late := time.Duration(0); late < 2*time.Second; late += 230 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newFleet(t, 1, 24)
+					defer f.stopAll()
+					f.platform.write(t, "a", 1)
+					time.Sleep(15*time.Second + late)
+					first := f.first("z0")
+					stop := f.nodes[first].stop
+					defer stop()
+					end(f, first)
+					revision := f.platform.write(t, "a", 2)
+					time.Sleep(bound)
+					is.Equal(len(f.lagging(revision)), 0)
+				})
+			}
+		})
+	}
+}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -63,6 +63,8 @@
 	initialised atomic.Bool
 	ready       chan struct{} // closed once initialised
 	storeDownAt atomic.Int64  // unix nanoseconds; 0 while the watch is up
+	isStandby   bool          // whether the node stands by and looked at the store since it does; of the watch loop
+	checking    atomic.Bool   // whether a push is being checked
 	pulling     atomic.Bool
 	pullPending atomic.Bool
 	pushedAt    atomic.Int64 // when the last push arrived, in unix nanoseconds
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -18,9 +18,8 @@
 // errGap ends a watch whose events do not follow on the revision in force.
 var errGap = merry.New("the watch skipped a change")
 
-// errRoleChanged ends the watch of a node whose rank among its zone's watchers asks for another one, or
-// for none.
-var errRoleChanged = merry.New("the node's role as a watcher changed")
+// errRankChanged ends the watch of a node that is no longer the first of its zone's watchers.
+var errRankChanged = merry.New("the node's rank as a watcher changed")
 
 // notAWatcher is the rank of a node that does not watch the store.
 const notAWatcher = -1
@@ -64,7 +63,9 @@
 	}
 	retryAfter := s.config.RetryPause
 	for {
-		if s.rank() == notAWatcher {
+		rank := s.rank()
+		if rank == notAWatcher {
+			s.isStandby = false
 			s.leaveStoreToOthers()
 			if !pause(ctx, s.config.RetryPause) {
 				return
@@ -72,11 +73,15 @@
 			continue
 		}
 		opened := time.Now()
-		err := s.watchOnce(ctx)
+		err := s.follow(ctx, rank)
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, errRoleChanged) {
+		if err == nil {
+			retryAfter = s.config.RetryPause
+			continue
+		}
+		if errors.Is(err, errRankChanged) {
 			continue
 		}
 		if errors.Is(err, store.ErrHistoryGone) {
@@ -95,6 +100,15 @@
 	}
 }
 
+// follow follows the store as a watcher of a rank does, for some time.
+func (s *Syncer) follow(ctx context.Context, rank int) error {
+	if rank > 0 {
+		return s.standBy(ctx, rank)
+	}
+	s.isStandby = false
+	return s.watchOnce(ctx)
+}
+
 // watchOnce reads the whole state if there is none yet, then follows the store's changes.
 func (s *Syncer) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -104,46 +118,23 @@
 			return err
 		}
 	}
-	role := roleOf(s.rank())
 	var heardAt atomic.Int64
 	heardAt.Store(time.Now().UnixNano())
 	stopped := make(chan struct{})
 	defer close(stopped)
-	go s.superviseWatch(stopped, cancel, role, &heardAt)
-	err := s.store.Watch(ctx, s.catalog.Revision(), role, func(event store.Event) error {
+	go s.superviseWatch(stopped, cancel, &heardAt)
+	err := s.store.Watch(ctx, s.catalog.Revision(), store.Primary, func(event store.Event) error {
 		heardAt.Store(time.Now().UnixNano())
 		return s.takeEvent(ctx, event)
 	})
-	if s.changedRole(role) {
-		return errRoleChanged
+	if s.rank() != 0 {
+		return errRankChanged
 	}
 	return err
 }
 
-// roleOf gives how closely the watcher of a rank follows the store.
-func roleOf(rank int) store.WatchRole {
-	if rank == 0 {
-		return store.Primary
-	}
-	return store.Standby
-}
-
-// changedRole reports whether this node is to watch in another role, or not at all.
-func (s *Syncer) changedRole(role store.WatchRole) bool {
-	rank := s.rank()
-	return rank == notAWatcher || roleOf(rank) != role
-}
-
-// silence is how long a watch may be silent before it is opened anew.
-func (s *Syncer) silence(role store.WatchRole) time.Duration {
-	if role == store.Standby {
-		return s.config.StandbySilence
-	}
-	return s.config.WatchSilence
-}
-
-// superviseWatch ends a watch that fell silent or whose node changed its rank.
-func (s *Syncer) superviseWatch(stopped <-chan struct{}, cancel context.CancelFunc, role store.WatchRole, heardAt *atomic.Int64) {
+// superviseWatch ends a watch that fell silent or whose node is no longer the first in rank.
+func (s *Syncer) superviseWatch(stopped <-chan struct{}, cancel context.CancelFunc, heardAt *atomic.Int64) {
 	ticker := time.NewTicker(s.config.RetryPause)
 	defer ticker.Stop()
 	for {
@@ -153,7 +144,7 @@
 		case <-ticker.C:
 		}
 		silent := time.Since(time.Unix(0, heardAt.Load()))
-		if silent > s.silence(role) || s.changedRole(role) {
+		if silent > s.config.WatchSilence || s.rank() != 0 {
 			cancel()
 			return
 		}
@@ -242,10 +233,7 @@
 		return
 	}
 	time.AfterFunc(time.Duration(rank)*s.config.BackupDelay, func() {
-		s.mu.Lock()
-		seen := s.pushed >= change.Entry.Revision
-		s.mu.Unlock()
-		if !seen {
+		if !s.isPushed(change) {
 			s.offerPush(change)
 		}
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -162,7 +162,7 @@
 func defaultPlatform() Platform {
 	return Platform{
 		Address: "127.0.0.1:7300", Dialect: DefaultDialect,
-		WatchWait: 2 * time.Second, WatchPause: 300 * time.Millisecond,
+		WatchWait: 1500 * time.Millisecond, WatchPause: 300 * time.Millisecond,
 		StandbyWatchWait: 3 * time.Second, StandbyWatchPause: 800 * time.Millisecond,
 	}
 }
