Catalog: how old the configuration is does not depend on the time of day

Cause: the moment at which the configuration was last known to be the newest was kept by the time of day. A step of it by 2 s made what is old look new, also to watchers that stand by, which trust in that age; and the silence of a watch was told the same way.

Change: both are kept as the time since a start, by the clock that steps don't move.

Tests: times of confirmation have a monotonic reading; a catalog that was never confirmed is old.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -59,8 +59,11 @@
 
 // Catalog is the configuration state of a node. Reads are lock-free; writes take the lock.
 type Catalog struct {
-	view      atomic.Pointer[View]
+	view atomic.Pointer[View]
+	// confirmed is how long after the start of the catalog the revision in force was last known to be the newest;
+	// counted from there, it is free of steps of the time of day.
 	confirmed atomic.Int64
+	startedAt time.Time
 
 	mu          sync.Mutex
 	entries     map[string]Entry
@@ -76,7 +79,8 @@
 // New makes an empty catalog at revision 0. The rejected function is told of values that
 // can't be decoded; such a key keeps its last good value in force.
 func New(rejected func(key string, err error)) *Catalog {
-	catalog := &Catalog{entries: map[string]Entry{}, subscribers: map[int]chan Change{}, rejected: rejected}
+	catalog := &Catalog{startedAt: time.Now(), entries: map[string]Entry{}, subscribers: map[int]chan Change{}, rejected: rejected}
+	catalog.confirmed.Store(int64(neverConfirmed))
 	catalog.view.Store(emptyView(0))
 	return catalog
 }
@@ -91,19 +95,23 @@
 // Revision gives the revision in force.
 func (c *Catalog) Revision() int64 { return c.view.Load().Revision }
 
+// neverConfirmed is when the revision in force of a new catalog was the newest: long before any.
+const neverConfirmed = -50 * 365 * 24 * time.Hour
+
 // Confirm records that the revision in force was the newest at the given time.
 func (c *Catalog) Confirm(at time.Time) {
-	nanos := at.UnixNano()
+	after := int64(at.Sub(c.startedAt))
 	for {
 		known := c.confirmed.Load()
-		if nanos <= known || c.confirmed.CompareAndSwap(known, nanos) {
+		if after <= known || c.confirmed.CompareAndSwap(known, after) {
 			return
 		}
 	}
 }
 
-// ConfirmedAt gives when the revision in force was last known to be the newest.
-func (c *Catalog) ConfirmedAt() time.Time { return time.Unix(0, c.confirmed.Load()) }
+// ConfirmedAt gives when the revision in force was last known to be the newest. What passed since does not
+// depend on the time of day.
+func (c *Catalog) ConfirmedAt() time.Time { return c.startedAt.Add(time.Duration(c.confirmed.Load())) }
 
 // Apply takes a change if it follows directly on the revision in force. It reports whether
 // the change is now in force, be it by this call or an earlier one; false means a gap.
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -118,13 +118,13 @@
 			return err
 		}
 	}
-	var heardAt atomic.Int64
-	heardAt.Store(time.Now().UnixNano())
+	opened := time.Now()
+	var heardAfter atomic.Int64
 	stopped := make(chan struct{})
 	defer close(stopped)
-	go s.superviseWatch(stopped, cancel, &heardAt)
+	go s.superviseWatch(stopped, cancel, opened, &heardAfter)
 	err := s.store.Watch(ctx, s.catalog.Revision(), store.Primary, func(event store.Event) error {
-		heardAt.Store(time.Now().UnixNano())
+		heardAfter.Store(int64(time.Since(opened)))
 		return s.takeEvent(ctx, event)
 	})
 	if s.rank() != 0 {
@@ -133,8 +133,9 @@
 	return err
 }
 
-// superviseWatch ends a watch that fell silent or whose node is no longer the first in rank.
-func (s *Syncer) superviseWatch(stopped <-chan struct{}, cancel context.CancelFunc, heardAt *atomic.Int64) {
+// superviseWatch ends a watch that fell silent, told by how long after it was opened it was heard last, or whose
+// node is no longer the first in rank.
+func (s *Syncer) superviseWatch(stopped <-chan struct{}, cancel context.CancelFunc, opened time.Time, heardAfter *atomic.Int64) {
 	ticker := time.NewTicker(s.config.RetryPause)
 	defer ticker.Stop()
 	for {
@@ -143,7 +144,7 @@
 			return
 		case <-ticker.C:
 		}
-		silent := time.Since(time.Unix(0, heardAt.Load()))
+		silent := time.Since(opened) - time.Duration(heardAfter.Load())
 		if silent > s.config.WatchSilence || s.rank() != 0 {
 			cancel()
 			return
