Settings: look_after must be longer than a watch waits

Cause: with a longer platform.watch_wait watchers that stand by would call the store although the first is well, and nothing said so.

Change: the settings are refused. Tests: one that names the field.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -185,6 +185,8 @@
 	checks.Refuse(s.Platform.Dialect == "", "platform.dialect", "must not be empty")
 	checks.Refuse(s.Platform.WatchWait <= 0, "platform.watch_wait", "must be positive")
 	checks.Refuse(s.Platform.WatchPause < 0, "platform.watch_pause", "must not be negative")
+	// Else watchers that stand by call the store although the first of their zone is well.
+	checks.Refuse(s.ConfigSync.LookAfter <= s.Platform.WatchWait, "config_sync.look_after", "must be longer than platform.watch_wait")
 	checks.Refuse(s.Platform.StandbyWatchWait <= 0, "platform.standby_watch_wait", "must be positive")
 	checks.Refuse(s.Platform.StandbyWatchPause < 0, "platform.standby_watch_pause", "must not be negative")
 	for _, seed := range s.Seeds {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -93,3 +93,12 @@
 	changed.Node.Zone, changed.Gateway.HedgeFactor = "other", 3
 	is.Equal(Differences(Default(), changed), []string{"node.zone", "gateway.hedge_factor"})
 }
+
+// Standing by needs the first watcher's word more often than it looks by itself.
+func TestLookAfterIsLongerThanTheWaitOfAWatch(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("node.yaml", []byte("node:\n  zone: a\nplatform:\n  watch_wait: 2s\n"))
+	faults := failure.Faults(err)
+	is.Equal(len(faults), 1)
+	is.Equal(faults[0].Field, "config_sync.look_after")
+}
