--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -67,6 +67,7 @@
 	Zones     *reachability.Tracker
 	Rollouts  *rollouts
 	Self      catalog.NodeRecord
+	Catalog   *catalog.Catalog
 	Lessor    store.Lessor `optional:"true"`
 	Logger    *zap.Logger
 }
@@ -90,6 +91,7 @@
 			running.Go(func() { parts.Rollouts.run(ctx) })
 			if parts.Lessor != nil {
 				record := registry.New(parts.Config.Registry, parts.Lessor, parts.Self, parts.Logger)
+				record.ResumeFrom(parts.Catalog, parts.Syncer.Ready())
 				running.Go(func() { record.Run(ctx) })
 			}
 			go func() {
