Groups: what a request waited for its connection, and what its ways take, is taken off the time left

Roots waited for groups that had all parts in time: the intermediate was told the time left before the connection to it was open, and the ways between zones were taken for 5 ms until learnt.

The wait is taken off when the request is sent, and ways beyond what was thought by the kernel's estimate, a quarter of the time left at most; the wait no longer counts among the ways.

Tests: the wait, a request without a connection, a property of the ways.

--- a/internal/gateway/passing.go
+++ b/internal/gateway/passing.go
@@ -140,12 +140,14 @@
 func (w *gathering) ask(part group, spent int) servingtree.Ask {
 	q, r := w.query, w.gateway.root
 	mayMiss := len(w.services) - q.required
-	planned := time.Until(q.planned) - r.hop.expected(q.entry.Objective)
+	ways := r.hop.expected(q.entry.Objective)
+	planned := time.Until(q.planned) - ways
 	return servingtree.Ask{
 		ID: q.Leaf.ID, Method: q.Leaf.Method, Target: q.Leaf.Target, Host: q.Leaf.Host, Header: q.Leaf.Header,
 		Body: q.Leaf.Body, HasBody: q.Leaf.HasBody, Root: r.self.ID, GatherKey: q.entry.GatherKey,
 		Shards: part.shards, Required: max(1, len(part.shards)-mayMiss), Spent: spent,
 		ObjectiveMicros: planned.Microseconds(), DeadlineMicros: time.Until(q.deadline).Microseconds(),
+		Ways: ways,
 	}
 }
 
@@ -200,7 +202,7 @@
 		select {
 		case ended := <-call.Done():
 			p.tellWaiting(call, tell)
-			return p.judge(ended, time.Since(began))
+			return p.judge(ended, time.Since(began)-call.Waited())
 		case answer := <-call.Parts():
 			p.tellParts(answer, tell)
 		case <-call.Signs():
--- a/internal/servingtree/client.go
+++ b/internal/servingtree/client.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/portgauge/portgauge/internal/roundtrip"
 )
 
 // Client asks intermediates; safe for concurrent use.
@@ -33,10 +35,13 @@
 	session *session
 	number  uint64
 	ask     *Ask
-	sent    atomic.Bool
-	signs   chan struct{}
-	parts   chan Answer
-	done    chan Result
+	began   time.Time
+	// waited is how long the request waited for its connection, in nanoseconds.
+	waited atomic.Int64
+	sent   atomic.Bool
+	signs  chan struct{}
+	parts  chan Answer
+	done   chan Result
 }
 
 // Signs gives a value when the intermediate has shown that it is at work on the request.
@@ -48,6 +53,9 @@
 // Done gives the result, once.
 func (c *Call) Done() <-chan Result { return c.done }
 
+// Waited gives how long the request waited for its connection; 0 until it was sent.
+func (c *Call) Waited() time.Duration { return time.Duration(c.waited.Load()) }
+
 // Probe asks the intermediate for a sign. It does not block for long.
 func (c *Call) Probe() {
 	if c.session != nil {
@@ -66,7 +74,7 @@
 
 // Start asks the intermediate at an address. It does not wait for the connection.
 func (c *Client) Start(address string, ask Ask) *Call {
-	call := &Call{ask: &ask, signs: make(chan struct{}, 1), parts: make(chan Answer, 1), done: make(chan Result, 1)}
+	call := &Call{ask: &ask, began: time.Now(), signs: make(chan struct{}, 1), parts: make(chan Answer, 1), done: make(chan Result, 1)}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -162,10 +170,14 @@
 	}
 }
 
-// sendAsk writes a call's request; one that can't be written whole may have arrived.
+// sendAsk writes a call's request; one that can't be written whole may have arrived. What it waited for the
+// connection is taken off its times, and so are the ways, where they take longer than was thought.
 func (s *session) sendAsk(open *wire, call *Call) {
+	waited := time.Since(call.began)
+	call.waited.Store(int64(waited))
+	ask := call.ask.after(waited, roundtrip.Of(open.socket).Mostly())
 	call.sent.Store(true)
-	if err := open.write(line{Number: call.number, Ask: call.ask}); err != nil {
+	if err := open.write(line{Number: call.number, Ask: &ask}); err != nil {
 		if taken := s.take(call.number); taken != nil {
 			taken.done <- Result{Err: &BrokenError{Cause: err}}
 		}
--- a/internal/servingtree/message.go
+++ b/internal/servingtree/message.go
@@ -40,6 +40,20 @@
 	// DeadlineMicros, until it is of no use.
 	ObjectiveMicros int64 `json:"objective_micros"`
 	DeadlineMicros  int64 `json:"deadline_micros"`
+	// Ways is what the one who asks has taken off the objective for the ways there and back.
+	Ways time.Duration `json:"-"`
+}
+
+// mostWays is the part of the time left, as a divisor, that ways may take up beyond what was thought.
+const mostWays = 4
+
+// after gives the request as it is sent some time after it was put, over ways that take so long.
+func (a Ask) after(waited, ways time.Duration) Ask {
+	a.ObjectiveMicros -= waited.Microseconds()
+	longer := max(0, ways-a.Ways).Microseconds()
+	a.ObjectiveMicros -= min(longer, max(0, a.ObjectiveMicros/mostWays))
+	a.DeadlineMicros -= waited.Microseconds()
+	return a
 }
 
 // Answer is what the leafs of a group gave.
