Roll-outs: a version rolled back beside leafs without a version gets nothing

A state whose serving version has no name let any version serve once it was rolled back or taken back, the one rolled back included. The rule names it as barred; it is not taken for the version that was there first either. Tests of rules and of leaf sets failed before.

--- a/internal/leafset/versions.go
+++ b/internal/leafset/versions.go
@@ -65,7 +65,7 @@
 	first := ""
 	if rule := e.set.rules[service]; rule.Serving == "" {
 		first = e.set.first[service]
-		if first == "" {
+		if first == "" || first == rule.Barred {
 			first = mostCounted(countVersions(leafs, rule))
 		}
 	}
@@ -80,11 +80,11 @@
 	e.set.first[service] = first
 }
 
-// countVersions counts the leafs of each version but the one on trial.
+// countVersions counts the leafs of each version but the one on trial and the one that is barred.
 func countVersions(leafs []*Leaf, rule rollout.Rule) map[string]int {
 	counts := map[string]int{}
 	for _, leaf := range leafs {
-		if leaf.Version != "" && !rule.IsTrial(leaf.Version) {
+		if leaf.Version != "" && leaf.Version != rule.Barred && !rule.IsTrial(leaf.Version) {
 			counts[leaf.Version]++
 		}
 	}
--- a/internal/leafset/versions_test.go
+++ b/internal/leafset/versions_test.go
@@ -145,3 +145,19 @@
 	is.Equal(ids(set.Ready("s")), []string{"2", "3", "5"})
 	is.Equal(set.Rule("s").Serving, "v2")
 }
+
+// A version that was rolled back is not taken for the one that was there first, also where the leafs beside it tell
+// no version, or are gone.
+func TestVersionRolledBackIsNotTheFirst(t *testing.T) {
+	is := is.New(t)
+	_, newer := oldAndNew()
+	untold := leafOf("1", "", Ready)
+	set := ruled(edited(Empty().Edit(), []*Leaf{untold}), rollout.Rule{Trial: "v2"})
+	set = ruled(edited(set.Edit(), newer), rollout.Rule{Barred: "v2"})
+	is.Equal(ids(set.Ready("s")), []string{"1"})
+	is.True(set.IsBarred(newer[0]))
+	set = edited(set.Edit(), nil, "1")
+	is.Equal(len(set.Ready("s")), 0)
+	set = edited(set.Edit(), []*Leaf{leafOf("5", "v1", Ready)})
+	is.Equal(ids(set.Ready("s")), []string{"5"})
+}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -127,8 +127,11 @@
 
 // Rule says which versions of a service may get requests; the zero rule allows all.
 type Rule struct {
-	// Serving is the version that serves; empty means any but Trial.
+	// Serving is the version that serves; empty means any but Trial and Barred.
 	Serving string
+	// Barred is the version that was rolled back or taken back where Serving is empty; else empty, since then all but
+	// Serving and Trial are barred.
+	Barred string
 	// Trial is the version that an order wants to serve; empty where there is none under way.
 	Trial string
 	// Phase is Canary or Switching while there is a Trial, else empty.
@@ -146,6 +149,9 @@
 	if state != nil {
 		rule.Serving, rule.Revision = state.Served(), state.Revision
 	}
+	if state != nil && rule.Serving == "" {
+		rule.Barred = state.Target
+	}
 	if order == nil || order.Target == rule.Serving {
 		return rule
 	}
@@ -157,25 +163,28 @@
 	if answered {
 		rule.Phase = state.Phase
 	}
+	if rule.Barred == rule.Trial {
+		rule.Barred = ""
+	}
 	return rule
 }
 
 // WithFirst gives the rule of a service that is served by the version that was there first, empty where none was,
 // unless the rule names one that serves. An order of the version that serves already asks for nothing.
 func (r Rule) WithFirst(first string) Rule {
-	if r.Serving != "" || first == "" {
+	if r.Serving != "" || first == "" || r.Barred == first {
 		return r
 	}
 	if r.Trial == first {
 		return Rule{Serving: first, Revision: r.Revision}
 	}
-	r.Serving = first
+	r.Serving, r.Barred = first, ""
 	return r
 }
 
 // IsServing reports whether a version serves by the rule; a leaf that tells no version does.
 func (r Rule) IsServing(version string) bool {
-	return version == "" || version == r.Serving || r.Serving == "" && version != r.Trial
+	return version == "" || version == r.Serving || r.Serving == "" && version != r.Trial && version != r.Barred
 }
 
 // IsTrial reports whether a version is on trial by the rule.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -18,6 +18,13 @@
 	return &State{Service: "s", OrderRevision: answered, Phase: phase, Serving: "v1", Target: "v2", Revision: 9}
 }
 
+// unnamed is a state where the version that served has no name.
+func unnamed(phase Phase, answered int64) *State {
+	made := state(phase, answered)
+	made.Serving = ""
+	return made
+}
+
 func TestRuleFollowsFromOrderAndState(t *testing.T) {
 	canary := Rule{Serving: "v1", Trial: "v2", Phase: Canary, Order: orderRevision}
 	withState := func(rule Rule, phase Phase) Rule {
@@ -43,6 +50,11 @@
 		{"another order after a success", order("v3"), state(Succeeded, 5), "v1", Rule{Serving: "v2", Trial: "v3", Phase: Canary, Order: orderRevision, Revision: 9}},
 		{"the order was taken back", nil, state(Switching, orderRevision), "v1", Rule{Serving: "v1", Revision: 9}},
 		{"taken back after a success", nil, state(Succeeded, orderRevision), "v1", Rule{Serving: "v2", Revision: 9}},
+		{"rolled back where leafs told no version", order("v2"), unnamed(RolledBack, orderRevision), "", Rule{Barred: "v2", Revision: 9}},
+		{"taken back where leafs told no version", nil, unnamed(Switching, orderRevision), "", Rule{Barred: "v2", Revision: 9}},
+		{"on trial again where leafs told no version", order("v2"), unnamed(RolledBack, 5), "", Rule{Trial: "v2", Phase: Canary, Order: orderRevision, Revision: 9}},
+		{"another on trial where leafs told no version", order("v3"), unnamed(RolledBack, 5), "", Rule{Barred: "v2", Trial: "v3", Phase: Canary, Order: orderRevision, Revision: 9}},
+		{"succeeded where leafs told no version", order("v2"), unnamed(Succeeded, orderRevision), "", Rule{Serving: "v2", Revision: 9}},
 		{"the target serves already", order("v1"), nil, "v1", Rule{Serving: "v1"}},
 	}
 	for _, c := range cases {
@@ -60,6 +72,10 @@
 	is.True(rule.IsTrial("v2") && !rule.IsTrial("") && !rule.IsTrial("v1"))
 	unknown := Rule{Trial: "v2"}
 	is.True(unknown.IsServing("v1") && !unknown.IsServing("v2"))
+	rolledBack := Rule{Barred: "v2"}
+	is.True(rolledBack.IsServing("v1") && rolledBack.IsServing("") && !rolledBack.IsServing("v2") && !rolledBack.IsTrial("v2"))
+	is.Equal(rolledBack.WithFirst("v2"), rolledBack)
+	is.Equal(rolledBack.WithFirst("v1"), Rule{Serving: "v1"})
 	is.True(Rule{}.IsServing("v9") && !Rule{}.IsTrial(""))
 }
 
