Registry: one order of nodes by rendezvous hash

The writers of the list of leafs and of the versions and the judges of roll-outs each had their own order of the registered nodes. Ranked and Rank hold it once, per topic; a node that isn't registered has the rank that it would have. Properties of rank and order.

--- a/internal/leafmemory/writer.go
+++ b/internal/leafmemory/writer.go
@@ -6,13 +6,13 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	json "github.com/goccy/go-json"
 	"go.uber.org/zap"
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/wait"
 )
@@ -65,7 +65,8 @@
 	if len(w.wanted) == 0 || len(w.wanted) > w.config.MaximumLeafs || w.isWritten {
 		return false
 	}
-	return now.Sub(w.since) >= w.config.WriteDelay*time.Duration(1+w.rank(view))
+	rank := registry.Rank(view.Nodes, catalog.RememberedKey, w.self)
+	return now.Sub(w.since) >= w.config.WriteDelay*time.Duration(1+rank)
 }
 
 // compare finds what is wanted, and whether it is written, if either changed since the last look.
@@ -80,18 +81,6 @@
 	w.isWritten = slices.Equal(w.wanted, records(view.Remembered))
 }
 
-// rank is how many registered nodes come before this one.
-func (w *Writer) rank(view *catalog.View) int {
-	own := xxhash.Sum64String(w.self)
-	ahead := 0
-	for id := range view.Nodes {
-		if xxhash.Sum64String(id) > own {
-			ahead++
-		}
-	}
-	return ahead
-}
-
 // records gives the ready leafs in order of id, without what changes as they warm up.
 func records(set *leafset.Set) []leafset.Record {
 	var ready []leafset.Record
--- /dev/null
+++ b/internal/registry/ranking_test.go
@@ -0,0 +1,56 @@
+package registry
+
+import (
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+)
+
+func drawNodes(t *rapid.T) map[string]catalog.NodeRecord {
+	nodes := map[string]catalog.NodeRecord{}
+	for _, id := range rapid.SliceOfNDistinct(rapid.StringMatching("[a-d]{1,4}"), 1, 12, rapid.ID).Draw(t, "ids") {
+		nodes[id] = catalog.NodeRecord{ID: id}
+	}
+	return nodes
+}
+
+// A node's rank is its place in the order, and what it is without the node being among them.
+func TestRankIsThePlaceInTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := drawNodes(t)
+		for rank, node := range Ranked(nodes, "topic") {
+			if got := Rank(nodes, "topic", node.ID); got != rank {
+				t.Fatalf("%s has rank %d at place %d", node.ID, got, rank)
+			}
+			others := maps.Clone(nodes)
+			delete(others, node.ID)
+			if got := Rank(others, "topic", node.ID); got != rank {
+				t.Fatalf("%s has rank %d of the others at place %d", node.ID, got, rank)
+			}
+		}
+	})
+}
+
+// The parts of a set make up its fingerprint; a node that stands in for another, or is told of twice, does not.
+func TestFingerprintTellsNodesApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := drawNodes(t)
+		sum := uint64(0)
+		for id := range nodes {
+			sum += Mark(id)
+		}
+		if sum != Fingerprint(nodes) {
+			t.Fatal("the parts are not the whole")
+		}
+		for id := range nodes {
+			if sum-Mark(id)+Mark("other") == sum || sum+Mark(id) == sum {
+				t.Fatal("another set has the same fingerprint")
+			}
+		}
+	})
+	is.New(t).Equal(Fingerprint(nil), uint64(0))
+}
--- a/internal/rolloutcontrol/panel.go
+++ b/internal/rolloutcontrol/panel.go
@@ -1,36 +1,13 @@
 package rolloutcontrol
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/registry"
 )
 
-// ranked gives nodes in order of rendezvous hash for a topic: the same on all nodes, another for each topic, and
-// those that stay keep their order when one goes.
-func ranked(nodes map[string]catalog.NodeRecord, topic string) []catalog.NodeRecord {
-	type weighed struct {
-		node   catalog.NodeRecord
-		weight uint64
-	}
-	order := make([]weighed, 0, len(nodes))
-	for id, node := range nodes {
-		order = append(order, weighed{node, xxhash.Sum64String(topic + "\x00" + id)})
-	}
-	slices.SortFunc(order, func(a, b weighed) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node.ID, b.node.ID))
-	})
-	sorted := make([]catalog.NodeRecord, len(order))
-	for index, one := range order {
-		sorted[index] = one.node
-	}
-	return sorted
-}
-
 // rankOf gives the place of a node among some; -1 when it is not among them.
 func rankOf(nodes []catalog.NodeRecord, id string) int {
 	return slices.IndexFunc(nodes, func(node catalog.NodeRecord) bool { return node.ID == id })
@@ -41,7 +18,7 @@
 func judgesOf(nodes map[string]catalog.NodeRecord, service string, most int) []catalog.NodeRecord {
 	var judges, others []catalog.NodeRecord
 	zones := map[string]bool{}
-	for _, node := range ranked(nodes, service) {
+	for _, node := range registry.Ranked(nodes, service) {
 		if zones[node.Zone] {
 			others = append(others, node)
 			continue
--- a/internal/rolloutcontrol/versions.go
+++ b/internal/rolloutcontrol/versions.go
@@ -12,6 +12,7 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/rollout"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/wait"
@@ -73,11 +74,7 @@
 	if maps.Equal(w.wanted, view.Versions) {
 		return false
 	}
-	order := ranked(view.Nodes, catalog.VersionsKey)
-	rank := rankOf(order, w.self)
-	if rank < 0 {
-		rank = len(order)
-	}
+	rank := registry.Rank(view.Nodes, catalog.VersionsKey, w.self)
 	return now.Sub(w.since) >= w.cfg.VersionsDelay*time.Duration(1+rank)
 }
 
--- a/internal/rolloutcontrol/versions_test.go
+++ b/internal/rolloutcontrol/versions_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/routing"
 )
 
@@ -91,7 +92,7 @@
 
 func TestAnotherNodeWritesVersionsIfTheFirstIsCutOff(t *testing.T) {
 	versionsScene(t, func(is *is.I, f *fleet) {
-		first := ranked(f.all()[0].catalog.View().Nodes, catalog.VersionsKey)[0].ID
+		first := registry.Ranked(f.all()[0].catalog.View().Nodes, catalog.VersionsKey)[0].ID
 		f.store.fail(func(m *memoryStore) { m.refused[first] = true })
 		f.addLeafs("s", "a", 1)
 		is.Equal(f.versions(), map[string]string{"s": "a"})
