Roll-outs: the switch is settled by the registered nodes, not by as many

An unregistered node that answered stood in for a registered one that was silent. Each node that answers adds its mark if it is registered; the sum is compared with that of the registered nodes: 8 bytes an answer, told as a number. Tests of the status call and of the switch; the latter failed before.

--- a/internal/configsync/configsync_test.go
+++ b/internal/configsync/configsync_test.go
@@ -8,8 +8,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/machines"
 	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/store"
 )
 
@@ -212,6 +214,26 @@
 	})
 }
 
+// The fingerprint of an answer is that of the nodes which answered and are registered.
+func TestStatusTellsRegisteredNodesApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2, 7)
+		defer f.stopAll()
+		registered := map[string]catalog.NodeRecord{}
+		for _, id := range []string{"z0-n0", "z0-n5", "z1-n3"} {
+			registered[id] = catalog.NodeRecord{ID: id, Address: id}
+			f.platform.register(t, registered[id])
+		}
+		time.Sleep(2 * time.Minute)
+		sum := uint64(0)
+		for _, zone := range f.nodes["z0-n0"].syncer.Status(t.Context(), 1) {
+			sum += zone.Registered
+		}
+		is.Equal(sum, registry.Fingerprint(registered))
+	})
+}
+
 func TestSplitDealsEveryAddressOnce(t *testing.T) {
 	is := is.New(t)
 	for size := range 30 {
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
@@ -55,10 +56,29 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return p.put(catalog.ServiceKey(name), value)
+}
+
+// register writes the record of a node.
+func (p *memoryPlatform) register(t *testing.T, node catalog.NodeRecord) {
+	t.Helper()
+	document, err := json.Marshal(node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := catalog.NewDocument("", document, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.put(catalog.NodeKey(node.ID), value)
+}
+
+// put writes a key and gives the revision.
+func (p *memoryPlatform) put(key string, value []byte) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	revision := int64(len(p.log) + 1)
-	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: catalog.ServiceKey(name), Value: value, Revision: revision}, Previous: revision - 1})
+	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: key, Value: value, Revision: revision}, Previous: revision - 1})
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return revision
--- a/internal/configsync/status.go
+++ b/internal/configsync/status.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/registry"
 )
 
 // ZoneStatus counts the nodes of a zone that answered a status query.
@@ -85,6 +86,7 @@
 			total.LowestRevision = min(total.LowestRevision, reply.LowestRevision)
 			total.Settled += reply.Settled
 			total.LowestSettled = min(total.LowestSettled, reply.LowestSettled)
+			total.Registered += reply.Registered
 		})
 	}
 	asked.Wait()
@@ -103,6 +105,10 @@
 	if settledAt >= wanted {
 		own.Settled = 1
 	}
+	self := s.members.Self().ID
+	if _, isRegistered := s.catalog.View().Nodes[self]; isRegistered {
+		own.Registered = registry.Mark(self)
+	}
 	return own
 }
 
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -98,6 +98,7 @@
 	var status rolloutcontrol.FleetStatus
 	for index, zone := range f.syncer.Status(ctx, revision) {
 		status.Answered += int(zone.Nodes)
+		status.Registered += zone.Registered
 		if index == 0 || zone.LowestSettled < status.LowestSettled {
 			status.LowestSettled = zone.LowestSettled
 		}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -188,4 +188,7 @@
 	// one; LowestSettled is the least revision at which a node is settled.
 	Settled       uint32 `json:"settled"`
 	LowestSettled int64  `json:"lowest_settled"`
+	// Registered is the fingerprint of those of the nodes that are registered, as each of them knows it: nodes that
+	// are not don't stand in for silent ones.
+	Registered uint64 `json:"registered,omitempty"`
 }
--- a/internal/rolloutcontrol/controller_test.go
+++ b/internal/rolloutcontrol/controller_test.go
@@ -341,6 +341,24 @@
 	})
 }
 
+// A node that answers without being registered does not stand in for a registered one that is silent.
+func TestUnregisteredNodeDoesNotStandIn(t *testing.T) {
+	scene(t, func(is *is.I, f *fleet) {
+		silent := f.nonJudge("s")
+		f.start("unregistered")
+		f.setCut(silent, true)
+		f.order("s", "b", usual)
+		for len(f.store.phases("s")) < 2 {
+			f.serve(100*time.Millisecond, never)
+		}
+		f.serve(f.cfg.SettleWait-time.Second, never)
+		is.Equal(f.store.phases("s"), succeeds[:2])
+		f.serve(3*time.Second, never)
+		is.Equal(f.store.phases("s"), succeeds)
+		is.Equal(f.store.written()[2].Reason, "all nodes that answer are settled")
+	})
+}
+
 // A judge that heard no counts itself takes another's word that the version is bad.
 func TestJudgesBelieveAHold(t *testing.T) {
 	scene(t, func(is *is.I, f *fleet) {
--- a/internal/rolloutcontrol/judge.go
+++ b/internal/rolloutcontrol/judge.go
@@ -39,7 +39,7 @@
 		c.hold(order, t.judgement.Reason)
 	}
 	untilMargin := t.order.Duration() - c.cfg.marginOf(t.order.Duration()) - t.elapsed(now)
-	phase, reason := t.next(now, c.cfg, len(view.Nodes))
+	phase, reason := t.next(now, c.cfg, c.panel.fingerprint(view))
 	if phase == "" {
 		return untilMargin
 	}
--- a/internal/rolloutcontrol/node_test.go
+++ b/internal/rolloutcontrol/node_test.go
@@ -11,6 +11,7 @@
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/rollout"
 	"github.com/portgauge/portgauge/internal/verdict"
 )
@@ -138,6 +139,9 @@
 			status.LowestSettled = settled
 		}
 		status.Answered++
+		if _, isRegistered := other.catalog.View().Nodes[other.id]; isRegistered {
+			status.Registered += registry.Mark(other.id)
+		}
 	}
 	return status
 }
--- a/internal/rolloutcontrol/panel.go
+++ b/internal/rolloutcontrol/panel.go
@@ -37,16 +37,12 @@
 	view      *catalog.View
 	nodes     map[string]catalog.NodeRecord
 	byService map[string][]catalog.NodeRecord
+	marks     uint64 // the fingerprint of nodes
 }
 
 // judges gives the judges of a service. The slice is shared and the same as long as the nodes are.
 func (p *panel) judges(view *catalog.View, service string) []catalog.NodeRecord {
-	if view != p.view {
-		if p.byService == nil || !maps.Equal(view.Nodes, p.nodes) {
-			p.byService = map[string][]catalog.NodeRecord{}
-		}
-		p.view, p.nodes = view, view.Nodes
-	}
+	p.look(view)
 	judges, found := p.byService[service]
 	if !found {
 		judges = judgesOf(view.Nodes, service, p.most)
@@ -54,3 +50,20 @@
 	}
 	return judges
 }
+
+// fingerprint gives that of the registered nodes.
+func (p *panel) fingerprint(view *catalog.View) uint64 {
+	p.look(view)
+	return p.marks
+}
+
+// look takes the nodes of a view.
+func (p *panel) look(view *catalog.View) {
+	if view == p.view {
+		return
+	}
+	if p.byService == nil || !maps.Equal(view.Nodes, p.nodes) {
+		p.byService, p.marks = map[string][]catalog.NodeRecord{}, registry.Fingerprint(view.Nodes)
+	}
+	p.view, p.nodes = view, view.Nodes
+}
--- a/internal/rolloutcontrol/trial.go
+++ b/internal/rolloutcontrol/trial.go
@@ -13,6 +13,8 @@
 type FleetStatus struct {
 	// Answered is how many answered.
 	Answered int
+	// Registered is the fingerprint of those of them that are registered.
+	Registered uint64
 	// LowestSettled is the least revision at which one of them is settled: it sends nothing by an older rule and has
 	// nothing in flight by one.
 	LowestSettled int64
@@ -117,8 +119,9 @@
 	}
 }
 
-// next gives the phase that should be written now and why; empty for none.
-func (t *trial) next(now time.Time, cfg Config, registered int) (rollout.Phase, string) {
+// next gives the phase that should be written now and why; empty for none. Registered is the fingerprint of the nodes
+// that are registered.
+func (t *trial) next(now time.Time, cfg Config, registered uint64) (rollout.Phase, string) {
 	switch {
 	case t.state == nil && t.isServingKnown && t.serving == t.order.Target:
 		return rollout.Succeeded, "the version serves already"
@@ -139,11 +142,11 @@
 
 // nextOfSwitching ends the switching phase once the nodes are settled. A good version is not rolled back for slow
 // nodes: those that don't answer are waited for only so long, and from the end of the time on the others, too.
-func (t *trial) nextOfSwitching(now time.Time, cfg Config, registered int) (rollout.Phase, string) {
+func (t *trial) nextOfSwitching(now time.Time, cfg Config, registered uint64) (rollout.Phase, string) {
 	isWaitOver := now.Sub(t.switchingSince) >= cfg.SettleWait
 	isSettled := t.status.Answered > 0 && t.status.LowestSettled >= t.state.Revision
 	switch {
-	case isSettled && t.status.Answered >= registered:
+	case isSettled && t.status.Registered == registered:
 		return rollout.Succeeded, "all nodes are settled"
 	case isSettled && isWaitOver:
 		return rollout.Succeeded, "all nodes that answer are settled"
