Roll-outs: what no serving leaf can take earns the version on trial no share

Where the serving version had no leaf that could be asked, the requests that were refused counted for the share although they never reached the service: the version on trial got nearly all that did. They don't count any more, and what is drawn of them comes from the slack and what was earned before. Draws are made after it is known that the request would be served with them, and taken back where it is refused after all; one of an order that was replaced earns the next order nothing.

--- a/internal/canary/splitter.go
+++ b/internal/canary/splitter.go
@@ -23,12 +23,24 @@
 	Both
 )
 
+// Request is one whose first attempt is about to be made.
+type Request struct {
+	Service string
+	// Once says that it must run once at most.
+	Once bool
+	// Unserved says that no leaf of the version that serves can be asked for it. Since it reaches the service only if
+	// it is drawn, it earns the version on trial no share.
+	Unserved bool
+}
+
 // Draw says which version the first attempt of a request goes to.
 type Draw struct {
 	// First is Serving or Trial.
 	First Versions
 	// IsBounded says that the attempt was drawn from the bounded share: it goes to the first usable leaf by Focus.
 	IsBounded bool
+	// order is that of a bounded draw.
+	order int64
 }
 
 // Fleet gives what a node must know of the others; registry.Census is the real one.
@@ -85,9 +97,10 @@
 	}
 }
 
-// Draw counts a request whose first attempt is about to be made, and draws which version it goes to. Requests that
-// must run once at most are told by once. Whatever is drawn for the version on trial counts as sent there.
-func (s *Splitter) Draw(service string, once bool) Draw {
+// Draw counts a request and draws which version its first attempt goes to. Whatever is drawn for the version on trial
+// counts as sent there.
+func (s *Splitter) Draw(request Request) Draw {
+	service, once := request.Service, request.Once
 	if s.catalog.View().Leafs.Rule(service).Trial == "" {
 		return Draw{}
 	}
@@ -99,7 +112,9 @@
 		return Draw{}
 	}
 	known, now := s.trial(view, service, rule), s.now()
-	known.requests++
+	if !request.Unserved {
+		known.requests++
+	}
 	switch s.stage(service, rule, known, now) {
 	case moved:
 		known.count(once, 1)
@@ -113,19 +128,19 @@
 		s.lowerPart(view, service, known)
 		if len(view.Leafs.OnTrial(service)) > 0 && known.hasRoom(s.config, once, now) {
 			known.count(once, 1)
-			return Draw{First: Trial, IsBounded: true}
+			return Draw{First: Trial, IsBounded: true, order: rule.Order}
 		}
 	case stopped:
 	}
 	return Draw{}
 }
 
-// Return takes back a draw from the bounded share for which no leaf could be asked, before anything was sent.
-func (s *Splitter) Return(service string, once bool, draw Draw) {
+// Return takes back a draw from the bounded share by which nothing was sent. The request itself stays counted.
+func (s *Splitter) Return(request Request, draw Draw) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, found := s.trials[service]; found && draw.IsBounded {
-		known.count(once, -1)
+	if known, found := s.trials[request.Service]; found && draw.IsBounded && known.order == draw.order {
+		known.count(request.Once, -1)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,7 @@
 	}
 	plan := w.plan()
 	if err := w.refuse(plan); err != nil {
+		w.returnDraws()
 		return nil, err
 	}
 	w.drawFirst(&plan)
--- a/internal/gateway/impossible.go
+++ b/internal/gateway/impossible.go
@@ -23,12 +23,8 @@
 		return nil // a part of a request is for its root to judge
 	}
 	required := max(1, w.query.required)
-	without := 0
-	for index := range w.services {
-		if !w.hasLeaf(index) {
-			without++
-		}
-	}
+	without, unserved := w.shardsWithoutLeafs()
+	without += len(unserved) - w.drawn(unserved, required-(len(w.services)-without-len(unserved)))
 	if len(w.services)-without >= required {
 		return nil
 	}
@@ -43,20 +39,60 @@
 // served: to wait would only cost them time.
 const strandedRetryAfter = time.Millisecond
 
-// hasLeaf reports whether a service has a leaf that may run the request. One on trial does where all requests go
-// there by now, or where this one was drawn.
+// shardsWithoutLeafs counts the shards without a leaf that may run the request, and gives those that have one only if
+// they are drawn for the version on trial.
+func (w *gathering) shardsWithoutLeafs() (without int, unserved []int) {
+	for index := range w.services {
+		switch {
+		case w.hasLeaf(index):
+		case w.mayBeDrawn(index):
+			unserved = append(unserved, index)
+		default:
+			without++
+		}
+	}
+	return without, unserved
+}
+
+// drawn draws shards until so many are drawn for the version on trial, and gives how many are. Where there are not
+// enough shards none is drawn, and where not enough are drawn it is taken back.
+func (w *gathering) drawn(shards []int, wanted int) int {
+	if wanted <= 0 || wanted > len(shards) {
+		return 0
+	}
+	count := 0
+	for _, shard := range shards {
+		if w.draw(shard, true).First == canary.Trial {
+			if count++; count == wanted {
+				return count
+			}
+		}
+	}
+	w.returnDraws()
+	return count
+}
+
+// hasLeaf reports whether a service has a leaf that may run the request without a draw. One on trial does where all
+// requests go there by now.
 func (w *gathering) hasLeaf(index int) bool {
 	service := w.services[index]
-	isAllowed := func(leaf *leafset.Leaf) bool { return w.allowsZone(leaf.Zone) && w.gateway.zones.Reaches(leaf.Zone) }
 	versions := w.gateway.later(service)
-	if versions != canary.Trial && slices.ContainsFunc(w.gateway.servingLeafs(service), isAllowed) {
+	if versions != canary.Trial && w.anyInReach(w.gateway.servingLeafs(service)) {
 		return true
 	}
-	trial := w.gateway.catalog.View().Leafs.OnTrial(service)
-	if len(trial) == 0 || !slices.ContainsFunc(trial, isAllowed) {
-		return false
-	}
-	return versions != canary.Serving || !w.isPassedOn(index) && w.draw(index).First == canary.Trial
+	return versions != canary.Serving && w.anyInReach(w.gateway.catalog.View().Leafs.OnTrial(service))
+}
+
+// mayBeDrawn reports whether a shard may be drawn here for leafs on trial that may run the request.
+func (w *gathering) mayBeDrawn(index int) bool {
+	return !w.isPassedOn(index) && w.anyInReach(w.gateway.catalog.View().Leafs.OnTrial(w.services[index]))
+}
+
+// anyInReach reports whether any of some leafs may run the request.
+func (w *gathering) anyInReach(leafs []*leafset.Leaf) bool {
+	return slices.ContainsFunc(leafs, func(leaf *leafset.Leaf) bool {
+		return w.allowsZone(leaf.Zone) && w.gateway.zones.Reaches(leaf.Zone)
+	})
 }
 
 // Callers follow the time that they are told up to a third of the time they have. Those who are told it
