Roll-outs: leafs that requests have moved to are remembered as serving ones are

Where all requests went to the version found good and discovery lost its leafs for a moment, requests were refused: the memory gave leafs of the serving version only. It gives those of the trial as well, by the rule in force. The gateway's own filter of what the memory gives was a second one and goes. Test of the gateway failed before; that lost leafs which may not be asked don't hide written ones held already and has a test now.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -46,7 +46,7 @@
 		candidates = g.addParts(candidates, service, gathered, limit, g.servingLeafs(service), targets)
 	}
 	if versions != canary.Serving {
-		candidates = g.addParts(candidates, service, gathered, limit, g.catalog.View().Leafs.OnTrial(service), targets)
+		candidates = g.addParts(candidates, service, gathered, limit, g.trialLeafs(service, versions), targets)
 	}
 	return candidates
 }
@@ -71,18 +71,20 @@
 	return candidates
 }
 
-// servingLeafs gives the leafs of the version of a service that serves; what is only remembered may be of others.
+// servingLeafs gives the leafs of the version of a service that serves, also those lost a moment ago where there are
+// no others.
 func (g *Gateway) servingLeafs(service string) []*leafset.Leaf {
-	leafs, lastResort := g.memory.Candidates(service)
-	if !lastResort {
-		return leafs
-	}
-	rule := g.catalog.View().Leafs.Rule(service)
-	isOther := func(leaf *leafset.Leaf) bool { return !rule.IsServing(leaf.Version) }
-	if !slices.ContainsFunc(leafs, isOther) {
-		return leafs
+	leafs, _ := g.memory.Candidates(service)
+	return leafs
+}
+
+// trialLeafs gives the leafs of the version of a service on trial, also those lost a moment ago where there are no
+// others and all requests go to that version.
+func (g *Gateway) trialLeafs(service string, versions canary.Versions) []*leafset.Leaf {
+	if versions == canary.Trial {
+		return g.memory.OnTrial(service)
 	}
-	return slices.DeleteFunc(slices.Clone(leafs), isOther)
+	return g.catalog.View().Leafs.OnTrial(service)
 }
 
 // target gives the leaf of an attempt.
--- a/internal/gateway/impossible.go
+++ b/internal/gateway/impossible.go
@@ -80,7 +80,7 @@
 	if versions != canary.Trial && w.anyInReach(w.gateway.servingLeafs(service)) {
 		return true
 	}
-	return versions != canary.Serving && w.anyInReach(w.gateway.catalog.View().Leafs.OnTrial(service))
+	return versions != canary.Serving && w.anyInReach(w.gateway.trialLeafs(service, versions))
 }
 
 // mayBeDrawn reports whether a shard may be drawn here for leafs on trial that may run the request.
--- a/internal/gateway/trial_test.go
+++ b/internal/gateway/trial_test.go
@@ -226,6 +226,23 @@
 	})
 }
 
+// Where all requests go to the new leafs, those are asked for a moment after discovery lost them all, and nothing else.
+func TestMovedLeafsAreAskedAMomentAfterTheirLoss(t *testing.T) {
+	inTrial(t, never(), func(is *is.I, b *trialed) {
+		b.move()
+		for _, id := range []string{"s0c", "s0d"} {
+			put(b.t, b.catalog, catalog.LeafKey(id), nil)
+		}
+		for _, path := range []string{"/single/1", "/pages/1"} {
+			answer, err := b.Serve(b.t.Context(), ask(path))
+			is.NoErr(err)
+			is.Equal(answer.Missing, 0)
+			asked := b.asked()
+			is.True(len(asked) == 1 && isOnTrial(asked[0]))
+		}
+	})
+}
+
 // During the ramp either version is asked for what the other failed.
 func TestDuringTheRampBothMayBeRetried(t *testing.T) {
 	inTrial(t, never(), func(is *is.I, b *trialed) {
--- a/internal/leafmemory/memory.go
+++ b/internal/leafmemory/memory.go
@@ -66,15 +66,28 @@
 	if len(ready) > 0 {
 		return ready, false
 	}
-	mayNotServe := func(leaf *leafset.Leaf) bool { return !view.Leafs.MayServe(leaf) }
-	recent := view.Leafs.LostSince(service, m.heldSince())
-	if recent = slices.DeleteFunc(recent, mayNotServe); len(recent) > 0 {
-		return recent, true
+	return m.left(view, service, view.Leafs.MayServe), true
+}
+
+// OnTrial gives the leafs of a service that may be asked where all requests go to its version on trial: ready ones,
+// or, where there is none, those that were ready a moment ago. Leafs of an evacuated zone are never among them.
+func (m *Memory) OnTrial(service string) []*leafset.Leaf {
+	view := m.catalog.View()
+	if ready := view.Leafs.OnTrial(service); len(ready) > 0 {
+		return ready
 	}
-	if m.isNew() {
-		return slices.DeleteFunc(slices.Clone(view.Remembered.Of(service)), mayNotServe), true
+	return m.left(view, service, view.Leafs.MayTry)
+}
+
+// left gives what is left of a service without ready leafs: of those that may be asked the ones that were ready a
+// moment ago, or, for a node that has seen none, those written down.
+func (m *Memory) left(view *catalog.View, service string, mayAsk func(*leafset.Leaf) bool) []*leafset.Leaf {
+	mayNot := func(leaf *leafset.Leaf) bool { return !mayAsk(leaf) }
+	recent := slices.DeleteFunc(view.Leafs.LostSince(service, m.heldSince()), mayNot)
+	if len(recent) > 0 || !m.isNew() {
+		return recent
 	}
-	return nil, true
+	return slices.DeleteFunc(slices.Clone(view.Remembered.Of(service)), mayNot)
 }
 
 // MayAsk reports whether a leaf may be sent a request now, be it one that serves or one on trial. What was planned
--- a/internal/leafmemory/versions_test.go
+++ b/internal/leafmemory/versions_test.go
@@ -92,6 +92,43 @@
 	})
 }
 
+// Lost leafs that may not be asked don't hide those written down that may.
+func TestLostLeafsDontHideWrittenOnes(t *testing.T) {
+	is := is.New(t)
+	known := newVersioned(t, true)
+	put(t, known, catalog.RememberedKey, leafset.List{Leafs: []leafset.Record{versioned("old", "v1")}})
+	put(t, known, catalog.LeafKey("new"), versioned("new", "v2"))
+	put(t, known, catalog.LeafKey("new"), nil)
+	memory := New(DefaultConfig(), known)
+	is.Equal(candidateIDs(memory), []string{"old"})
+}
+
+// Leafs of the version on trial are remembered as those that serve are, and by the rule in force.
+func TestLostLeafsOnTrialAreHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		known := newVersioned(t, true)
+		put(t, known, catalog.LeafKey("old"), versioned("old", "v1"))
+		for _, id := range []string{"1", "2"} {
+			put(t, known, catalog.LeafKey(id), versioned(id, "v2"))
+		}
+		memory := New(DefaultConfig(), known)
+		time.Sleep(DefaultConfig().TrustAfterStart)
+		put(t, known, catalog.LeafKey("1"), nil)
+		is.Equal(len(memory.OnTrial("s")), 1)
+		put(t, known, catalog.LeafKey("2"), nil)
+		is.Equal(len(memory.OnTrial("s")), 2)
+		is.True(memory.MayAsk("1") && memory.MayAsk("2"))
+		time.Sleep(DefaultConfig().Hold + time.Millisecond)
+		is.Equal(len(memory.OnTrial("s")), 0)
+		put(t, known, catalog.LeafKey("2"), versioned("2", "v2"))
+		put(t, known, catalog.LeafKey("2"), nil)
+		is.Equal(len(memory.OnTrial("s")), 1)
+		rollBack(t, known)
+		is.Equal(len(memory.OnTrial("s")), 0)
+	})
+}
+
 // A node that starts believes of the list written down only what the rule lets serve, and asks the rest of it by the
 // rule as well.
 func TestWrittenListGoesByTheRuleInForce(t *testing.T) {
--- a/internal/leafset/versions.go
+++ b/internal/leafset/versions.go
@@ -31,12 +31,18 @@
 	return !s.evacuated[leaf.Zone] && s.Rule(leaf.Service).IsServing(leaf.Version)
 }
 
+// MayTry reports whether a leaf may be sent requests of a trial if it is ready: its zone is not evacuated, and its
+// version is on trial.
+func (s *Set) MayTry(leaf *Leaf) bool {
+	return !s.evacuated[leaf.Zone] && s.Rule(leaf.Service).IsTrial(leaf.Version)
+}
+
 // takesWork reports whether a leaf is ready and of a version that serves.
 func (s *Set) takesWork(leaf *Leaf) bool { return leaf.State == Ready && s.MayServe(leaf) }
 
 // isOnTrial reports whether a leaf is ready and of the version on trial.
 func (s *Set) isOnTrial(leaf *Leaf) bool {
-	return leaf.State == Ready && !s.evacuated[leaf.Zone] && s.Rule(leaf.Service).IsTrial(leaf.Version)
+	return leaf.State == Ready && s.MayTry(leaf)
 }
 
 // SetRule notes which versions of a service may get requests.
