Platform: leases in the product's own protocol

Nodes on the product's own protocol wrote no record of themselves, since it had no leases: no node was registered, no service had judges, and no order to move to another version was ever carried out. Grant, keep, end and put under a lease are calls of the protocol, of its stand-in and of the client. Tests of the client and, in virtual time, of the stand-in.

--- a/gen/portgauge/platform/v1/platformv1connect/platform.connect.go
+++ b/gen/portgauge/platform/v1/platformv1connect/platform.connect.go
@@ -46,6 +46,14 @@
 	StoreServiceCompareAndSwapProcedure = "/portgauge.platform.v1.StoreService/CompareAndSwap"
 	// StoreServiceWatchProcedure is the fully-qualified name of the StoreService's Watch RPC.
 	StoreServiceWatchProcedure = "/portgauge.platform.v1.StoreService/Watch"
+	// StoreServiceGrantLeaseProcedure is the fully-qualified name of the StoreService's GrantLease RPC.
+	StoreServiceGrantLeaseProcedure = "/portgauge.platform.v1.StoreService/GrantLease"
+	// StoreServiceKeepLeaseProcedure is the fully-qualified name of the StoreService's KeepLease RPC.
+	StoreServiceKeepLeaseProcedure = "/portgauge.platform.v1.StoreService/KeepLease"
+	// StoreServiceEndLeaseProcedure is the fully-qualified name of the StoreService's EndLease RPC.
+	StoreServiceEndLeaseProcedure = "/portgauge.platform.v1.StoreService/EndLease"
+	// StoreServicePutLeasedProcedure is the fully-qualified name of the StoreService's PutLeased RPC.
+	StoreServicePutLeasedProcedure = "/portgauge.platform.v1.StoreService/PutLeased"
 	// MachineListServiceListMachinesProcedure is the fully-qualified name of the MachineListService's
 	// ListMachines RPC.
 	MachineListServiceListMachinesProcedure = "/portgauge.platform.v1.MachineListService/ListMachines"
@@ -58,6 +66,14 @@
 	CompareAndSwap(context.Context, *connect.Request[v1.CompareAndSwapRequest]) (*connect.Response[v1.CompareAndSwapResponse], error)
 	// Watch streams changes after a revision, in order of revision, without gaps.
 	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.ServerStreamForClient[v1.WatchResponse], error)
+	// GrantLease opens a lease. Keys written under it go when it is over: ended, or not kept for its time to live.
+	GrantLease(context.Context, *connect.Request[v1.GrantLeaseRequest]) (*connect.Response[v1.GrantLeaseResponse], error)
+	// KeepLease starts the time to live of a lease anew; NOT_FOUND when it is over.
+	KeepLease(context.Context, *connect.Request[v1.KeepLeaseRequest]) (*connect.Response[v1.KeepLeaseResponse], error)
+	// EndLease ends a lease; NOT_FOUND when it is over.
+	EndLease(context.Context, *connect.Request[v1.EndLeaseRequest]) (*connect.Response[v1.EndLeaseResponse], error)
+	// PutLeased writes a key under a lease, whatever it holds; NOT_FOUND when the lease is over.
+	PutLeased(context.Context, *connect.Request[v1.PutLeasedRequest]) (*connect.Response[v1.PutLeasedResponse], error)
 }
 
 // NewStoreServiceClient constructs a client for the portgauge.platform.v1.StoreService service. By
@@ -95,6 +111,30 @@
 			connect.WithSchema(storeServiceMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		grantLease: connect.NewClient[v1.GrantLeaseRequest, v1.GrantLeaseResponse](
+			httpClient,
+			baseURL+StoreServiceGrantLeaseProcedure,
+			connect.WithSchema(storeServiceMethods.ByName("GrantLease")),
+			connect.WithClientOptions(opts...),
+		),
+		keepLease: connect.NewClient[v1.KeepLeaseRequest, v1.KeepLeaseResponse](
+			httpClient,
+			baseURL+StoreServiceKeepLeaseProcedure,
+			connect.WithSchema(storeServiceMethods.ByName("KeepLease")),
+			connect.WithClientOptions(opts...),
+		),
+		endLease: connect.NewClient[v1.EndLeaseRequest, v1.EndLeaseResponse](
+			httpClient,
+			baseURL+StoreServiceEndLeaseProcedure,
+			connect.WithSchema(storeServiceMethods.ByName("EndLease")),
+			connect.WithClientOptions(opts...),
+		),
+		putLeased: connect.NewClient[v1.PutLeasedRequest, v1.PutLeasedResponse](
+			httpClient,
+			baseURL+StoreServicePutLeasedProcedure,
+			connect.WithSchema(storeServiceMethods.ByName("PutLeased")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -104,6 +144,10 @@
 	list           *connect.Client[v1.ListRequest, v1.ListResponse]
 	compareAndSwap *connect.Client[v1.CompareAndSwapRequest, v1.CompareAndSwapResponse]
 	watch          *connect.Client[v1.WatchRequest, v1.WatchResponse]
+	grantLease     *connect.Client[v1.GrantLeaseRequest, v1.GrantLeaseResponse]
+	keepLease      *connect.Client[v1.KeepLeaseRequest, v1.KeepLeaseResponse]
+	endLease       *connect.Client[v1.EndLeaseRequest, v1.EndLeaseResponse]
+	putLeased      *connect.Client[v1.PutLeasedRequest, v1.PutLeasedResponse]
 }
 
 // Get calls portgauge.platform.v1.StoreService.Get.
@@ -126,6 +170,26 @@
 	return c.watch.CallServerStream(ctx, req)
 }
 
+// GrantLease calls portgauge.platform.v1.StoreService.GrantLease.
+func (c *storeServiceClient) GrantLease(ctx context.Context, req *connect.Request[v1.GrantLeaseRequest]) (*connect.Response[v1.GrantLeaseResponse], error) {
+	return c.grantLease.CallUnary(ctx, req)
+}
+
+// KeepLease calls portgauge.platform.v1.StoreService.KeepLease.
+func (c *storeServiceClient) KeepLease(ctx context.Context, req *connect.Request[v1.KeepLeaseRequest]) (*connect.Response[v1.KeepLeaseResponse], error) {
+	return c.keepLease.CallUnary(ctx, req)
+}
+
+// EndLease calls portgauge.platform.v1.StoreService.EndLease.
+func (c *storeServiceClient) EndLease(ctx context.Context, req *connect.Request[v1.EndLeaseRequest]) (*connect.Response[v1.EndLeaseResponse], error) {
+	return c.endLease.CallUnary(ctx, req)
+}
+
+// PutLeased calls portgauge.platform.v1.StoreService.PutLeased.
+func (c *storeServiceClient) PutLeased(ctx context.Context, req *connect.Request[v1.PutLeasedRequest]) (*connect.Response[v1.PutLeasedResponse], error) {
+	return c.putLeased.CallUnary(ctx, req)
+}
+
 // StoreServiceHandler is an implementation of the portgauge.platform.v1.StoreService service.
 type StoreServiceHandler interface {
 	Get(context.Context, *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error)
@@ -133,6 +197,14 @@
 	CompareAndSwap(context.Context, *connect.Request[v1.CompareAndSwapRequest]) (*connect.Response[v1.CompareAndSwapResponse], error)
 	// Watch streams changes after a revision, in order of revision, without gaps.
 	Watch(context.Context, *connect.Request[v1.WatchRequest], *connect.ServerStream[v1.WatchResponse]) error
+	// GrantLease opens a lease. Keys written under it go when it is over: ended, or not kept for its time to live.
+	GrantLease(context.Context, *connect.Request[v1.GrantLeaseRequest]) (*connect.Response[v1.GrantLeaseResponse], error)
+	// KeepLease starts the time to live of a lease anew; NOT_FOUND when it is over.
+	KeepLease(context.Context, *connect.Request[v1.KeepLeaseRequest]) (*connect.Response[v1.KeepLeaseResponse], error)
+	// EndLease ends a lease; NOT_FOUND when it is over.
+	EndLease(context.Context, *connect.Request[v1.EndLeaseRequest]) (*connect.Response[v1.EndLeaseResponse], error)
+	// PutLeased writes a key under a lease, whatever it holds; NOT_FOUND when the lease is over.
+	PutLeased(context.Context, *connect.Request[v1.PutLeasedRequest]) (*connect.Response[v1.PutLeasedResponse], error)
 }
 
 // NewStoreServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -166,6 +238,30 @@
 		connect.WithSchema(storeServiceMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	storeServiceGrantLeaseHandler := connect.NewUnaryHandler(
+		StoreServiceGrantLeaseProcedure,
+		svc.GrantLease,
+		connect.WithSchema(storeServiceMethods.ByName("GrantLease")),
+		connect.WithHandlerOptions(opts...),
+	)
+	storeServiceKeepLeaseHandler := connect.NewUnaryHandler(
+		StoreServiceKeepLeaseProcedure,
+		svc.KeepLease,
+		connect.WithSchema(storeServiceMethods.ByName("KeepLease")),
+		connect.WithHandlerOptions(opts...),
+	)
+	storeServiceEndLeaseHandler := connect.NewUnaryHandler(
+		StoreServiceEndLeaseProcedure,
+		svc.EndLease,
+		connect.WithSchema(storeServiceMethods.ByName("EndLease")),
+		connect.WithHandlerOptions(opts...),
+	)
+	storeServicePutLeasedHandler := connect.NewUnaryHandler(
+		StoreServicePutLeasedProcedure,
+		svc.PutLeased,
+		connect.WithSchema(storeServiceMethods.ByName("PutLeased")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/portgauge.platform.v1.StoreService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case StoreServiceGetProcedure:
@@ -176,6 +272,14 @@
 			storeServiceCompareAndSwapHandler.ServeHTTP(w, r)
 		case StoreServiceWatchProcedure:
 			storeServiceWatchHandler.ServeHTTP(w, r)
+		case StoreServiceGrantLeaseProcedure:
+			storeServiceGrantLeaseHandler.ServeHTTP(w, r)
+		case StoreServiceKeepLeaseProcedure:
+			storeServiceKeepLeaseHandler.ServeHTTP(w, r)
+		case StoreServiceEndLeaseProcedure:
+			storeServiceEndLeaseHandler.ServeHTTP(w, r)
+		case StoreServicePutLeasedProcedure:
+			storeServicePutLeasedHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -201,6 +305,22 @@
 	return connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.platform.v1.StoreService.Watch is not implemented"))
 }
 
+func (UnimplementedStoreServiceHandler) GrantLease(context.Context, *connect.Request[v1.GrantLeaseRequest]) (*connect.Response[v1.GrantLeaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.platform.v1.StoreService.GrantLease is not implemented"))
+}
+
+func (UnimplementedStoreServiceHandler) KeepLease(context.Context, *connect.Request[v1.KeepLeaseRequest]) (*connect.Response[v1.KeepLeaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.platform.v1.StoreService.KeepLease is not implemented"))
+}
+
+func (UnimplementedStoreServiceHandler) EndLease(context.Context, *connect.Request[v1.EndLeaseRequest]) (*connect.Response[v1.EndLeaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.platform.v1.StoreService.EndLease is not implemented"))
+}
+
+func (UnimplementedStoreServiceHandler) PutLeased(context.Context, *connect.Request[v1.PutLeasedRequest]) (*connect.Response[v1.PutLeasedResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("portgauge.platform.v1.StoreService.PutLeased is not implemented"))
+}
+
 // MachineListServiceClient is a client for the portgauge.platform.v1.MachineListService service.
 type MachineListServiceClient interface {
 	ListMachines(context.Context, *connect.Request[v1.ListMachinesRequest]) (*connect.Response[v1.ListMachinesResponse], error)
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -49,6 +49,8 @@
 	Swaps   int64 `json:"swaps"`
 	Watches int64 `json:"watches"`
 	Limited int64 `json:"limited"`
+	// Leases are the calls about leases, writes under one included.
+	Leases int64 `json:"leases"`
 	// MachineLists is how many times the machine list was read.
 	MachineLists int64 `json:"machine_lists"`
 }
@@ -66,6 +68,7 @@
 	writes   []Write
 	revision int64
 	changed  chan struct{} // closed and replaced at each change, also of faults
+	leases   leases
 	machines []*platformv1.Machine
 	shown    []*platformv1.Machine // the list as read by others
 	counts   Counts
@@ -77,6 +80,7 @@
 		limiter: rate.NewLimiter(rate.Limit(callsPerSecond), max(1, int(callsPerSecond))),
 		entries: map[string]*platformv1.Entry{},
 		changed: make(chan struct{}),
+		leases:  leases{granted: map[int64]*lease{}, byKey: map[string]int64{}},
 	}
 }
 
@@ -183,10 +187,10 @@
 	if liveRevision(current) != request.GetExpectedRevision() || !p.hold(request.GetConditions()) {
 		return &platformv1.CompareAndSwapResponse{Entry: current}, nil
 	}
-	entry := p.write(request)
-	if p.faults.LoseReplies > 0 {
-		p.faults.LoseReplies--
-		return nil, status.Error(codes.Unavailable, "reply lost")
+	p.leases.release(request.GetKey())
+	entry := p.write(&platformv1.Entry{Key: request.GetKey(), Value: request.GetValue(), Deleted: request.GetDelete()})
+	if err := p.loseReply(); err != nil {
+		return nil, err
 	}
 	return &platformv1.CompareAndSwapResponse{Swapped: true, Entry: entry}, nil
 }
@@ -208,9 +212,19 @@
 	return entry.GetRevision()
 }
 
-func (p *Platform) write(request *platformv1.CompareAndSwapRequest) *platformv1.Entry {
+// loseReply fails where the reply of a write that took effect is to be lost. The mutex must be held.
+func (p *Platform) loseReply() error {
+	if p.faults.LoseReplies == 0 {
+		return nil
+	}
+	p.faults.LoseReplies--
+	return status.Error(codes.Unavailable, "reply lost")
+}
+
+// write puts an entry into force at the next revision, and gives it. The mutex must be held.
+func (p *Platform) write(entry *platformv1.Entry) *platformv1.Entry {
 	p.revision++
-	entry := &platformv1.Entry{Key: request.GetKey(), Value: request.GetValue(), Revision: p.revision, Deleted: request.GetDelete()}
+	entry.Revision = p.revision
 	p.entries[entry.GetKey()] = entry
 	p.log = append(p.log, entry)
 	p.writes = append(p.writes, Write{
--- a/internal/node/dialect.go
+++ b/internal/node/dialect.go
@@ -74,6 +74,5 @@
 		return platformParts{}, err
 	}
 	lifecycle.Append(fx.StopHook(client.Close))
-	guarded, _ := store.Store(client).(store.Guarded)
-	return platformParts{Store: client, Machines: client, Guarded: guarded, HTTP: httpdialect.Default()}, nil
+	return platformParts{Store: client, Machines: client, Lessor: client, Guarded: client, HTTP: httpdialect.Default()}, nil
 }
--- /dev/null
+++ b/internal/platformclient/leases_test.go
@@ -0,0 +1,35 @@
+package platformclient
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/store"
+)
+
+// What is written under a lease can be read as any document, and goes with the lease.
+func TestLeasedDocumentGoesWithItsLease(t *testing.T) {
+	is := is.New(t)
+	client := start(t)
+	lease, granted, err := client.Grant(t.Context(), time.Minute)
+	is.NoErr(err)
+	is.Equal(granted, time.Minute)
+	is.NoErr(client.PutLeased(t.Context(), "k", []byte(`{"id":"n"}`), lease))
+	entry, err := client.Get(t.Context(), "k")
+	is.NoErr(err)
+	document, err := catalog.DecodeDocument(*entry)
+	is.NoErr(err)
+	is.Equal(string(document), `{"id":"n"}`)
+	is.NoErr(client.Keep(t.Context(), lease))
+	is.NoErr(client.End(t.Context(), lease))
+	entry, err = client.Get(t.Context(), "k")
+	is.NoErr(err)
+	is.True(entry.Deleted)
+	is.True(errors.Is(client.Keep(t.Context(), lease), store.ErrLeaseGone))
+	is.True(errors.Is(client.End(t.Context(), lease), store.ErrLeaseGone))
+	is.True(errors.Is(client.PutLeased(t.Context(), "k", []byte(`1`), lease), store.ErrLeaseGone))
+}
