Lab: roll-outs on real nodes, shown one by one and among the soak's faults

Roll-outs had only been tested in virtual time and in one process. Leafs of the lab now run versions that are good or bad in a given way and note what they are asked; an operator starts leafs of another version, orders it, reads what it is told, and stops or drains leafs by that. portgauge-lab rollout plays sorts of versions one after the other and prints a line each; the soak plays them among its faults. Five judges look at exposure, at requests after the 50th bad answer, at versions without an order, at what operators are told and at what is left with old leafs.

Judges, versions and measures have unit tests, each with a good and a bad case; no test was changed.

--- a/cmd/portgauge-lab/main.go
+++ b/cmd/portgauge-lab/main.go
@@ -18,6 +18,7 @@
 	Load       loadCommand       `cmd:"" help:"Send searches open-loop and print latency, coverage and extra load."`
 	Experiment experimentCommand `cmd:"" help:"Measure the node against a baseline in one run."`
 	Soak       soakCommand       `cmd:"" help:"Bring about random faults around real nodes and judge the promises."`
+	Rollout    rolloutCommand    `cmd:"" help:"Play roll-outs of good and bad versions over real nodes."`
 	Variants   variantsCommand   `cmd:"" help:"Play deployments and days drawn from a seed on the users' bench."`
 	Compare    compareCommand    `cmd:"" help:"Play policies on the same days and seeds of the users' bench."`
 	Replay     replayCommand     `cmd:"" help:"Replay traces over real processes and judge their outcomes."`
--- /dev/null
+++ b/cmd/portgauge-lab/rollout.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/lab/process"
+	"github.com/portgauge/portgauge/internal/lab/soak"
+)
+
+// rolloutCommand plays roll-outs of good and bad versions over real nodes.
+type rolloutCommand struct {
+	Cases     []string      `help:"Cases to play; empty plays all, an unknown one lists them." sep:";"`
+	Duration  time.Duration `default:"12s" help:"How long each order may take."`
+	PerSecond int           `default:"60" help:"Requests a second."`
+	Seed      uint64        `help:"Seed of the requests; 0 draws one."`
+}
+
+// Run plays the cases and fails if any went otherwise than it must.
+func (c *rolloutCommand) Run() error {
+	seed := c.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return withPrograms(func(ctx context.Context, programs process.Programs) error {
+		fmt.Printf("seed %d\n", seed)
+		cfg := soak.ShowConfig{Seed: seed, Duration: c.Duration, PerSecond: c.PerSecond, Cases: c.Cases}
+		passed, failed, err := soak.Show(ctx, programs.Portgauge, cfg, os.Stdout)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%d passed, %d failed\n", passed, failed)
+		if failed > 0 {
+			return failure.New(failure.Internal, failure.Unknown, "%d roll-outs went otherwise than they must", failed)
+		}
+		return nil
+	})
+}
--- a/internal/lab/httpleaf/httpleaf.go
+++ b/internal/lab/httpleaf/httpleaf.go
@@ -34,6 +34,8 @@
 	BreakOff int
 	// Silent sends nothing at all and keeps the connection.
 	Silent bool
+	// Dropped closes the connection without an answer.
+	Dropped bool
 	// Before is sent before the answer, After behind it.
 	Before, After []byte
 	// Close asks for the connection to be closed.
@@ -178,6 +180,9 @@
 		_, _ = reader.Peek(1) // until the caller closes
 		return false
 	}
+	if answer.Dropped {
+		return false
+	}
 	time.Sleep(answer.Delay)
 	return l.send(connection, request, answer)
 }
--- /dev/null
+++ b/internal/lab/rollouts/release_test.go
@@ -0,0 +1,101 @@
+package rollouts
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// sample is a release of 10 s with visits at some times after its order.
+func sample(fault Fault, old, target []time.Duration) *Release {
+	began := time.Now()
+	visits := func(after []time.Duration, name string) *Version {
+		v := NewVersion("s", name, work, fault)
+		for number, span := range after {
+			at := began.Add(span)
+			v.visits = append(v.visits, Visit{ID: fmt.Sprint(name, number), At: at, Done: at.Add(work), Bad: fault.IsBad()})
+		}
+		return v
+	}
+	return &Release{
+		Old: visits(old, "a"), Target: visits(target, "b"), Duration: 10 * time.Second, At: began, Revision: 5,
+	}
+}
+
+func (r *Release) tell(outcome Outcome, revision int64, after time.Duration) {
+	r.Told = append(r.Told, Telling{Revision: revision, Target: "b", Outcome: outcome, At: r.At.Add(after)})
+}
+
+func never(Visit) bool { return false }
+
+func TestExposureCountsWhatCameInTime(t *testing.T) {
+	is := is.New(t)
+	r := sample(Fault{}, []time.Duration{-time.Second, 0, time.Second, 11 * time.Second}, []time.Duration{time.Second, 5 * time.Second, 12 * time.Second})
+	is.Equal(r.Exposure(Always), Exposure{Got: 2, Reached: 4})
+	is.Equal(r.Exposure(never), Exposure{Got: 0, Reached: 4})
+	r.Ended = r.At.Add(2 * time.Second)
+	is.Equal(r.Exposure(Always), Exposure{Got: 1, Reached: 3})
+}
+
+func TestLateVisitsAfterTheFiftiethBadAnswer(t *testing.T) {
+	is := is.New(t)
+	after := make([]time.Duration, badAnswers, badAnswers+2)
+	is.Equal(len(sample(Fault{Failing: 1}, nil, append(after[1:], time.Hour)).Late(Always)), 0)
+	r := sample(Fault{Failing: 1}, nil, append(after, Lateness, Lateness+time.Second))
+	is.Equal(len(r.Late(Always)), 1)
+	is.Equal(len(r.Late(never)), 0)
+	is.Equal(len(sample(Fault{}, nil, append(after, Lateness, Lateness+time.Second)).Late(Always)), 0)
+}
+
+func TestBarredVisits(t *testing.T) {
+	is := is.New(t)
+	r := sample(Fault{}, nil, []time.Duration{-time.Second, time.Second, 3*time.Second + Lateness})
+	is.Equal(len(r.Barred(never)), 1) // before the order, whoever sent it
+	r.tell(RolledBack, 6, 2*time.Second)
+	is.Equal(len(r.Barred(Always)), 2)
+	is.Equal(len(r.Barred(never)), 1)
+	r.Told = nil
+	r.Ended = r.At.Add(2 * time.Second)
+	is.Equal(len(r.Barred(Always)), 2)
+}
+
+func TestVisitsLeftAtTheOldVersion(t *testing.T) {
+	is := is.New(t)
+	r := sample(Fault{}, []time.Duration{time.Second, 2*time.Second - work/2, 3 * time.Second}, nil)
+	is.Equal(len(r.Leftover(Always)), 0)
+	r.tell(Succeeded, 6, 2*time.Second)
+	is.Equal(len(r.Leftover(Always)), 2)
+	is.Equal(len(r.Leftover(never)), 0)
+}
+
+func TestMisledOperators(t *testing.T) {
+	cases := map[string]struct {
+		told  []Outcome
+		end   int64
+		until int64
+		bad   int
+	}{
+		"one outcome":                {[]Outcome{Running, Running, Succeeded}, 0, 0, 0},
+		"the same again":             {[]Outcome{RolledBack, RolledBack}, 0, 0, 0},
+		"two outcomes":               {[]Outcome{RolledBack, Succeeded}, 0, 0, 1},
+		"runs again":                 {[]Outcome{Succeeded, Running}, 0, 0, 1},
+		"outcome after taken back":   {[]Outcome{Running, RolledBack}, 7, 0, 1},
+		"outcome of a replaced one":  {[]Outcome{Running, Succeeded}, 0, 7, 1},
+		"outcome before it was done": {[]Outcome{Running, Succeeded}, 8, 8, 0},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := sample(Fault{}, nil, nil)
+			r.EndRevision, r.Until = one.end, one.until
+			for index, outcome := range one.told {
+				r.tell(outcome, r.Revision+1+int64(index), time.Second)
+			}
+			is.New(t).Equal(len(r.Misled()), one.bad)
+		})
+	}
+	r := sample(Fault{}, nil, nil)
+	r.Told = []Telling{{Revision: 6, Target: "c", Outcome: Running}}
+	is.New(t).Equal(len(r.Misled()), 1) // of another version
+}
--- /dev/null
+++ b/internal/lab/rollouts/version_test.go
@@ -0,0 +1,63 @@
+package rollouts
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/lab/httpleaf"
+)
+
+const work = 10 * time.Millisecond
+
+func TestFaultsShowWhereAndWhenTheyShould(t *testing.T) {
+	began := time.Now()
+	at := func(after time.Duration) httpleaf.Request {
+		return httpleaf.Request{ID: "r", Incarnation: "leaf", Target: "/a/r", At: began.Add(after)}
+	}
+	failing := func(fault Fault) Fault {
+		fault.Failing = 1
+		return fault
+	}
+	cases := map[string]struct {
+		fault  Fault
+		before int
+		asked  httpleaf.Request
+		isBad  bool
+	}{
+		"good":             {Fault{}, 0, at(0), false},
+		"at once":          {failing(Fault{}), 0, at(0), true},
+		"later, early":     {failing(Fault{After: time.Second}), 0, at(0), false},
+		"later":            {failing(Fault{After: time.Second}), 0, at(time.Second), true},
+		"one at once":      {failing(Fault{AtOnce: 1}), 0, at(0), false},
+		"two at once":      {failing(Fault{AtOnce: 1}), 1, at(0), true},
+		"two a second":     {failing(Fault{PerSecond: 2}), 1, at(0), false},
+		"three a second":   {failing(Fault{PerSecond: 2}), 2, at(0), true},
+		"on the route":     {failing(Fault{Prefix: "/a/"}), 0, at(0), true},
+		"on another route": {failing(Fault{Prefix: "/b/"}), 0, at(0), false},
+		"slow":             {Fault{Slower: 3}, 0, at(0), true},
+		"look at health":   {failing(Fault{}), 0, httpleaf.Request{At: began}, false},
+	}
+	for name, one := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			version := NewVersion("s", "v", work, one.fault)
+			version.Order(began)
+			for range one.before {
+				version.Answer("leaf", at(0), nil)
+			}
+			answer := version.Answer("leaf", one.asked, []byte("x"))
+			is.Equal(answer.Status == http.StatusInternalServerError || answer.Delay > work, one.isBad)
+		})
+	}
+}
+
+func TestStoppedVersionNotesAndDoesNotAnswer(t *testing.T) {
+	is := is.New(t)
+	version := NewVersion("s", "v", work, Fault{})
+	version.Stop()
+	is.True(version.Answer("leaf", httpleaf.Request{ID: "r", Incarnation: "leaf"}, nil).Dropped)
+	is.Equal(len(version.Visits()), 1)
+}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -94,14 +94,15 @@
 	}
 }
 
-// leaf draws a leaf that is in use.
-func (i *injector) leaf() (string, *leafState) {
+// leaf draws a leaf that is in use, for a fault of some span.
+func (i *injector) leaf(span time.Duration) (string, *leafState) {
 	i.world.mu.Lock()
 	defer i.world.mu.Unlock()
 	for {
 		id := fmt.Sprintf("leaf-%d", 1+i.random.IntN(i.world.nextID))
-		if state := i.world.leafs[id]; state.leavingAt.IsZero() {
-			state.disturbed = time.Now()
+		if state, found := i.world.leafs[id]; found && state.leavingAt.IsZero() {
+			now := time.Now()
+			state.troubles = append(state.troubles, trouble{from: now, until: now.Add(span + touchSlack)})
 			return id, state
 		}
 	}
@@ -212,21 +213,23 @@
 	}
 }
 
-func (i *injector) setLeafLink(condition Condition) func() {
-	_, state := i.leaf()
+func (i *injector) setLeafLink(span time.Duration, condition Condition) func() {
+	_, state := i.leaf(span)
 	state.link.Set(condition)
 	return func() { state.link.Set(Sound) }
 }
 
-func (i *injector) darkLeaf(time.Duration) func()   { return i.setLeafLink(Silent) }
-func (i *injector) slowLeaf(time.Duration) func()   { return i.setLeafLink(Delayed) }
-func (i *injector) oneWayLeaf(time.Duration) func() { return i.setLeafLink(OneWay) }
-func (i *injector) resetLeaf(time.Duration) func()  { return i.setLeafLink(Resetting) }
+func (i *injector) darkLeaf(span time.Duration) func()   { return i.setLeafLink(span, Silent) }
+func (i *injector) slowLeaf(span time.Duration) func()   { return i.setLeafLink(span, Delayed) }
+func (i *injector) oneWayLeaf(span time.Duration) func() { return i.setLeafLink(span, OneWay) }
+func (i *injector) resetLeaf(span time.Duration) func()  { return i.setLeafLink(span, Resetting) }
 
 // replaceLeaf starts a successor and lets the leaf drain.
-func (i *injector) replaceLeaf(time.Duration) func() {
-	id, state := i.leaf()
-	if _, err := i.world.addLeaf(state.service); err != nil {
+func (i *injector) replaceLeaf(span time.Duration) func() {
+	i.world.operating.Lock()
+	defer i.world.operating.Unlock()
+	id, state := i.leaf(span)
+	if _, err := i.world.addLeafOf(state.version); err != nil {
 		i.tell("FAILED LEAF " + err.Error())
 		return func() {}
 	}
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/portgauge/portgauge/internal/lab/forwarder"
 	"github.com/portgauge/portgauge/internal/lab/process"
+	"github.com/portgauge/portgauge/internal/lab/rollouts"
 	"github.com/portgauge/portgauge/platform"
 )
 
@@ -59,7 +60,8 @@
 	}
 	node.settings = filepath.Join(w.folder, node.name+".yaml")
 	content := fmt.Sprintf(settingsText, node.name, node.zone, addresses[0], addresses[1], addresses[2], addresses[5],
-		addresses[3], addresses[4], addresses[6], node.treeLink.Address(), processorsOf(index), node.storeLink.Address(), platform.Name, w.seed(node))
+		addresses[3], addresses[4], addresses[6], node.treeLink.Address(), processorsOf(index), node.storeLink.Address(), platform.Name, w.seed(node),
+		rollouts.Share, rollouts.Slack)
 	if err := os.WriteFile(node.settings, []byte(content), 0o600); err != nil {
 		return err
 	}
@@ -91,6 +93,8 @@
 stop: {announce_delay: 500ms, drain_timeout: 2800ms}
 config_sync: {first_read_delay: 60ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
 retry_budget: {ratio: 0.2, window: 10s, allowance: 56}
+rollouts: {enabled: true}
+canary: {share: %[15]v, slack: %[16]v}
 seeds: ["%[14]s"]
 `
 
--- a/internal/lab/soak/records.go
+++ b/internal/lab/soak/records.go
@@ -1,6 +1,10 @@
 package soak
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/portgauge/portgauge/internal/lab/rollouts"
+)
 
 // Prefixes of the routes: a gathered one, a repeatable and an at-most-once one to the same service,
 // and one that goes to another service with each change.
@@ -20,12 +24,32 @@
 
 func leafKey(id string) string { return "servers/" + id }
 
+func orderKey(service string) string { return "op/rollout/" + service }
+
+func statusKey(service string) string { return "status/rollout/" + service }
+
+// orderRecord asks that a service move to a version.
+type orderRecord struct {
+	Service, TargetVersion string
+	DurationS              float64
+}
+
+// statusRecord is what operators are told of an order.
+type statusRecord struct {
+	Service, TargetVersion, State string
+}
+
+// outcomes are the states that operators are told.
+var outcomes = map[string]rollouts.Outcome{
+	"running": rollouts.Running, "succeeded": rollouts.Succeeded, "rolled_back": rollouts.RolledBack,
+}
+
 func evacuationKey(zone string) string { return "op/evacuate/" + zone }
 
 // leafRecord is a leaf as it stands in the users' store.
 type leafRecord struct {
-	Service, Address, Zone, State string
-	Capacity, Sequence            int
+	Service, Address, Zone, Version, State string
+	Capacity, Sequence                     int
 }
 
 // routeRecord is a route as operators write it.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -60,16 +60,25 @@
 		callers.run(calling, rand.New(rand.NewPCG(cfg.Seed, 1)), cfg.PerSecond)
 		close(ended)
 	}()
+	operators := newOperator(w, tell)
+	go operators.read(calling)
 	faulty, cancel := context.WithTimeout(ctx, cfg.Length)
+	released := make(chan struct{})
+	go func() {
+		operators.run(ctx, faulty, rand.New(rand.NewPCG(cfg.Seed, 3)))
+		close(released)
+	}()
 	(&injector{world: w, random: rand.New(rand.NewPCG(cfg.Seed, 2)), tell: tell}).run(faulty)
 	cancel()
+	<-released
 	tell("no more faults")
 	wait.For(ctx, recoverTime)
 	calm := time.Now()
 	wait.For(ctx, calmTime)
 	stopCalling()
 	<-ended
-	return judge(w, callers.all(), calm), ctx.Err()
+	seen := callers.all()
+	return append(judge(w, seen, calm), judgeRollouts(operators.played(), w.clearOf(seen))...), ctx.Err()
 }
 
 // Report writes a line for each promise, and the first broken cases; it gives how many promises
--- /dev/null
+++ b/internal/lab/soak/versions.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/portgauge/portgauge/internal/lab/rollouts"
+)
+
+// servingOf gives the version that serves a service.
+func (w *world) servingOf(service string) *rollouts.Version {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.serving == nil {
+		w.serving = map[string]*rollouts.Version{}
+	}
+	if w.serving[service] == nil {
+		w.serving[service] = rollouts.NewVersion(service, "first", workOf(service), rollouts.Fault{})
+	}
+	return w.serving[service]
+}
+
+// How long leafs work on a request: long enough at single leafs that some get several at once.
+const (
+	singleWork   = 30 * time.Millisecond
+	gatheredWork = 4 * time.Millisecond
+)
+
+func workOf(service string) time.Duration {
+	if service == singleName || service == anotherName {
+		return singleWork
+	}
+	return gatheredWork
+}
+
+// services gives the names of all services.
+func (w *world) services() []string {
+	return append([]string{singleName, anotherName}, w.gathered...)
+}
+
+// leafsOf gives the ids of a version's leafs.
+func (w *world) leafsOf(version *rollouts.Version) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []string
+	for id, state := range w.leafs {
+		if state.version == version {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// succeed ends the leafs of the old version; the new one serves from now on.
+func (w *world) succeed(old, target *rollouts.Version) {
+	w.operating.Lock()
+	defer w.operating.Unlock()
+	w.mu.Lock()
+	w.serving[target.Service()] = target
+	w.mu.Unlock()
+	w.leave(old)
+	w.remove(old)
+}
+
+// drain has the records of a version's leafs say that they drain.
+func (w *world) drain(version *rollouts.Version) {
+	w.operating.Lock()
+	defer w.operating.Unlock()
+	for _, id := range w.leave(version) {
+		w.register(id, stateDraining)
+	}
+}
+
+// leave notes that the leafs of a version leave, and gives those that didn't before.
+func (w *world) leave(version *rollouts.Version) []string {
+	ids := w.leafsOf(version)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var leaving []string
+	for _, id := range ids {
+		if w.leafs[id].leavingAt.IsZero() {
+			w.leafs[id].leavingAt = time.Now()
+			leaving = append(leaving, id)
+		}
+	}
+	return leaving
+}
+
+// remove removes the records of a version's leafs.
+func (w *world) remove(version *rollouts.Version) {
+	for _, id := range w.leafsOf(version) {
+		w.store.Remove(leafKey(id))
+	}
+}
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -13,6 +13,7 @@
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/lab/httpleaf"
 	"github.com/portgauge/portgauge/internal/lab/kvstore"
+	"github.com/portgauge/portgauge/internal/lab/rollouts"
 	"github.com/portgauge/portgauge/platform"
 )
 
@@ -47,8 +48,13 @@
 	address  string
 	gathered []string
 
-	mu      sync.Mutex
-	leafs   map[string]*leafState
+	// operating keeps operators who replace leafs apart.
+	operating sync.Mutex
+
+	mu    sync.Mutex
+	leafs map[string]*leafState
+	// serving are the versions that services are served by.
+	serving map[string]*rollouts.Version
 	nodes   []*nodeState
 	version int
 	// changes are the configurations that were put in force, in order.
@@ -79,11 +85,12 @@
 	leaf    *httpleaf.Leaf
 	link    *Link
 	service string
+	version *rollouts.Version
 	zone    string
 	// leavingAt is when its record said that it drains or was gone; zero while neither.
 	leavingAt time.Time
-	// disturbed is when a fault last touched it.
-	disturbed time.Time
+	// troubles are when faults held on its link.
+	troubles []trouble
 }
 
 // runs are the requests that a leaf ran.
@@ -150,15 +157,21 @@
 	_ = w.server.Close()
 }
 
-// addLeaf starts an incarnation of a leaf and registers it.
+// addLeaf starts an incarnation of a leaf of the version that serves a service, and registers it.
 func (w *world) addLeaf(service string) (string, error) {
+	return w.addLeafOf(w.servingOf(service))
+}
+
+// addLeafOf starts an incarnation of a leaf of a version, and registers it.
+func (w *world) addLeafOf(version *rollouts.Version) (string, error) {
+	service := version.Service()
 	w.mu.Lock()
 	w.nextID++
 	id := fmt.Sprintf("leaf-%d", w.nextID)
 	zone := zoneOf(service, w.nextID)
 	w.mu.Unlock()
 	leaf, err := httpleaf.Start(id, w.dialect, func(asked httpleaf.Request) httpleaf.Answer {
-		return httpleaf.Answer{Delay: 4 * time.Millisecond, Body: partBody(service, asked.ID), Load: "0,0,4", KeepAliveSeconds: 20}
+		return version.Answer(id, asked, partBody(service, asked.ID))
 	})
 	if err != nil {
 		return "", err
@@ -168,13 +181,12 @@
 		return "", err
 	}
 	w.mu.Lock()
-	w.leafs[id] = &leafState{leaf: leaf, link: link, service: service, zone: zone}
+	w.leafs[id] = &leafState{leaf: leaf, link: link, service: service, version: version, zone: zone}
 	w.mu.Unlock()
 	w.register(id, stateReady)
 	return id, nil
 }
 
-// register writes a leaf's record.
 // zoneOf gives the zone of a leaf. Some services have leafs in one zone only, so that nodes of others
 // have them gathered there.
 func zoneOf(service string, number int) string {
@@ -185,12 +197,13 @@
 	return zoneName(number % zoneCount)
 }
 
+// register writes a leaf's record.
 func (w *world) register(id, state string) {
 	w.mu.Lock()
 	known := w.leafs[id]
 	w.mu.Unlock()
 	w.store.Put(leafKey(id), leafRecord{
-		Service: known.service, Address: known.link.Address(), Zone: known.zone, State: state, Capacity: 4, Sequence: 1,
+		Service: known.service, Address: known.link.Address(), Zone: known.zone, Version: known.version.Name(), State: state, Capacity: 4, Sequence: 1,
 	})
 }
 
