--- a/cmd/portgauge-lab/rollout.go
+++ b/cmd/portgauge-lab/rollout.go
@@ -18,6 +18,7 @@
 	Duration  time.Duration `default:"12s" help:"How long each order may take."`
 	PerSecond int           `default:"60" help:"Requests a second."`
 	Seed      uint64        `help:"Seed of the requests; 0 draws one."`
+	Logs      string        `help:"Folder for the newest output of the nodes."`
 }
 
 // Run plays the cases and fails if any went otherwise than it must.
@@ -28,7 +29,7 @@
 	}
 	return withPrograms(func(ctx context.Context, programs process.Programs) error {
 		fmt.Printf("seed %d\n", seed)
-		cfg := soak.ShowConfig{Seed: seed, Duration: c.Duration, PerSecond: c.PerSecond, Cases: c.Cases}
+		cfg := soak.ShowConfig{Seed: seed, Duration: c.Duration, PerSecond: c.PerSecond, Cases: c.Cases, Logs: c.Logs}
 		passed, failed, err := soak.Show(ctx, programs.Portgauge, cfg, os.Stdout)
 		if err != nil {
 			return err
--- a/cmd/portgauge-lab/soak.go
+++ b/cmd/portgauge-lab/soak.go
@@ -17,6 +17,7 @@
 	Seeds     []uint64      `help:"Seeds to play; empty draws one."`
 	Length    time.Duration `default:"40s" help:"How long faults are brought about, for each seed."`
 	PerSecond int           `default:"60" help:"Requests a second."`
+	Logs      string        `help:"Folder for the newest output of the nodes of the last seed."`
 }
 
 // Run plays each seed in turn and fails if any promise was broken.
@@ -29,7 +30,7 @@
 		passed, failed := 0, 0
 		for _, seed := range seeds {
 			fmt.Printf("seed %d\n", seed)
-			verdicts, err := soak.Run(ctx, programs.Portgauge, soak.Config{Seed: seed, Length: c.Length, PerSecond: c.PerSecond}, os.Stdout)
+			verdicts, err := soak.Run(ctx, programs.Portgauge, soak.Config{Seed: seed, Length: c.Length, PerSecond: c.PerSecond, Logs: c.Logs}, os.Stdout)
 			if err != nil {
 				return err
 			}
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -26,8 +26,10 @@
 
 	mu      sync.Mutex
 	process *process.Process
-	life    int
-	cut     bool
+	// before is the newest output of the process before.
+	before string
+	life   int
+	cut    bool
 	// troubles are when faults held on the node, with the time that it has to recover.
 	troubles []trouble
 	// stops are when it was asked to stop.
@@ -106,11 +108,21 @@
 	}
 	node.mu.Lock()
 	defer node.mu.Unlock()
+	if node.process != nil {
+		node.before = node.process.Output()
+	}
 	node.process = started
 	node.life++
 	return nil
 }
 
+// output gives the newest output of the node's process and of the one before.
+func (n *nodeState) output() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.before + n.process.Output()
+}
+
 func (n *nodeState) isCut() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/lab/soak/show.go
+++ b/internal/lab/soak/show.go
@@ -24,6 +24,8 @@
 	PerSecond int
 	// Cases are the names of those that are played; empty plays all.
 	Cases []string
+	// Logs is a folder for the newest output of the nodes; empty for none.
+	Logs string
 }
 
 // showCase is one roll-out with the outcome that it must have, empty for none.
@@ -113,6 +115,9 @@
 			failed++
 		}
 	}
+	if err := w.keepLogs(cfg.Logs); err != nil {
+		return passed, failed, err
+	}
 	return passed, failed, ctx.Err()
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -22,6 +22,8 @@
 	Length time.Duration
 	// PerSecond is the requests a second of all callers.
 	PerSecond int
+	// Logs is a folder for the newest output of the nodes; empty for none.
+	Logs string
 }
 
 // Times around the faults.
@@ -77,6 +79,9 @@
 	wait.For(ctx, calmTime)
 	stopCalling()
 	<-ended
+	if err := w.keepLogs(cfg.Logs); err != nil {
+		return nil, err
+	}
 	seen := callers.all()
 	return append(judge(w, seen, calm), judgeRollouts(operators.played(), w.clearOf(seen))...), ctx.Err()
 }
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -143,6 +145,19 @@
 	return w, nil
 }
 
+// keepLogs writes the newest output of each node to a folder, if there is one.
+func (w *world) keepLogs(folder string) error {
+	if folder == "" {
+		return nil
+	}
+	for _, node := range w.nodes {
+		if err := os.WriteFile(filepath.Join(folder, node.name+".log"), []byte(node.output()), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // close ends everything that the soak started.
 func (w *world) close() {
 	for _, node := range w.nodes {
