Soak: the store slow, silent, hushing watches, and turning a node away

Orders are followed through the store, and the soak knew it only as refusing, losing answers, forgetting and cut off from one node. Four kinds of trouble more, with the same marks of disturbed nodes. Not soaked yet.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -40,7 +40,11 @@
 		{"node's link of requests one way", (*injector).oneWayTree},
 		{"node's link of requests delayed", (*injector).slowTree},
 		{"node's link of requests reset", (*injector).resetTree},
+		{"node turned away by the store", (*injector).turnAway},
 		{"store refuses", (*injector).refuseStore},
+		{"store silent", (*injector).silenceStore},
+		{"store slow", (*injector).slowStore},
+		{"store hushes watches", (*injector).hushStore},
 		{"store loses answers", (*injector).loseAnswers},
 		{"store forgets its history", (*injector).compactStore},
 		{"leaf dark", (*injector).darkLeaf},
@@ -163,6 +167,22 @@
 func (i *injector) cutStore(span time.Duration) func()    { return i.setStoreLink(span, Silent) }
 func (i *injector) oneWayStore(span time.Duration) func() { return i.setStoreLink(span, OneWay) }
 
+func (i *injector) turnAway(span time.Duration) func() { return i.setStoreLink(span, Resetting) }
+
+// slowStore delays what all nodes say to the store and hear of it.
+func (i *injector) slowStore(span time.Duration) func() {
+	i.everyNode(span)
+	for _, node := range i.world.nodes {
+		node.storeLink.Set(Delayed)
+	}
+	return func() {
+		for _, node := range i.world.nodes {
+			node.storeLink.Set(Sound)
+		}
+		i.everyNode(0)
+	}
+}
+
 func (i *injector) cutPeers(span time.Duration) func() {
 	node := i.node(span)
 	node.setCut(true)
@@ -200,6 +220,14 @@
 	return i.setStore(span, kvstore.Faults{Refuse: 503})
 }
 
+func (i *injector) silenceStore(span time.Duration) func() {
+	return i.setStore(span, kvstore.Faults{Silent: true})
+}
+
+func (i *injector) hushStore(span time.Duration) func() {
+	return i.setStore(span, kvstore.Faults{HushWatches: true})
+}
+
 func (i *injector) loseAnswers(span time.Duration) func() {
 	return i.setStore(span, kvstore.Faults{LoseAnswers: true})
 }
