Lab: faults on one route only where the route leads, nothing barred of a version that serves

The soak drew a version that fails on the once-only route for services that it doesn't lead to, which made a bad version that is never bad; and the line of an order of the version that serves counted all its requests as misplaced. Tests as they were, green.

--- a/internal/lab/rollouts/release.go
+++ b/internal/lab/rollouts/release.go
@@ -147,6 +147,9 @@
 // Barred gives the visits to the version without an order: before it, and some time after it was rolled back or
 // had ended.
 func (r *Release) Barred(clear Clear) []Visit {
+	if r.Old == r.Target {
+		return nil
+	}
 	before := selected(r.Target, func(visit Visit) bool { return visit.At.Before(r.At) })
 	end := r.Ended
 	if told, at := r.Outcome(); told == RolledBack && (end.IsZero() || at.Before(end)) {
--- a/internal/lab/soak/orders.go
+++ b/internal/lab/soak/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/lab/rollouts"
@@ -43,7 +44,7 @@
 		service: services[random.IntN(len(services))], duration: shortOrder + time.Duration(random.Int64N(int64(orderRange))),
 	}
 	if random.IntN(goodPart) > 0 {
-		faults := rollouts.Faults(OncePrefix)
+		faults := faultsOf(p.service)
 		p.fault = faults[random.IntN(len(faults))]
 	}
 	switch random.IntN(oddPart) {
@@ -58,6 +59,13 @@
 	return p
 }
 
+// faultsOf gives the sorts of bad versions of a service; only one has several routes that always lead to it.
+func faultsOf(service string) []rollouts.Fault {
+	return slices.DeleteFunc(rollouts.Faults(OncePrefix), func(fault rollouts.Fault) bool {
+		return fault.Prefix != "" && service != singleName
+	})
+}
+
 // describe says what is special of an order.
 func describe(p plan) string {
 	switch {
