Roll-outs: judges hear of a hold without having told of counts; a late write settles its own pen

A judge that found a version bad told the nodes that had reported. Another judge that had counted nothing, or whose word was lost, could find the version good and move it on, or end the switch when the first one died. The other judges are told at each report interval until the state is written. A write that ended after its order was over marked the next order's write of the same judge as done, so that this judge wrote nothing more for that phase. Pens of services without a roll-out are dropped.

--- a/internal/rolloutcontrol/controller.go
+++ b/internal/rolloutcontrol/controller.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -71,8 +72,8 @@
 
 // writeResult is how a write went.
 type writeResult struct {
-	service string
-	record  PhaseRecord
+	pen    *pen
+	record PhaseRecord
 }
 
 // mostWrites bounds the writes in flight of one node: many orders at once must not flood the store.
@@ -175,6 +176,7 @@
 		}
 		delete(c.trials, service)
 	}
+	maps.DeleteFunc(c.pens, func(service string, _ *pen) bool { return view.Rollouts[service] == (catalog.Rollout{}) })
 	isWanted := func(order orderKey) bool { return c.isWanted(view, order) }
 	c.tallies.keep(isWanted)
 	c.holds.keep(isWanted)
--- a/internal/rolloutcontrol/hearing.go
+++ b/internal/rolloutcontrol/hearing.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/evidence"
 	"github.com/portgauge/portgauge/internal/peer"
 )
@@ -58,6 +59,20 @@
 	c.parts.Sender.Send(address, peer.Message{RolloutHold: &peer.RolloutHold{Service: order.service, Order: order.revision}})
 }
 
+// warnJudges tells the other judges of a hold, also those that told of no counts, until its state is written: any of
+// them may be the one whose write the store takes.
+func (c *Controller) warnJudges(now time.Time, view *catalog.View, t *trial, order orderKey) {
+	if now.Sub(t.warned) < c.cfg.ReportInterval {
+		return
+	}
+	t.warned = now
+	for _, judge := range c.panel.judges(view, order.service) {
+		if judge.ID != c.parts.Self.ID {
+			c.sendHold(judge.Address, order)
+		}
+	}
+}
+
 // hold has all nodes that told of an order send nothing more to its version, whatever the store says.
 func (c *Controller) hold(order orderKey, reason string) {
 	if !c.holds.put(order, reason) {
--- a/internal/rolloutcontrol/judge.go
+++ b/internal/rolloutcontrol/judge.go
@@ -37,6 +37,7 @@
 	t.judge(now, c.parts.Judging, rows, newest)
 	if t.judgement.Finding == verdict.Bad {
 		c.hold(order, t.judgement.Reason)
+		c.warnJudges(now, view, t, order)
 	}
 	untilMargin := t.order.Duration() - c.cfg.marginOf(t.order.Duration()) - t.elapsed(now)
 	phase, reason := t.next(now, c.cfg, c.panel.fingerprint(view))
@@ -87,7 +88,7 @@
 		defer cancel()
 		record.Revision, record.Err = c.parts.States.Write(writeCtx, record.State, replaced, order)
 		select {
-		case c.written <- writeResult{service, record}:
+		case c.written <- writeResult{held, record}:
 		case <-ctx.Done():
 		}
 	})
@@ -98,7 +99,5 @@
 func (c *Controller) settle(now time.Time, result writeResult) {
 	c.writing--
 	c.parts.Journal.PhaseWritten(result.record)
-	if held := c.pens[result.service]; held != nil {
-		held.settle(now, result.record.Err, c.cfg)
-	}
+	result.pen.settle(now, result.record.Err, c.cfg)
 }
--- a/internal/rolloutcontrol/trial.go
+++ b/internal/rolloutcontrol/trial.go
@@ -39,6 +39,8 @@
 	rows      []evidence.Row
 	newest    time.Time // when the newest of the rows came
 
+	warned time.Time // when the other judges were told of a hold last
+
 	state          *rollout.State // the one in force that answers the order; nil before the first
 	switchingSince time.Time
 	status         FleetStatus
