--- a/internal/evidence/collector.go
+++ b/internal/evidence/collector.go
@@ -7,6 +7,7 @@
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/rollout"
 )
 
 // mostRows bounds the rows that a node keeps. A service has one for each route and version, and one for each route
@@ -55,7 +56,11 @@
 
 // IsCounted reports whether a leaf's attempts are counted now.
 func (c *Collector) IsCounted(leaf *leafset.Leaf) bool {
-	rule := c.catalog.View().Leafs.Rule(leaf.Service)
+	return isCounted(c.catalog.View().Leafs.Rule(leaf.Service), leaf)
+}
+
+// isCounted reports whether a rule has a leaf's attempts counted.
+func isCounted(rule rollout.Rule, leaf *leafset.Leaf) bool {
 	return rule.Trial != "" && (rule.IsTrial(leaf.Version) || rule.IsServing(leaf.Version))
 }
 
@@ -91,13 +96,16 @@
 	defer c.mu.Unlock()
 	c.dropOld()
 	rule := c.leafs.Rule(leaf.Service)
+	if !isCounted(rule, leaf) {
+		return // the rule changed since it was asked about
+	}
 	key := Key{Service: leaf.Service, Order: rule.Order, Route: route, Version: leaf.Version}
 	if rule.IsTrial(leaf.Version) {
 		key.Leaf, key.Zone = leaf.ID, leaf.Zone
 	}
 	kept, found := c.rows[key]
 	if !found {
-		if rule.Trial == "" || len(c.rows) >= mostRows {
+		if len(c.rows) >= mostRows {
 			return
 		}
 		kept = &collected{Row: Row{Key: key}}
--- a/internal/evidence/collector_test.go
+++ b/internal/evidence/collector_test.go
@@ -72,6 +72,15 @@
 	})
 }
 
+// An attempt that ends as the order is replaced is not counted for the next one.
+func TestAttemptOfAnotherOrderIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	c, known, _ := ordered(t)
+	put(t, known, catalog.RolloutKey("s"), rollout.Order{Service: "s", Target: "v3", DurationMillis: 1000})
+	c.count("r", leaf("c", "s", "v2"), func(tally *Tally) { tally.Observe(true, time.Millisecond) })
+	is.Equal(len(c.Rows()), 0)
+}
+
 // Rows are given when they changed, each with all of its counts, longest waiting first.
 func TestChangedRowsAreTakenInTurn(t *testing.T) {
 	is := is.New(t)
