Roll-outs: leafs without a version get nothing once another version has replaced them

A leaf that tells no version served by any rule, so that after a success the old leafs got requests again, just as they stop. A state that succeeded over a version without a name says so in its rule. Orders longer than a time.Duration holds are refused instead of ending at once. Tests of rules and of orders failed before.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -6,6 +6,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	json "github.com/goccy/go-json"
@@ -27,12 +28,16 @@
 // Duration is how long the roll-out may take.
 func (o *Order) Duration() time.Duration { return time.Duration(o.DurationMillis) * time.Millisecond }
 
+// longestMillis is the longest duration of an order in milliseconds: what a time.Duration holds.
+const longestMillis = math.MaxInt64 / int64(time.Millisecond)
+
 // Validate names every field at fault.
 func (o *Order) Validate() error {
 	var checks failure.Checks
 	checks.Refuse(o.Service == "", "service", "must not be empty")
 	checks.Refuse(o.Target == "", "target", "must not be empty")
 	checks.Refuse(o.DurationMillis <= 0, "duration_millis", "must be positive")
+	checks.Refuse(o.DurationMillis > longestMillis, "duration_millis", "must be at most %d", longestMillis)
 	return checks.Err()
 }
 
@@ -132,6 +137,8 @@
 	// Barred is the version that was rolled back or taken back where Serving is empty; else empty, since then all but
 	// Serving and Trial are barred.
 	Barred string
+	// IsNamed says that the leafs that tell no version were those that served before Serving, and get nothing.
+	IsNamed bool
 	// Trial is the version that an order wants to serve; empty where there is none under way.
 	Trial string
 	// Phase is Canary or Switching while there is a Trial, else empty.
@@ -149,8 +156,11 @@
 	if state != nil {
 		rule.Serving, rule.Revision = state.Served(), state.Revision
 	}
-	if state != nil && rule.Serving == "" {
-		rule.Barred = state.Target
+	if state != nil && state.Serving == "" {
+		rule.IsNamed = rule.Serving != ""
+		if !rule.IsNamed {
+			rule.Barred = state.Target
+		}
 	}
 	if order == nil || order.Target == rule.Serving {
 		return rule
@@ -182,9 +192,13 @@
 	return r
 }
 
-// IsServing reports whether a version serves by the rule; a leaf that tells no version does.
+// IsServing reports whether a version serves by the rule; a leaf that tells no version does, unless such leafs were
+// replaced.
 func (r Rule) IsServing(version string) bool {
-	return version == "" || version == r.Serving || r.Serving == "" && version != r.Trial && version != r.Barred
+	if version == "" {
+		return !r.IsNamed
+	}
+	return version == r.Serving || r.Serving == "" && version != r.Trial && version != r.Barred
 }
 
 // IsTrial reports whether a version is on trial by the rule.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -54,7 +54,8 @@
 		{"taken back where leafs told no version", nil, unnamed(Switching, orderRevision), "", Rule{Barred: "v2", Revision: 9}},
 		{"on trial again where leafs told no version", order("v2"), unnamed(RolledBack, 5), "", Rule{Trial: "v2", Phase: Canary, Order: orderRevision, Revision: 9}},
 		{"another on trial where leafs told no version", order("v3"), unnamed(RolledBack, 5), "", Rule{Barred: "v2", Trial: "v3", Phase: Canary, Order: orderRevision, Revision: 9}},
-		{"succeeded where leafs told no version", order("v2"), unnamed(Succeeded, orderRevision), "", Rule{Serving: "v2", Revision: 9}},
+		{"succeeded where leafs told no version", order("v2"), unnamed(Succeeded, orderRevision), "", Rule{Serving: "v2", IsNamed: true, Revision: 9}},
+		{"another on trial after that", order("v3"), unnamed(Succeeded, 5), "", Rule{Serving: "v2", IsNamed: true, Trial: "v3", Phase: Canary, Order: orderRevision, Revision: 9}},
 		{"the target serves already", order("v1"), nil, "v1", Rule{Serving: "v1"}},
 	}
 	for _, c := range cases {
@@ -76,6 +77,8 @@
 	is.True(rolledBack.IsServing("v1") && rolledBack.IsServing("") && !rolledBack.IsServing("v2") && !rolledBack.IsTrial("v2"))
 	is.Equal(rolledBack.WithFirst("v2"), rolledBack)
 	is.Equal(rolledBack.WithFirst("v1"), Rule{Serving: "v1"})
+	named := Rule{Serving: "v2", IsNamed: true}
+	is.True(named.IsServing("v2") && !named.IsServing("") && !named.IsServing("v1"))
 	is.True(Rule{}.IsServing("v9") && !Rule{}.IsTrial(""))
 }
 
@@ -85,6 +88,8 @@
 	is.Equal(failure.From(err).Field, "target")
 	_, err = ParseOrder([]byte(`{"service":"s","target":"v2","duration_millis":-1}`), 1)
 	is.Equal(failure.From(err).Field, "duration_millis")
+	_, err = ParseOrder([]byte(`{"service":"s","target":"v2","duration_millis":9223372036855}`), 1)
+	is.Equal(failure.From(err).Field, "duration_millis")
 	_, err = ParseState([]byte(`{"service":"s","phase":"done"}`), 1)
 	is.Equal(failure.From(err).Field, "phase")
 	versions, err := ParseVersions([]byte(`{"by_version":{"v1":["a","b"],"v2":["c"]}}`))
