Catalog: one word for the revision that a write compares with

Two packages had it each, and the writer of the list of leafs a third that would have compared with a tombstone's. The stand-in's calls of leases share their check. No behaviour changes elsewhere; tests unchanged but for the name.

--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -64,6 +64,15 @@
 	Deleted  bool            `json:"deleted,omitempty"`
 }
 
+// LiveRevision gives the revision that a write in place of the entry compares with: 0 for keys that were never written
+// and for deleted ones.
+func (e *Entry) LiveRevision() int64 {
+	if e == nil || e.Deleted {
+		return 0
+	}
+	return e.Revision
+}
+
 // Change is an entry with the revision of the change before it, which shows gaps.
 type Change struct {
 	Entry    Entry `json:"entry"`
--- a/internal/configwriter/configwriter.go
+++ b/internal/configwriter/configwriter.go
@@ -138,7 +138,7 @@
 			return accepted, true, nil
 		}
 	}
-	if liveRevision(current) != write.Expected {
+	if current.LiveRevision() != write.Expected {
 		return 0, true, conflict(write, current)
 	}
 	return 0, false, nil
@@ -179,16 +179,8 @@
 	return unavailable.WithRetryAfter(w.config.TotalTimeout)
 }
 
-// liveRevision gives the revision to compare with; absent and deleted keys count as 0.
-func liveRevision(entry *catalog.Entry) int64 {
-	if entry == nil || entry.Deleted {
-		return 0
-	}
-	return entry.Revision
-}
-
 func conflict(write Write, current *catalog.Entry) error {
-	revision := liveRevision(current)
+	revision := current.LiveRevision()
 	failed := failure.New(failure.RevisionConflict, failure.NotRun,
 		"%s is at revision %d, not %d", write.Key, revision, write.Expected)
 	failed.CurrentRevision = revision
--- a/internal/configwriter/configwriter_test.go
+++ b/internal/configwriter/configwriter_test.go
@@ -64,7 +64,7 @@
 	if fault == loseRequest {
 		return store.SwapResult{}, errLost
 	}
-	swapped := liveRevision(s.entry) == expected
+	swapped := s.entry.LiveRevision() == expected
 	if swapped {
 		s.revision++
 		s.entry = &catalog.Entry{Key: key, Value: value, Revision: s.revision, Deleted: remove}
@@ -96,7 +96,7 @@
 				writer := New(config, target)
 				for number := range 4 {
 					target.mutex.Lock()
-					seen := liveRevision(target.entry)
+					seen := target.entry.LiveRevision()
 					target.mutex.Unlock()
 					id := fmt.Sprintf("%d/%d", operator, number)
 					_, err := writer.Apply(context.Background(), Write{Key: "k", Expected: seen, ChangeID: id, Message: &adminv1.ServiceSpec{Name: id}})
--- a/internal/configwriter/guarded.go
+++ b/internal/configwriter/guarded.go
@@ -53,6 +53,6 @@
 	}
 	failed := failure.New(failure.RevisionConflict, failure.NotRun,
 		"%s was not written: one of its %d conditions no longer holds", write.Key, len(write.conditions))
-	failed.CurrentRevision = liveRevision(current)
+	failed.CurrentRevision = current.LiveRevision()
 	return 0, true, failed
 }
--- a/internal/configwriter/guarded_test.go
+++ b/internal/configwriter/guarded_test.go
@@ -119,7 +119,7 @@
 				lose(target)
 				_, err := New(DefaultConfig(), target).ApplyGuarded(t.Context(), guardedWrite("a"))
 				is.True(failure.Is(err, failure.RevisionConflict))
-				is.Equal(failure.From(err).CurrentRevision, liveRevision(target.entry))
+				is.Equal(failure.From(err).CurrentRevision, target.entry.LiveRevision())
 				is.Equal(target.applied["a"], 0)
 			})
 		})
--- a/internal/lab/platform/leases.go
+++ b/internal/lab/platform/leases.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -82,60 +83,42 @@
 
 // KeepLease implements StoreServiceServer.
 func (p *Platform) KeepLease(ctx context.Context, request *platformv1.KeepLeaseRequest) (*platformv1.KeepLeaseResponse, error) {
-	if err := p.enterLease(ctx); err != nil {
-		return nil, err
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	known, err := p.lease(request.GetLease())
-	if err != nil {
-		return nil, err
-	}
-	known.keep()
-	return &platformv1.KeepLeaseResponse{}, nil
+	return &platformv1.KeepLeaseResponse{}, p.withLease(ctx, request.GetLease(), (*lease).keep)
 }
 
 // EndLease implements StoreServiceServer.
 func (p *Platform) EndLease(ctx context.Context, request *platformv1.EndLeaseRequest) (*platformv1.EndLeaseResponse, error) {
-	if err := p.enterLease(ctx); err != nil {
-		return nil, err
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	known, err := p.lease(request.GetLease())
-	if err != nil {
-		return nil, err
+	end := func(known *lease) {
+		known.lapse.Stop()
+		p.endLease(request.GetLease())
 	}
-	known.lapse.Stop()
-	p.endLease(request.GetLease())
-	return &platformv1.EndLeaseResponse{}, nil
+	return &platformv1.EndLeaseResponse{}, p.withLease(ctx, request.GetLease(), end)
 }
 
 // PutLeased implements StoreServiceServer.
 func (p *Platform) PutLeased(ctx context.Context, request *platformv1.PutLeasedRequest) (*platformv1.PutLeasedResponse, error) {
+	response, lost := &platformv1.PutLeasedResponse{}, error(nil)
+	err := p.withLease(ctx, request.GetLease(), func(*lease) {
+		response.Entry = p.write(&platformv1.Entry{Key: request.GetKey(), Value: request.GetValue()})
+		p.leases.byKey[request.GetKey()] = request.GetLease()
+		lost = p.loseReply()
+	})
+	return response, cmp.Or(err, lost)
+}
+
+// withLease does something with a lease under the mutex, unless it is over.
+func (p *Platform) withLease(ctx context.Context, id int64, do func(*lease)) error {
 	if err := p.enterLease(ctx); err != nil {
-		return nil, err
+		return err
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if _, err := p.lease(request.GetLease()); err != nil {
-		return nil, err
-	}
-	entry := p.write(&platformv1.Entry{Key: request.GetKey(), Value: request.GetValue()})
-	p.leases.byKey[request.GetKey()] = request.GetLease()
-	if err := p.loseReply(); err != nil {
-		return nil, err
-	}
-	return &platformv1.PutLeasedResponse{Entry: entry}, nil
-}
-
-// lease gives a lease that is not over. The mutex must be held.
-func (p *Platform) lease(id int64) (*lease, error) {
 	known, found := p.leases.granted[id]
 	if !found {
-		return nil, status.Error(codes.NotFound, "the lease is over")
+		return status.Error(codes.NotFound, "the lease is over")
 	}
-	return known, nil
+	do(known)
+	return nil
 }
 
 // lapse ends a lease that was not kept. A store that is down ends none: its time to live starts anew. One that was kept
--- a/internal/leafmemory/writer.go
+++ b/internal/leafmemory/writer.go
@@ -102,17 +102,14 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, failure.NotRun, "encode list of leafs")
 	}
-	expected := int64(0)
-	if entry, found := w.catalog.Entry(catalog.RememberedKey); found {
-		expected = entry.Revision
-	}
+	replaced, _ := w.catalog.Entry(catalog.RememberedKey)
 	value, err := catalog.NewDocument("", document, nil)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	_, err = w.store.CompareAndSwap(ctx, catalog.RememberedKey, expected, value, false)
+	_, err = w.store.CompareAndSwap(ctx, catalog.RememberedKey, replaced.LiveRevision(), value, false)
 	w.since = time.Now() // the next try, if any, waits as long again
 	return err
 }
--- a/internal/rolloutcontrol/property_test.go
+++ b/internal/rolloutcontrol/property_test.go
@@ -127,7 +127,7 @@
 func (m *memoryStore) unfinished() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	standing := liveRevision(m.find(catalog.RolloutKey("s")))
+	standing := m.find(catalog.RolloutKey("s")).LiveRevision()
 	if len(m.states) == 0 {
 		if standing != 0 {
 			return fmt.Sprintf("order %d has no state", standing)
--- a/internal/rolloutcontrol/states.go
+++ b/internal/rolloutcontrol/states.go
@@ -77,7 +77,7 @@
 		if revision, done := isDone(found, write); done {
 			return revision, nil
 		}
-		if liveRevision(found) != write.expected {
+		if found.LiveRevision() != write.expected {
 			return 0, conflictOf(write, found)
 		}
 		result, err = g.swap(ctx, write, found)
@@ -108,17 +108,9 @@
 	return catalog.FindChange(entry, write.changeID)
 }
 
-// liveRevision gives the revision to compare with; absent and deleted keys count as 0.
-func liveRevision(entry *catalog.Entry) int64 {
-	if entry == nil || entry.Deleted {
-		return 0
-	}
-	return entry.Revision
-}
-
 // conflictOf says that a state or its order moved on.
 func conflictOf(write guardedState, current *catalog.Entry) error {
-	revision := liveRevision(current)
+	revision := current.LiveRevision()
 	conflict := failure.New(failure.RevisionConflict, failure.NotRun, "%s is at revision %d, not %d, or its order moved on", write.key, revision, write.expected)
 	conflict.CurrentRevision = revision
 	return conflict
--- a/internal/rolloutcontrol/store_test.go
+++ b/internal/rolloutcontrol/store_test.go
@@ -81,7 +81,7 @@
 		return store.SwapResult{}, errStore
 	}
 	for _, condition := range append(conditions, store.Condition{Key: key, Revision: expected}) {
-		if liveRevision(v.find(condition.Key)) != condition.Revision {
+		if v.find(condition.Key).LiveRevision() != condition.Revision {
 			return store.SwapResult{Entry: v.find(key)}, nil
 		}
 	}
@@ -110,7 +110,7 @@
 	if document, err := catalog.DecodeDocument(entry); err == nil && value != nil {
 		if state, err := rollout.ParseState(document, m.revision); err == nil && state.OrderRevision > 0 {
 			m.states = append(m.states, *state)
-			m.standing = append(m.standing, liveRevision(m.find(catalog.RolloutKey(state.Service))))
+			m.standing = append(m.standing, m.find(catalog.RolloutKey(state.Service)).LiveRevision())
 		}
 	}
 	m.changed()
--- a/internal/rolloutcontrol/versions.go
+++ b/internal/rolloutcontrol/versions.go
@@ -144,7 +144,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.cfg.WriteTimeout)
 	defer cancel()
-	expected := liveRevision(&replaced)
+	expected := replaced.LiveRevision()
 	result, err := w.store.CompareAndSwap(ctx, catalog.VersionsKey, expected, value, false)
 	if err != nil {
 		return failure.Wrap(err, failure.StoreUnavailable, failure.Unknown, "write the versions of services")
