Roll-outs: requests that only leafs in trouble could take earn no share

While all leafs of the serving version were down and still known, their requests counted for the share and few of them reached the service. Test failed before: 40 of 500 requests went to the version on trial, at most 4 now.

--- a/internal/canary/splitter.go
+++ b/internal/canary/splitter.go
@@ -28,8 +28,8 @@
 	Service string
 	// Once says that it must run once at most.
 	Once bool
-	// Unserved says that no leaf of the version that serves can be asked for it. Since it reaches the service only if
-	// it is drawn, it earns the version on trial no share.
+	// Unserved says that no leaf of the version that serves can be asked for it, or only leafs in trouble. Since it may
+	// reach the service only if it is drawn, it earns the version on trial no share.
 	Unserved bool
 }
 
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -27,7 +27,8 @@
 	return g.canary.Later(service)
 }
 
-// draw gives the draw of a shard, which is made once; unserved says that no leaf of the serving version can be asked.
+// draw gives the draw of a shard, which is made once; unserved says that no leaf of the serving version can be asked, or
+// only leafs in trouble.
 // What another node may have counted is not drawn.
 func (w *gathering) draw(shard int, unserved bool) canary.Draw {
 	if w.gateway.canary == nil || w.spent > 0 {
@@ -76,8 +77,8 @@
 // firstCandidates gives the leafs that a shard's first attempt may go to by its draw; where none of them can be
 // asked, those that were planned without one.
 func (w *gathering) firstCandidates(shard int, planned []balancer.Candidate) []balancer.Candidate {
-	canBeServed := w.gateway.balancer.Choose(planned, nil).Leaf != nil
-	draw := w.draw(shard, !canBeServed)
+	choice := w.gateway.balancer.Choose(planned, nil)
+	draw := w.draw(shard, choice.Leaf == nil || choice.Troubled)
 	if draw.First == w.gateway.later(w.services[shard]) {
 		return planned
 	}
--- a/internal/gateway/trial_refused_test.go
+++ b/internal/gateway/trial_refused_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/leafhttp"
 )
 
 // Where no leaf of the serving version can be asked, the version on trial gets the slack and no share of what is
@@ -44,6 +45,29 @@
 	}
 }
 
+// Requests that only leafs in trouble could take earn the version on trial no share: most don't reach the service.
+func TestCrashedLeafsEarnNoShare(t *testing.T) {
+	inTrial(t, canary.DefaultConfig(), func(is *is.I, b *trialed) {
+		works := b.leafs.answer
+		b.leafs.answer = func(leaf string) (time.Duration, *leafhttp.Response, error) {
+			if leaf == "s0a" || leaf == "s0b" {
+				return time.Millisecond, nil, &leafhttp.RefusedConnectionError{Cause: errSilent}
+			}
+			return works(leaf)
+		}
+		for range 500 {
+			_, _ = b.Serve(b.t.Context(), ask("/single/1"))
+		}
+		onTrial := 0
+		for _, leaf := range b.asked() {
+			if isOnTrial(leaf) {
+				onTrial++
+			}
+		}
+		is.True(onTrial <= 4) // a tenth of what came before the leafs were found out
+	})
+}
+
 // A request that is refused for its other shards is not drawn for the version on trial.
 func TestRefusedRequestsAreNotDrawn(t *testing.T) {
 	cfg := canary.DefaultConfig()
