--- a/internal/leafset/versions_test.go
+++ b/internal/leafset/versions_test.go
@@ -158,6 +158,6 @@
 	is.True(set.IsBarred(newer[0]))
 	set = edited(set.Edit(), nil, "1")
 	is.Equal(len(set.Ready("s")), 0)
-	set = edited(set.Edit(), []*Leaf{leafOf("5", "v1", Ready)})
-	is.Equal(ids(set.Ready("s")), []string{"5"})
+	set = edited(set.Edit(), []*Leaf{leafOf("5", "v1", Ready), leafOf("6", "v1", Ready), leafOf("7", "v3", Ready)})
+	is.Equal(ids(set.Ready("s")), []string{"5", "6"})
 }
