An order taken back is told as rolled back

Cause: two parts differed. To tell nothing leaves operators reading that the order still runs, for good. That it was rolled back is true, and is written under the condition that no order stands. The test that nothing is told is replaced by one that this is told at the state's revision; the soak's judge takes that outcome of an order taken back and no other, and one of a replaced order is misleading as before.

--- a/internal/lab/soak/judge_rollouts.go
+++ b/internal/lab/soak/judge_rollouts.go
@@ -49,7 +49,7 @@
 }
 
 func judgeOutcomes(played []rollouts.Release) Verdict {
-	v := Verdict{Promise: "an order has one outcome, and none once it was replaced or taken back"}
+	v := Verdict{Promise: "an order has one outcome: none once it was replaced, no success once it was taken back"}
 	for _, r := range played {
 		misled := r.Misled()
 		v.check(len(misled) == 0, "%s: told %v", nameOf(r), misled)
--- a/internal/lab/soak/show.go
+++ b/internal/lab/soak/show.go
@@ -28,7 +28,7 @@
 	Logs string
 }
 
-// showCase is one roll-out with the outcome that it must have, empty for none.
+// showCase is one roll-out with the outcome that it must have.
 type showCase struct {
 	name string
 	plan plan
@@ -49,7 +49,7 @@
 		}
 	}
 	cases = append(cases,
-		showCase{"taken back", plan{service: singleName, takenBack: duration / 2}, ""},
+		showCase{"taken back", plan{service: singleName, takenBack: duration / 2}, rollouts.RolledBack},
 		showCase{"no leaf", plan{service: singleName, isEmpty: true}, rollouts.RolledBack},
 		showCase{"serves already", plan{service: singleName, isServing: true}, rollouts.Succeeded},
 	)
