--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +31,9 @@
 	machines []machines.Machine
 	lists    int
 	watches  int
+	// told counts the events of watches, by node; silent holds the nodes whose watches tell nothing more.
+	told   map[string]int
+	silent map[string]bool
 	// roles are those of the last watches, by node.
 	roles map[string]store.WatchRole
 	// staleLists counts the stale reads, which are answered by the state so many changes ago.
@@ -54,10 +59,29 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return p.put(catalog.ServiceKey(name), value)
+}
+
+// register writes the record of a node.
+func (p *memoryPlatform) register(t *testing.T, node catalog.NodeRecord) {
+	t.Helper()
+	document, err := json.Marshal(node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := catalog.NewDocument("", document, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.put(catalog.NodeKey(node.ID), value)
+}
+
+// put writes a key and gives the revision.
+func (p *memoryPlatform) put(key string, value []byte) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	revision := int64(len(p.log) + 1)
-	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: catalog.ServiceKey(name), Value: value, Revision: revision}, Previous: revision - 1})
+	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: key, Value: value, Revision: revision}, Previous: revision - 1})
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return revision
@@ -91,6 +115,7 @@
 	p.mu.Lock()
 	p.watches++
 	p.roles[p.node] = role
+	receive = p.counted(receive)
 	isForgotten := after < p.forgotten
 	p.mu.Unlock()
 	if isForgotten {
@@ -100,7 +125,12 @@
 		p.mu.Lock()
 		missed, changed, down := p.log[after:], p.changed, p.cutOff[p.node]
 		newest, forgetful := int64(len(p.log)), p.forgetful
+		silent := p.silent[p.node]
 		p.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if down {
 			return errDown
 		}
@@ -133,6 +163,16 @@
 	}
 }
 
+// counted counts the events that a watch tells of.
+func (p platformView) counted(receive func(store.Event) error) func(store.Event) error {
+	return func(event store.Event) error {
+		p.mu.Lock()
+		p.told[p.node]++
+		p.mu.Unlock()
+		return receive(event)
+	}
+}
+
 func (p platformView) ListMachines(_ context.Context, query machines.Query) (machines.List, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -167,6 +207,16 @@
 	syncer  *Syncer
 	leafs   *leafNotes
 	stop    context.CancelFunc
+	// unsettled is the revision that the node is not settled at; 0 when it is settled.
+	unsettled atomic.Int64
+}
+
+// settledRevision is the revision in force, or the one before that which the node is not settled at.
+func (n *testNode) settledRevision() int64 {
+	if unsettled := n.unsettled.Load(); unsettled > 0 {
+		return unsettled - 1
+	}
+	return n.catalog.Revision()
 }
 
 // fleet is many nodes over one platform on a memory network, in virtual time.
@@ -180,7 +230,8 @@
 
 func newFleet(t *testing.T, zones, perZone int) *fleet {
 	f := &fleet{
-		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}, roles: map[string]store.WatchRole{}},
+		t: t, config: DefaultConfig(), platform: &memoryPlatform{changed: make(chan struct{}), cutOff: map[string]bool{}, roles: map[string]store.WatchRole{},
+			told: map[string]int{}, silent: map[string]bool{}},
 		network: peer.NewMemoryNetwork(1, time.Millisecond), nodes: map[string]*testNode{},
 	}
 	for zone := range zones {
@@ -201,13 +252,14 @@
 	node := &testNode{id: id, catalog: catalog.New(nil), leafs: &leafNotes{leaving: map[string]time.Time{}}}
 	node.syncer = New(Parts{
 		Config: f.config, Catalog: node.catalog, Store: view, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
+		Settled: node.settledRevision,
 	})
 	self := peer.Member{ID: id, Address: id, Zone: zone, Incarnation: time.Now().UnixMilli()}
 	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, 1)
 	node.syncer.SetMembership(members)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	node.stop = cancel
-	transport.Serve(NewPeerHandler(node.syncer, nil))
+	transport.Serve(NewPeerHandler(node.syncer, Hearers{}))
 	go node.syncer.Run(ctx)
 	go members.Run(ctx)
 	f.nodes[id] = node
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -40,7 +40,11 @@
 		{"node's link of requests one way", (*injector).oneWayTree},
 		{"node's link of requests delayed", (*injector).slowTree},
 		{"node's link of requests reset", (*injector).resetTree},
+		{"node turned away by the store", (*injector).turnAway},
 		{"store refuses", (*injector).refuseStore},
+		{"store silent", (*injector).silenceStore},
+		{"store slow", (*injector).slowStore},
+		{"store hushes watches", (*injector).hushStore},
 		{"store loses answers", (*injector).loseAnswers},
 		{"store forgets its history", (*injector).compactStore},
 		{"leaf dark", (*injector).darkLeaf},
@@ -94,14 +98,15 @@
 	}
 }
 
-// leaf draws a leaf that is in use.
-func (i *injector) leaf() (string, *leafState) {
+// leaf draws a leaf that is in use, for a fault of some span.
+func (i *injector) leaf(span time.Duration) (string, *leafState) {
 	i.world.mu.Lock()
 	defer i.world.mu.Unlock()
 	for {
 		id := fmt.Sprintf("leaf-%d", 1+i.random.IntN(i.world.nextID))
-		if state := i.world.leafs[id]; state.leavingAt.IsZero() {
-			state.disturbed = time.Now()
+		if state, found := i.world.leafs[id]; found && state.leavingAt.IsZero() {
+			now := time.Now()
+			state.troubles = append(state.troubles, trouble{from: now, until: now.Add(span + touchSlack)})
 			return id, state
 		}
 	}
@@ -162,6 +167,22 @@
 func (i *injector) cutStore(span time.Duration) func()    { return i.setStoreLink(span, Silent) }
 func (i *injector) oneWayStore(span time.Duration) func() { return i.setStoreLink(span, OneWay) }
 
+func (i *injector) turnAway(span time.Duration) func() { return i.setStoreLink(span, Resetting) }
+
+// slowStore delays what all nodes say to the store and hear of it.
+func (i *injector) slowStore(span time.Duration) func() {
+	i.everyNode(span)
+	for _, node := range i.world.nodes {
+		node.storeLink.Set(Delayed)
+	}
+	return func() {
+		for _, node := range i.world.nodes {
+			node.storeLink.Set(Sound)
+		}
+		i.everyNode(0)
+	}
+}
+
 func (i *injector) cutPeers(span time.Duration) func() {
 	node := i.node(span)
 	node.setCut(true)
@@ -199,6 +220,14 @@
 	return i.setStore(span, kvstore.Faults{Refuse: 503})
 }
 
+func (i *injector) silenceStore(span time.Duration) func() {
+	return i.setStore(span, kvstore.Faults{Silent: true})
+}
+
+func (i *injector) hushStore(span time.Duration) func() {
+	return i.setStore(span, kvstore.Faults{HushWatches: true})
+}
+
 func (i *injector) loseAnswers(span time.Duration) func() {
 	return i.setStore(span, kvstore.Faults{LoseAnswers: true})
 }
@@ -212,21 +241,23 @@
 	}
 }
 
-func (i *injector) setLeafLink(condition Condition) func() {
-	_, state := i.leaf()
+func (i *injector) setLeafLink(span time.Duration, condition Condition) func() {
+	_, state := i.leaf(span)
 	state.link.Set(condition)
 	return func() { state.link.Set(Sound) }
 }
 
-func (i *injector) darkLeaf(time.Duration) func()   { return i.setLeafLink(Silent) }
-func (i *injector) slowLeaf(time.Duration) func()   { return i.setLeafLink(Delayed) }
-func (i *injector) oneWayLeaf(time.Duration) func() { return i.setLeafLink(OneWay) }
-func (i *injector) resetLeaf(time.Duration) func()  { return i.setLeafLink(Resetting) }
+func (i *injector) darkLeaf(span time.Duration) func()   { return i.setLeafLink(span, Silent) }
+func (i *injector) slowLeaf(span time.Duration) func()   { return i.setLeafLink(span, Delayed) }
+func (i *injector) oneWayLeaf(span time.Duration) func() { return i.setLeafLink(span, OneWay) }
+func (i *injector) resetLeaf(span time.Duration) func()  { return i.setLeafLink(span, Resetting) }
 
 // replaceLeaf starts a successor and lets the leaf drain.
-func (i *injector) replaceLeaf(time.Duration) func() {
-	id, state := i.leaf()
-	if _, err := i.world.addLeaf(state.service); err != nil {
+func (i *injector) replaceLeaf(span time.Duration) func() {
+	i.world.operating.Lock()
+	defer i.world.operating.Unlock()
+	id, state := i.leaf(span)
+	if _, err := i.world.addLeafOf(state.version); err != nil {
 		i.tell("FAILED LEAF " + err.Error())
 		return func() {}
 	}
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/portgauge/portgauge/internal/lab/forwarder"
 	"github.com/portgauge/portgauge/internal/lab/process"
+	"github.com/portgauge/portgauge/internal/lab/rollouts"
 	"github.com/portgauge/portgauge/platform"
 )
 
@@ -25,8 +26,10 @@
 
 	mu      sync.Mutex
 	process *process.Process
-	life    int
-	cut     bool
+	// before is the newest output of the process before.
+	before string
+	life   int
+	cut    bool
 	// troubles are when faults held on the node, with the time that it has to recover.
 	troubles []trouble
 	// stops are when it was asked to stop.
@@ -59,7 +62,8 @@
 	}
 	node.settings = filepath.Join(w.folder, node.name+".yaml")
 	content := fmt.Sprintf(settingsText, node.name, node.zone, addresses[0], addresses[1], addresses[2], addresses[5],
-		addresses[3], addresses[4], addresses[6], node.treeLink.Address(), processorsOf(index), node.storeLink.Address(), platform.Name, w.seed(node))
+		addresses[3], addresses[4], addresses[6], node.treeLink.Address(), processorsOf(index), node.storeLink.Address(), platform.Name, w.seed(node),
+		rollouts.Share, rollouts.Slack)
 	if err := os.WriteFile(node.settings, []byte(content), 0o600); err != nil {
 		return err
 	}
@@ -91,6 +95,8 @@
 stop: {announce_delay: 500ms, drain_timeout: 2800ms}
 config_sync: {first_read_delay: 60ms, watchers_per_zone: 3, watch_silence: 2400ms, maximum_retry_pause: 500ms}
 retry_budget: {ratio: 0.2, window: 10s, allowance: 56}
+rollouts: {enabled: true}
+canary: {share: %[15]v, slack: %[16]v}
 seeds: ["%[14]s"]
 `
 
@@ -102,11 +108,21 @@
 	}
 	node.mu.Lock()
 	defer node.mu.Unlock()
+	if node.process != nil {
+		node.before = node.process.Output()
+	}
 	node.process = started
 	node.life++
 	return nil
 }
 
+// output gives the newest output of the node's process and of the one before.
+func (n *nodeState) output() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.before + n.process.Output()
+}
+
 func (n *nodeState) isCut() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,9 @@
 			newLeafGossip,
 			newReachDatagrams,
 			newZones,
+			newSplitter,
+			newCollector,
+			newRollouts,
 		),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
 			events := &fxevent.ZapLogger{Logger: logger}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -6,6 +6,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	json "github.com/goccy/go-json"
@@ -27,12 +28,16 @@
 // Duration is how long the roll-out may take.
 func (o *Order) Duration() time.Duration { return time.Duration(o.DurationMillis) * time.Millisecond }
 
+// longestMillis is the longest duration of an order in milliseconds: what a time.Duration holds.
+const longestMillis = math.MaxInt64 / int64(time.Millisecond)
+
 // Validate names every field at fault.
 func (o *Order) Validate() error {
 	var checks failure.Checks
 	checks.Refuse(o.Service == "", "service", "must not be empty")
 	checks.Refuse(o.Target == "", "target", "must not be empty")
 	checks.Refuse(o.DurationMillis <= 0, "duration_millis", "must be positive")
+	checks.Refuse(o.DurationMillis > longestMillis, "duration_millis", "must be at most %d", longestMillis)
 	return checks.Err()
 }
 
@@ -127,8 +132,13 @@
 
 // Rule says which versions of a service may get requests; the zero rule allows all.
 type Rule struct {
-	// Serving is the version that serves; empty means any but Trial.
+	// Serving is the version that serves; empty means any but Trial and Barred.
 	Serving string
+	// Barred is the version that was rolled back or taken back where Serving is empty; else empty, since then all but
+	// Serving and Trial are barred.
+	Barred string
+	// IsNamed says that the leafs that tell no version were those that served before Serving, and get nothing.
+	IsNamed bool
 	// Trial is the version that an order wants to serve; empty where there is none under way.
 	Trial string
 	// Phase is Canary or Switching while there is a Trial, else empty.
@@ -146,6 +156,12 @@
 	if state != nil {
 		rule.Serving, rule.Revision = state.Served(), state.Revision
 	}
+	if state != nil && state.Serving == "" {
+		rule.IsNamed = rule.Serving != ""
+		if !rule.IsNamed {
+			rule.Barred = state.Target
+		}
+	}
 	if order == nil || order.Target == rule.Serving {
 		return rule
 	}
@@ -157,12 +173,32 @@
 	if answered {
 		rule.Phase = state.Phase
 	}
+	if rule.Barred == rule.Trial {
+		rule.Barred = ""
+	}
 	return rule
 }
 
-// IsServing reports whether a version serves by the rule; a leaf that tells no version does.
+// WithFirst gives the rule of a service that is served by the version that was there first, empty where none was,
+// unless the rule names one that serves. An order of the version that serves already asks for nothing.
+func (r Rule) WithFirst(first string) Rule {
+	if r.Serving != "" || first == "" || r.Barred == first {
+		return r
+	}
+	if r.Trial == first {
+		return Rule{Serving: first, Revision: r.Revision}
+	}
+	r.Serving, r.Barred = first, ""
+	return r
+}
+
+// IsServing reports whether a version serves by the rule; a leaf that tells no version does, unless such leafs were
+// replaced.
 func (r Rule) IsServing(version string) bool {
-	return version == "" || version == r.Serving || r.Serving == "" && version != r.Trial
+	if version == "" {
+		return !r.IsNamed
+	}
+	return version == r.Serving || r.Serving == "" && version != r.Trial && version != r.Barred
 }
 
 // IsTrial reports whether a version is on trial by the rule.
--- /dev/null
+++ b/internal/rolloutcontrol/fleet_test.go
@@ -0,0 +1,198 @@
+package rolloutcontrol
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/rollout"
+)
+
+// fleet is some nodes over one store and a memory network, in virtual time.
+type fleet struct {
+	t       *testing.T
+	cfg     Config
+	store   *memoryStore
+	network *peer.MemoryNetwork
+	judging JudgingFactory
+	mu      sync.Mutex
+	nodes   map[string]*testNode
+}
+
+// all gives the nodes that run.
+func (f *fleet) all() []*testNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.nodes))
+}
+
+func (f *fleet) node(id string) *testNode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[id]
+}
+
+// syncDelay is how long a change takes to all nodes.
+const syncDelay = 100 * time.Millisecond
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{t: t, cfg: DefaultConfig(), network: peer.NewMemoryNetwork(1, time.Millisecond), nodes: map[string]*testNode{}, judging: newPlainJudging}
+	f.store = &memoryStore{entries: map[string]catalog.Entry{}, refused: map[string]bool{}, calls: map[string]int{}}
+	f.store.changed = func() { time.AfterFunc(syncDelay, f.syncAll) }
+	for number := range size {
+		id := fmt.Sprintf("n%d", number)
+		f.store.set(catalog.NodeKey(id), catalog.NodeRecord{ID: id, Zone: fmt.Sprintf("z%d", number%3), Address: id})
+	}
+	for number := range size {
+		f.start(fmt.Sprintf("n%d", number))
+	}
+	return f
+}
+
+// start starts a node, or a process anew that has the id of one that ended.
+func (f *fleet) start(id string) *testNode {
+	n := &testNode{id: id, fleet: f, catalog: catalog.New(nil), transport: f.network.Attach(id)}
+	n.rows, n.changed, n.held = map[evidence.Key]evidence.Tally{}, map[evidence.Key]bool{}, map[orderKey]bool{}
+	n.catalog.EnableRollouts()
+	view := storeView{f.store, n}
+	n.controller = New(Parts{
+		Config: f.cfg, Catalog: n.catalog, Self: catalog.NodeRecord{ID: id, Address: id}, Counts: n, Splitter: n, Judging: f.judging,
+		States: GuardedStates{Store: view, Guarded: view, RetryPause: f.cfg.RetryPause}, Fleet: n, Sender: n, Journal: n,
+	})
+	n.transport.Serve(n)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	n.stop = cancel
+	n.sync()
+	f.mu.Lock()
+	f.nodes[id] = n
+	f.mu.Unlock()
+	go n.controller.Run(ctx)
+	return n
+}
+
+// kill ends the process of a node.
+func (f *fleet) kill(id string) {
+	f.node(id).stop()
+	f.network.Remove(id)
+	f.mu.Lock()
+	delete(f.nodes, id)
+	f.mu.Unlock()
+}
+
+func (f *fleet) syncAll() {
+	for _, node := range f.all() {
+		node.sync()
+	}
+}
+
+// pause stops a node for a while: it neither sends nor learns, and what it sent to the store waits.
+func (f *fleet) pause(id string, span time.Duration) {
+	node := f.node(id)
+	ended := make(chan struct{})
+	node.mu.Lock()
+	node.paused = ended
+	node.mu.Unlock()
+	f.network.Freeze(id, true)
+	time.AfterFunc(span, func() {
+		f.network.Freeze(id, false)
+		node.mu.Lock()
+		node.paused = nil
+		node.mu.Unlock()
+		close(ended)
+		time.AfterFunc(syncDelay, node.sync)
+	})
+}
+
+// setCut cuts a node off from the others and the store, or heals that.
+func (f *fleet) setCut(id string, cut bool) {
+	node := f.node(id)
+	node.mu.Lock()
+	node.cut = cut
+	node.mu.Unlock()
+	f.network.Freeze(id, cut)
+	node.sync()
+}
+
+func (f *fleet) stopAll() {
+	for _, node := range f.all() {
+		node.stop()
+	}
+	time.Sleep(10 * time.Second)
+}
+
+// judge gives the id of a judge of a service by rank.
+func (f *fleet) judge(service string, rank int) string {
+	return f.judges(service)[rank].ID
+}
+
+func (f *fleet) judges(service string) []catalog.NodeRecord {
+	return judgesOf(f.all()[0].catalog.View().Nodes, service, f.cfg.Judges)
+}
+
+// nonJudge gives a node that does not judge a service.
+func (f *fleet) nonJudge(service string) string {
+	for _, node := range f.all() {
+		if rankOf(f.judges(service), node.id) < 0 {
+			return node.id
+		}
+	}
+	panic("all nodes are judges")
+}
+
+// heardBy gives the attempts that a node heard of for an order of "s".
+func (f *fleet) heardBy(id string, revision int64) int64 {
+	rows, _ := f.node(id).controller.tallies.sum(orderKey{"s", revision})
+	return attemptsOf(rows)
+}
+
+// told gives the attempts that the nodes that run counted.
+func (f *fleet) told() int64 {
+	sum := int64(0)
+	for _, node := range f.all() {
+		sum += attemptsOf(node.Rows())
+	}
+	return sum
+}
+
+func attemptsOf(rows []evidence.Row) int64 {
+	sum := int64(0)
+	for _, row := range rows {
+		sum += row.Attempts()
+	}
+	return sum
+}
+
+// addLeafs starts leafs of a version of a service.
+func (f *fleet) addLeafs(service, version string, count int) {
+	for number := range count {
+		id := fmt.Sprintf("%s-%s-%d", service, version, number)
+		f.store.set(catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Zone: "z0", Version: version, State: leafset.Ready})
+	}
+}
+
+// order has operators ask for a version.
+func (f *fleet) order(service, target string, duration time.Duration) int64 {
+	return f.store.set(catalog.RolloutKey(service), rollout.Order{Service: service, Target: target, DurationMillis: duration.Milliseconds()})
+}
+
+// serve has each node ask the version on trial of each service every 100 ms for a while, as long as it is not held;
+// the version fails from a time on.
+func (f *fleet) serve(span, failsFrom time.Duration) {
+	const pause = 100 * time.Millisecond
+	for passed := time.Duration(0); passed < span; passed += pause {
+		for _, node := range f.all() {
+			node.ask(passed >= failsFrom)
+		}
+		time.Sleep(pause)
+	}
+}
+
+const never = time.Hour * 1000
--- /dev/null
+++ b/internal/rolloutcontrol/panel.go
@@ -0,0 +1,69 @@
+package rolloutcontrol
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/registry"
+)
+
+// rankOf gives the place of a node among some; -1 when it is not among them.
+func rankOf(nodes []catalog.NodeRecord, id string) int {
+	return slices.IndexFunc(nodes, func(node catalog.NodeRecord) bool { return node.ID == id })
+}
+
+// judgesOf gives the nodes that judge the roll-out of a service: the first by rank of distinct zones, then, where
+// there are fewer zones, the first of the others.
+func judgesOf(nodes map[string]catalog.NodeRecord, service string, most int) []catalog.NodeRecord {
+	var judges, others []catalog.NodeRecord
+	zones := map[string]bool{}
+	for _, node := range registry.Ranked(nodes, service) {
+		if zones[node.Zone] {
+			others = append(others, node)
+			continue
+		}
+		zones[node.Zone] = true
+		judges = append(judges, node)
+	}
+	judges = append(judges, others...)
+	return judges[:min(most, len(judges))]
+}
+
+// panel remembers the judges of services for as long as the registered nodes stay the same. The zero panel is
+// empty; it is not safe for concurrent use.
+type panel struct {
+	most      int
+	view      *catalog.View
+	nodes     map[string]catalog.NodeRecord
+	byService map[string][]catalog.NodeRecord
+	marks     uint64 // the fingerprint of nodes
+}
+
+// judges gives the judges of a service. The slice is shared and the same as long as the nodes are.
+func (p *panel) judges(view *catalog.View, service string) []catalog.NodeRecord {
+	p.look(view)
+	judges, found := p.byService[service]
+	if !found {
+		judges = judgesOf(view.Nodes, service, p.most)
+		p.byService[service] = judges
+	}
+	return judges
+}
+
+// fingerprint gives that of the registered nodes.
+func (p *panel) fingerprint(view *catalog.View) uint64 {
+	p.look(view)
+	return p.marks
+}
+
+// look takes the nodes of a view.
+func (p *panel) look(view *catalog.View) {
+	if view == p.view {
+		return
+	}
+	if p.byService == nil || !maps.Equal(view.Nodes, p.nodes) {
+		p.byService, p.marks = map[string][]catalog.NodeRecord{}, registry.Fingerprint(view.Nodes)
+	}
+	p.view, p.nodes = view, view.Nodes
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/canary"
 	"github.com/portgauge/portgauge/internal/configsync"
 	"github.com/portgauge/portgauge/internal/configwriter"
 	"github.com/portgauge/portgauge/internal/connshare"
@@ -28,8 +29,10 @@
 	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/rolloutcontrol"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
+	"github.com/portgauge/portgauge/internal/verdict"
 	"github.com/portgauge/portgauge/internal/warmup"
 )
 
@@ -125,6 +128,12 @@
 	Warmup          warmup.Config       `yaml:"warmup"`
 	ServingTree     servingtree.Config  `yaml:"serving_tree"`
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
+
+	Rollouts rolloutcontrol.Config `yaml:"rollouts"`
+	// Canary is the share of a version on trial.
+	Canary canary.Config `yaml:"canary"`
+	// RolloutVerdict is how a bad version is told from an unlucky one.
+	RolloutVerdict verdict.Config `yaml:"rollout_verdict"`
 }
 
 // Default gives the settings that hold where none are given.
@@ -156,6 +165,9 @@
 		Warmup:          warmup.DefaultConfig(),
 		ServingTree:     servingtree.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
+		Rollouts:        rolloutcontrol.DefaultConfig(),
+		Canary:          canary.DefaultConfig(),
+		RolloutVerdict:  verdict.DefaultConfig(),
 	}
 }
 
@@ -165,7 +177,7 @@
 func defaultPlatform() Platform {
 	return Platform{
 		Address: "127.0.0.1:7300", Dialect: DefaultDialect,
-		WatchWait: 2 * time.Second, WatchPause: 300 * time.Millisecond,
+		WatchWait: 1500 * time.Millisecond, WatchPause: 300 * time.Millisecond,
 		StandbyWatchWait: 3 * time.Second, StandbyWatchPause: 800 * time.Millisecond,
 	}
 }
@@ -188,6 +200,8 @@
 	checks.Refuse(s.Platform.Dialect == "", "platform.dialect", "must not be empty")
 	checks.Refuse(s.Platform.WatchWait <= 0, "platform.watch_wait", "must be positive")
 	checks.Refuse(s.Platform.WatchPause < 0, "platform.watch_pause", "must not be negative")
+	// Else watchers that stand by call the store although the first of their zone is well.
+	checks.Refuse(s.ConfigSync.LookAfter <= s.Platform.WatchWait, "config_sync.look_after", "must be longer than platform.watch_wait")
 	checks.Refuse(s.Platform.StandbyWatchWait <= 0, "platform.standby_watch_wait", "must be positive")
 	checks.Refuse(s.Platform.StandbyWatchPause < 0, "platform.standby_watch_pause", "must not be negative")
 	for _, seed := range s.Seeds {
@@ -215,6 +229,9 @@
 	checks.Add("reachability", s.Reachability.Validate())
 	checks.Add("warmup", s.Warmup.Validate())
 	checks.Add("decision_log", s.DecisionLog.Validate())
+	checks.Add("rollouts", s.Rollouts.Validate())
+	checks.Add("canary", s.Canary.Validate())
+	checks.Add("rollout_verdict", s.RolloutVerdict.Validate())
 	return checks.Err()
 }
 
