--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -51,6 +52,13 @@
 	j.passes = append(j.passes, record)
 }
 
+// passed gives the groups that were passed on so far.
+func (j *silentJournal) passed() []GroupRecord {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.passes)
+}
+
 // scriptedLeafs answers attempts by a function of the leaf, in virtual time.
 type scriptedLeafs struct {
 	answer func(leaf string) (time.Duration, *leafhttp.Response, error)
--- a/internal/gateway/tree_fleet_test.go
+++ b/internal/gateway/tree_fleet_test.go
@@ -220,11 +220,8 @@
 
 // outcomes gives those of the groups that a node passed on.
 func (b *tree) outcomes(node string) []GroupOutcome {
-	journal := b.nodes[node].journal
-	journal.mu.Lock()
-	defer journal.mu.Unlock()
 	var outcomes []GroupOutcome
-	for _, pass := range journal.passes {
+	for _, pass := range b.nodes[node].journal.passed() {
 		outcomes = append(outcomes, pass.Outcome)
 	}
 	return outcomes
