Roll-outs: short orders move sooner, and the nodes are asked once they can be settled

Cause: the move took canary.ramp, 2 s, whatever the order's time, and judges asked the nodes each 700 ms from the switch on, so that an order of 12 s whose version was found good by little was told succeeded at 11.8 s.

Change: the ramp is a tenth of the order's time at most. A judge asks first 200 ms after the ramp can be over, and then each 400 ms; the other judges one takeover pause later each instead of 1.5 s, since that is what they wait to write.

--- a/internal/canary/config.go
+++ b/internal/canary/config.go
@@ -19,7 +19,7 @@
 	Slack float64 `yaml:"slack"`
 	// Used is the part of both that is used; the rest covers what nodes can't see.
 	Used float64 `yaml:"used"`
-	// Ramp is how long a node takes to move its requests to a version that was found good.
+	// Ramp is how long a node takes to move its requests to a version that was found good; for short orders it is less.
 	Ramp time.Duration `yaml:"ramp"`
 	// ConfirmedWithin is how old the last word that the configuration is the newest may be for a node to go beyond
 	// the share.
--- a/internal/canary/fixture_test.go
+++ b/internal/canary/fixture_test.go
@@ -68,8 +68,10 @@
 	return revision
 }
 
-func (s *site) order() int64 {
-	return s.put(catalog.RolloutKey("s"), rollout.Order{Service: "s", Target: target, DurationMillis: lasts.Milliseconds()})
+func (s *site) order() int64 { return s.orderFor(lasts) }
+
+func (s *site) orderFor(duration time.Duration) int64 {
+	return s.put(catalog.RolloutKey("s"), rollout.Order{Service: "s", Target: target, DurationMillis: duration.Milliseconds()})
 }
 
 func (s *site) phase(order int64, phase rollout.Phase) int64 {
@@ -121,3 +123,12 @@
 	splitter.Learn()
 	return built, splitter, order
 }
+
+// startedFor is the same without slack, for an order of a duration.
+func startedFor(t *testing.T, duration time.Duration) (*site, *Splitter, int64) {
+	t.Helper()
+	built, splitter, _ := started(t, 0)
+	order := built.orderFor(duration)
+	splitter.Learn()
+	return built, splitter, order
+}
--- a/internal/canary/stage.go
+++ b/internal/canary/stage.go
@@ -43,7 +43,7 @@
 	case rule.Order <= s.holds[service]:
 		return stopped
 	case rule.Phase == rollout.Switching && now.Sub(s.catalog.ConfirmedAt()) <= s.config.ConfirmedWithin:
-		if now.Sub(known.switched) < s.config.Ramp {
+		if now.Sub(known.switched) < s.Ramp(known.duration) {
 			return ramping
 		}
 		return moved
@@ -53,9 +53,14 @@
 	return bounded
 }
 
+// Ramp gives how long the nodes take to move the requests of an order of a duration to a version found good.
+func (s *Splitter) Ramp(duration time.Duration) time.Duration {
+	return min(s.config.Ramp, time.Duration(rampPart*float64(duration)))
+}
+
 // ramp gives the part of the requests that goes to a version found good.
 func (s *Splitter) ramp(known *trial, now time.Time) float64 {
-	over := float64(now.Sub(known.switched)) / float64(s.config.Ramp)
+	over := float64(now.Sub(known.switched)) / float64(s.Ramp(known.duration))
 	return s.config.Share + (1-s.config.Share)*over
 }
 
--- a/internal/canary/stage_test.go
+++ b/internal/canary/stage_test.go
@@ -129,6 +129,20 @@
 	is.Equal(may(splitter), "false true") // its time only ends what is not found good
 }
 
+// In a short order the requests move within a part of its time.
+func TestRampOfAShortOrder(t *testing.T) {
+	is := is.New(t)
+	built, splitter, order := startedFor(t, 12*time.Second)
+	is.Equal(splitter.Ramp(12*time.Second), 1200*time.Millisecond)
+	is.Equal(splitter.Ramp(time.Hour), 2*time.Second)
+	built.phase(order, rollout.Switching)
+	splitter.Learn()
+	built.pass(1199 * time.Millisecond)
+	is.Equal(splitter.Later("s"), Both)
+	built.pass(time.Millisecond)
+	is.Equal(splitter.Later("s"), Trial)
+}
+
 // Beyond the share nothing goes while the configuration was not confirmed lately.
 func TestSwitchLapsesWithoutConfirmation(t *testing.T) {
 	is := is.New(t)
--- a/internal/canary/trial.go
+++ b/internal/canary/trial.go
@@ -19,6 +19,10 @@
 // More would take evidence from the other routes. Not measured yet.
 const oncePart = 0.25
 
+// rampPart is the part of an order's duration that the move to a version found good takes at most: one found good by
+// little has only a quarter left, in which the verdict is written, and the nodes move and are asked, too.
+const rampPart = 0.1
+
 // focusTurns is how many leafs the version's draws go to one after the other during an order.
 const focusTurns = 12
 
--- a/internal/rolloutcontrol/config.go
+++ b/internal/rolloutcontrol/config.go
@@ -30,7 +30,7 @@
 	// RollbackMargin is how long before the end of the time a version that was not found good is rolled back; for
 	// short orders it is less.
 	RollbackMargin time.Duration `yaml:"rollback_margin"`
-	// SettleInterval is how often a judge asks whether all nodes send to the new version only.
+	// SettleInterval is how often a judge asks whether all nodes send to the new version only, from when they can.
 	SettleInterval time.Duration `yaml:"settle_interval"`
 	// SettleWait is how long nodes that don't answer are waited for, and, from the end of the time on, those that
 	// still send to the old version.
@@ -54,7 +54,7 @@
 		Judges: 3, ReportInterval: 400 * time.Millisecond, ResendInterval: 4 * time.Second,
 		BytesPerSecond: 3000, BurstBytes: 48000,
 		TakeoverPause: 700 * time.Millisecond, RollbackMargin: time.Second,
-		SettleInterval: 700 * time.Millisecond, SettleWait: 3 * time.Second,
+		SettleInterval: 400 * time.Millisecond, SettleWait: 3 * time.Second,
 		WriteTimeout: 2 * time.Second, RetryPause: 200 * time.Millisecond, MaximumRetryPause: 2 * time.Second,
 		VersionsDelay: 2 * time.Second,
 	}
--- a/internal/rolloutcontrol/controller.go
+++ b/internal/rolloutcontrol/controller.go
@@ -22,6 +22,8 @@
 	Hold(service string, order int64)
 	// SettledRevision gives the revision at which the node is settled.
 	SettledRevision() int64
+	// Ramp gives how long the nodes take to move the requests of an order of a duration.
+	Ramp(order time.Duration) time.Duration
 }
 
 // Fleet asks all nodes how far they are.
@@ -153,7 +155,9 @@
 			next = min(next, pause)
 		}
 	}
-	c.askFleet(ctx, now, view)
+	if pause := c.askFleet(ctx, now, view); pause > 0 {
+		next = min(next, pause)
+	}
 	c.standings.set(c.trials)
 	return next
 }
--- a/internal/rolloutcontrol/fleet_test.go
+++ b/internal/rolloutcontrol/fleet_test.go
@@ -23,6 +23,7 @@
 	store   *memoryStore
 	network *peer.MemoryNetwork
 	judging JudgingFactory
+	ramp    time.Duration // how long nodes take to move their requests
 	mu      sync.Mutex
 	nodes   map[string]*testNode
 }
--- a/internal/rolloutcontrol/node_test.go
+++ b/internal/rolloutcontrol/node_test.go
@@ -36,6 +36,9 @@
 	sentBytes int
 	// hangs is how many more calls of the fleet take as long as they may.
 	hangs atomic.Int32
+	// calls are those of the fleet that this node made; switched is when it learned that the requests move.
+	calls    atomic.Int32
+	switched time.Time
 }
 
 func (n *testNode) TakeChanged(most int) []evidence.Row {
@@ -97,6 +100,8 @@
 
 func (n *testNode) SettledRevision() int64 { return n.catalog.Revision() }
 
+func (n *testNode) Ramp(time.Duration) time.Duration { return n.fleet.ramp }
+
 func (n *testNode) Send(address string, message peer.Message) {
 	line, err := json.Marshal(message)
 	if err != nil || len(line) > peer.MaximumDatagram {
@@ -123,6 +128,7 @@
 
 // Settled counts the nodes that this one reaches.
 func (n *testNode) Settled(ctx context.Context, _ int64) FleetStatus {
+	n.calls.Add(1)
 	if n.hangs.Add(-1) >= 0 {
 		<-ctx.Done()
 	}
@@ -146,8 +152,15 @@
 	return status
 }
 
-func (n *testNode) OrderSeen(OrderRecord)          {}
-func (n *testNode) PhaseLearned(rollout.State)     {}
+func (n *testNode) OrderSeen(OrderRecord) {}
+func (n *testNode) PhaseLearned(state rollout.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if state.Phase == rollout.Switching {
+		n.switched = time.Now()
+	}
+}
+
 func (n *testNode) PhaseWritten(PhaseRecord)       {}
 func (n *testNode) Held(HoldRecord)                {}
 func (n *testNode) RowsDropped(DroppedRecord)      {}
@@ -184,7 +197,7 @@
 func (n *testNode) isUnsettled() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.unsettled
+	return n.unsettled || !n.switched.IsZero() && time.Since(n.switched) < n.fleet.ramp
 }
 
 func (n *testNode) isReachable() bool {
--- a/internal/rolloutcontrol/settling.go
+++ b/internal/rolloutcontrol/settling.go
@@ -8,9 +8,9 @@
 	"github.com/portgauge/portgauge/internal/rollout"
 )
 
-// judgesPerWait is how many judges begin to ask within the time that nodes are waited for: the first has its answer
-// by then where all goes well.
-const judgesPerWait = 2
+// firstAskPart is the part of the interval that a judge leaves the nodes after the ramp until it asks first: they learn
+// of the verdict later than it does, and end what is under way. Not measured yet.
+const firstAskPart = 0.5
 
 // mostAsking bounds the calls of the fleet in flight. A silent node holds a call up for as long as it is waited for,
 // and the next one, which finds more nodes settled, must not wait for that.
@@ -22,22 +22,46 @@
 	status FleetStatus
 }
 
-// askFleet asks all nodes how far they are if this node waits for them. One answer serves all orders.
-func (c *Controller) askFleet(ctx context.Context, now time.Time, view *catalog.View) {
-	revision := int64(0)
+// askFleet asks all nodes how far they are if this node waits for them, and gives when to look again, 0 for the usual
+// time. One answer serves all orders.
+func (c *Controller) askFleet(ctx context.Context, now time.Time, view *catalog.View) time.Duration {
+	revision, next := int64(0), time.Duration(0)
 	for service, t := range c.trials {
 		rank := c.rank(view, service)
 		if rank < 0 || t.phase() != rollout.Switching {
 			continue
 		}
-		wait := c.cfg.SettleInterval + time.Duration(rank)*c.cfg.SettleWait/judgesPerWait
-		if now.Sub(t.switchingSince) >= wait {
+		dueIn := t.switchingSince.Add(c.untilAsked(t.order, rank)).Sub(now)
+		if dueIn <= 0 {
 			revision = max(revision, t.state.Revision)
+			dueIn = c.askedAt.Add(c.cfg.SettleInterval).Sub(now)
 		}
+		next = earlier(next, dueIn)
 	}
 	if revision == 0 || c.asking >= mostAsking || now.Sub(c.askedAt) < c.cfg.SettleInterval {
-		return
+		return next
+	}
+	c.ask(ctx, now, revision)
+	return c.cfg.SettleInterval
+}
+
+// untilAsked gives how long after the switch of an order the nodes are asked first: when they can be settled, and the
+// other judges when the one before them should have written what it found.
+func (c *Controller) untilAsked(order rollout.Order, rank int) time.Duration {
+	first := c.parts.Splitter.Ramp(order.Duration()) + time.Duration(firstAskPart*float64(c.cfg.SettleInterval))
+	return first + time.Duration(rank)*c.cfg.takeoverOf(rollout.Succeeded, order.Duration())
+}
+
+// earlier gives the shorter of two pauses, where one of 0 or less is none.
+func earlier(one, other time.Duration) time.Duration {
+	if one <= 0 || other <= 0 {
+		return max(one, other)
 	}
+	return min(one, other)
+}
+
+// ask asks the nodes whether they are settled at a revision.
+func (c *Controller) ask(ctx context.Context, now time.Time, revision int64) {
 	c.asking++
 	c.askedAt = now
 	c.running.Go(func() {
