--- a/internal/lab/canary/cases.go
+++ b/internal/lab/canary/cases.go
@@ -11,8 +11,8 @@
 	sizes = []int{3, 30}
 )
 
-// Innocent gives the cases of good versions.
-func Innocent() []Case {
+// Good gives the cases of good versions.
+func Good() []Case {
 	var cases []Case
 	for _, mishap := range Mishaps() {
 		cases = append(cases, atRates(Case{Name: string(mishap), Mishap: mishap})...)
@@ -23,8 +23,8 @@
 		Case{Name: "none, 120 s, 40/s, 3 leafs", PerSecond: 40, Leafs: 3, Duration: 2 * time.Minute})
 }
 
-// Guilty gives the cases of bad versions.
-func Guilty() []Case {
+// Bad gives the cases of bad versions.
+func Bad() []Case {
 	var cases []Case
 	for _, part := range []float64{0.05, 0.1, 0.2, 0.4, 1} {
 		cases = append(cases, atRates(Case{Name: fmt.Sprintf("fails %g", part), Fault: Fault{Failing: part}})...)
--- a/internal/rolloutcontrol/controller.go
+++ b/internal/rolloutcontrol/controller.go
@@ -56,9 +56,9 @@
 	reports *reports
 
 	// What follows belongs to the goroutine of Run.
-	panel      panel
+	judges     judgeSet
 	trials     map[string]*trial
-	pens       map[string]*pen
+	pacers     map[string]*writePacer
 	hasStarted bool // the first state was seen
 	reportedAt time.Time
 	askedAt    time.Time
@@ -74,7 +74,7 @@
 
 // writeResult is how a write went.
 type writeResult struct {
-	pen    *pen
+	pacer  *writePacer
 	record PhaseRecord
 }
 
@@ -87,8 +87,8 @@
 // New makes a controller.
 func New(parts Parts) *Controller {
 	c := &Controller{
-		parts: parts, cfg: parts.Config, panel: panel{most: parts.Config.Judges},
-		trials: map[string]*trial{}, pens: map[string]*pen{},
+		parts: parts, cfg: parts.Config, judges: judgeSet{most: parts.Config.Judges},
+		trials: map[string]*trial{}, pacers: map[string]*writePacer{},
 		written: make(chan writeResult), statuses: make(chan fleetAnswer),
 	}
 	c.reports = newReports(parts.Config, parts.Self, parts.Counts, parts.Sender, c.keepOwn, c.dropOwn)
@@ -180,7 +180,7 @@
 		}
 		delete(c.trials, service)
 	}
-	maps.DeleteFunc(c.pens, func(service string, _ *pen) bool { return view.Rollouts[service] == (catalog.Rollout{}) })
+	maps.DeleteFunc(c.pacers, func(service string, _ *writePacer) bool { return view.Rollouts[service] == (catalog.Rollout{}) })
 	isWanted := func(order orderKey) bool { return c.isWanted(view, order) }
 	c.tallies.keep(isWanted)
 	c.holds.keep(isWanted)
@@ -225,7 +225,7 @@
 }
 
 func (c *Controller) rank(view *catalog.View, service string) int {
-	return rankOf(c.panel.judges(view, service), c.parts.Self.ID)
+	return rankOf(c.judges.of(view, service), c.parts.Self.ID)
 }
 
 // report tells the judges what this node counted, if it is time.
@@ -234,7 +234,7 @@
 		return
 	}
 	c.reportedAt = now
-	judges := func(service string) []catalog.NodeRecord { return c.panel.judges(view, service) }
+	judges := func(service string) []catalog.NodeRecord { return c.judges.of(view, service) }
 	c.reports.step(now, judges, func(order orderKey) bool { return c.isWanted(view, order) })
 }
 
--- a/internal/rolloutcontrol/hearing_test.go
+++ b/internal/rolloutcontrol/hearing_test.go
@@ -127,14 +127,14 @@
 	scene(t, func(is *is.I, f *fleet) {
 		writes := gates{1: make(chan struct{}), 2: make(chan struct{})}
 		c := New(Parts{Config: f.cfg, States: writes, Journal: f.node("n0"), Catalog: f.node("n0").catalog})
-		begin := func(order int64) *pen {
+		begin := func(order int64) *writePacer {
 			state := rollout.State{Service: "s", OrderRevision: order, Phase: rollout.Canary}
 			c.write(context.Background(), time.Now(), PhaseRecord{State: state}, 0, order, 0)
 			synctest.Wait()
-			return c.pens["s"]
+			return c.pacers["s"]
 		}
 		begin(1)
-		delete(c.pens, "s")
+		delete(c.pacers, "s")
 		next := begin(2)
 		is.True(next.isBusy)
 		close(writes[1])
--- a/internal/rolloutcontrol/judge.go
+++ b/internal/rolloutcontrol/judge.go
@@ -22,7 +22,7 @@
 	case known.Order == nil && known.State != nil && !known.State.Phase.IsFinal():
 		return c.endWithoutOrder(ctx, now, *known.State, rank)
 	default:
-		delete(c.pens, service)
+		delete(c.pacers, service)
 		return 0
 	}
 }
@@ -40,7 +40,7 @@
 		c.warnJudges(now, view, t, order)
 	}
 	untilMargin := t.order.Duration() - c.cfg.marginOf(t.order.Duration()) - t.elapsed(now)
-	phase, reason := t.next(now, c.cfg, c.panel.fingerprint(view))
+	phase, reason := t.next(now, c.cfg, c.judges.fingerprint(view))
 	if phase == "" {
 		return untilMargin
 	}
@@ -71,10 +71,10 @@
 // write sends a state to the store if that is due, and gives when it is if it is not.
 func (c *Controller) write(ctx context.Context, now time.Time, record PhaseRecord, replaced, order int64, pause time.Duration) time.Duration {
 	service := record.State.Service
-	if c.pens[service] == nil {
-		c.pens[service] = &pen{}
+	if c.pacers[service] == nil {
+		c.pacers[service] = &writePacer{}
 	}
-	held := c.pens[service]
+	held := c.pacers[service]
 	if !held.isDue(now, intent{record.State.Phase, record.State.OrderRevision, replaced}, pause) {
 		return held.dueIn(now, pause)
 	}
@@ -99,5 +99,5 @@
 func (c *Controller) settle(now time.Time, result writeResult) {
 	c.writing--
 	c.parts.Journal.PhaseWritten(result.record)
-	result.pen.settle(now, result.record.Err, c.cfg)
+	result.pacer.settle(now, result.record.Err, c.cfg)
 }
--- a/internal/verdict/suspicion.go
+++ b/internal/verdict/cusum.go
@@ -2,10 +2,10 @@
 
 import "math"
 
-// suspicion weighs, on one route and by one signal, that a version answers badly against that it does as the serving
+// cusum weighs, on one route and by one signal, that a version answers badly against that it does as the serving
 // version. Each share is Page's cumulative sum: it starts anew whenever it speaks for the version, so that good
 // answers of long ago don't excuse one that turned bad. No leaf counts for more than a part.
-type suspicion struct {
+type cusum struct {
 	shares []float64
 	// weight is what each leaf gave since the sum started anew, by share.
 	weight []map[string]float64
@@ -15,8 +15,8 @@
 	seen  ratio
 }
 
-func newSuspicion(shares []float64, least float64) *suspicion {
-	s := &suspicion{shares: shares, least: least, clear: map[string]float64{}}
+func newCusum(shares []float64, least float64) *cusum {
+	s := &cusum{shares: shares, least: least, clear: map[string]float64{}}
 	for range shares {
 		s.weight = append(s.weight, map[string]float64{})
 	}
@@ -25,7 +25,7 @@
 
 // observe weighs what a leaf answered, which may give a most against the version; usual is the serving version's share
 // of bad answers.
-func (s *suspicion) observe(leaf string, answers ratio, usual, most float64) {
+func (s *cusum) observe(leaf string, answers ratio, usual, most float64) {
 	s.seen.add(answers)
 	for i, share := range s.shares {
 		s.weight[i][leaf] += min(most, logRatio(answers, usual, share))
@@ -40,7 +40,7 @@
 }
 
 // restart lets those sums start anew that speak for the version.
-func (s *suspicion) restart(mostOfLeaf float64) {
+func (s *cusum) restart(mostOfLeaf float64) {
 	for _, weight := range s.weight {
 		if capped(weight, mostOfLeaf) <= 0 {
 			clear(weight)
@@ -49,7 +49,7 @@
 }
 
 // level gives the logarithm of the mean over the shares of how much likelier a bad version is.
-func (s *suspicion) level(mostOfLeaf float64) float64 {
+func (s *cusum) level(mostOfLeaf float64) float64 {
 	mean := 0.0
 	for _, weight := range s.weight {
 		mean += math.Exp(capped(weight, mostOfLeaf)) / float64(len(s.shares))
@@ -58,13 +58,13 @@
 }
 
 // cleared gives the logarithm of how much likelier the least bad version is, over the whole order.
-func (s *suspicion) cleared(mostOfLeaf float64) float64 { return capped(s.clear, mostOfLeaf) }
+func (s *cusum) cleared(mostOfLeaf float64) float64 { return capped(s.clear, mostOfLeaf) }
 
 // clearedByOthers is the same without the leaf that speaks most against the version; of a single leaf, with it.
-func (s *suspicion) clearedByOthers() float64 { return withoutWorst(s.clear) }
+func (s *cusum) clearedByOthers() float64 { return withoutWorst(s.clear) }
 
 // levelByOthers is the level without the leaf that speaks most against the version.
-func (s *suspicion) levelByOthers() float64 {
+func (s *cusum) levelByOthers() float64 {
 	mean := 0.0
 	for _, weight := range s.weight {
 		mean += math.Exp(withoutWorst(weight)) / float64(len(s.shares))
--- a/internal/verdict/rows.go
+++ b/internal/verdict/rows.go
@@ -49,7 +49,7 @@
 func (t *Trial) route(name string) *route {
 	known := t.routes[name]
 	if known == nil && len(t.routes) < mostRoutes {
-		known = &route{usual: newUsual(1 + len(t.cfg.SlowFactors)), suspicions: t.cfg.suspicions()}
+		known = &route{usual: newUsual(1 + len(t.cfg.SlowFactors)), cusums: t.cfg.cusums()}
 		t.routes[name] = known
 	}
 	return known
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -55,7 +55,7 @@
 
 	rows    map[evidence.Key]*followed
 	routes  map[string]*route
-	pooled  []*suspicion
+	pooled  []*cusum
 	leafs   map[string]bool
 	finding Finding
 	// last is the time of the last update, firstTrial when the version on trial was first heard of.
@@ -71,8 +71,8 @@
 
 // route is what is known of one route.
 type route struct {
-	usual      *usual
-	suspicions []*suspicion
+	usual  *usual
+	cusums []*cusum
 	// limits are those of the signals of late answers, empty until the usual latency is known.
 	limits []time.Duration
 }
@@ -81,15 +81,15 @@
 func New(cfg Config, serving, trial string, duration time.Duration) *Trial {
 	return &Trial{
 		cfg: cfg, serving: serving, trial: trial, duration: duration, finding: Undecided,
-		rows: map[evidence.Key]*followed{}, routes: map[string]*route{}, pooled: cfg.suspicions(), leafs: map[string]bool{},
+		rows: map[evidence.Key]*followed{}, routes: map[string]*route{}, pooled: cfg.cusums(), leafs: map[string]bool{},
 	}
 }
 
-// suspicions makes those of one route, by signal.
-func (c *Config) suspicions() []*suspicion {
-	all := []*suspicion{newSuspicion(c.BadShares, c.LeastBadShare)}
+// cusums makes those of one route, by signal.
+func (c *Config) cusums() []*cusum {
+	all := []*cusum{newCusum(c.BadShares, c.LeastBadShare)}
 	for range c.SlowFactors {
-		all = append(all, newSuspicion(c.slowShares(), c.LeastSlowShare))
+		all = append(all, newCusum(c.slowShares(), c.LeastSlowShare))
 	}
 	return all
 }
@@ -162,16 +162,16 @@
 		if i > 0 {
 			most = mostOfMoment * f.moments
 		}
-		route.suspicions[i].observe(f.key.Leaf, signal, share, most)
+		route.cusums[i].observe(f.key.Leaf, signal, share, most)
 		t.pooled[i].observe(f.key.Leaf, signal, share, most)
 	}
 }
 
-// all gives the suspicions of all routes.
-func (t *Trial) all() []*suspicion {
-	all := append([]*suspicion(nil), t.pooled...)
+// all gives the cusums of all routes.
+func (t *Trial) all() []*cusum {
+	all := append([]*cusum(nil), t.pooled...)
 	for _, route := range t.routes {
-		all = append(all, route.suspicions...)
+		all = append(all, route.cusums...)
 	}
 	return all
 }
