Lab: a node that did not start is named; the folder for logs is made

Cause: a port taken between its choice and its use ended one of four nodes, and the showing passed with three; a folder that was not there ended it after its first cases.

--- a/internal/lab/soak/show.go
+++ b/internal/lab/soak/show.go
@@ -93,6 +93,9 @@
 	}
 	defer w.close()
 	wait.For(ctx, startTime)
+	if err := w.checkStarted(); err != nil {
+		return 0, 0, err
+	}
 	callers := newLoad(w)
 	calling, stopCalling := context.WithCancel(ctx)
 	defer stopCalling()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -54,6 +54,9 @@
 		_, _ = fmt.Fprintf(out, "%8.3f %s\n", time.Since(began).Seconds(), text)
 	}
 	wait.For(ctx, startTime)
+	if err := w.checkStarted(); err != nil {
+		return nil, err
+	}
 
 	callers := newLoad(w)
 	calling, stopCalling := context.WithCancel(ctx)
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/httpdialect"
 	"github.com/portgauge/portgauge/internal/lab/httpleaf"
 	"github.com/portgauge/portgauge/internal/lab/kvstore"
@@ -150,6 +151,9 @@
 	if folder == "" {
 		return nil
 	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
 	for _, node := range w.nodes {
 		if err := os.WriteFile(filepath.Join(folder, node.name+".log"), []byte(node.output()), 0o600); err != nil {
 			return err
@@ -158,6 +162,17 @@
 	return nil
 }
 
+// checkStarted gives a failure that names a node whose process ended at its start, as when another program took a port
+// that was free a moment before: without it the others would be judged as a fleet of fewer nodes.
+func (w *world) checkStarted() error {
+	for _, node := range w.nodes {
+		if !node.process.Running() {
+			return failure.New(failure.Internal, failure.NotRun, "%s did not start: %s", node.name, node.output())
+		}
+	}
+	return nil
+}
+
 // close ends everything that the soak started.
 func (w *world) close() {
 	for _, node := range w.nodes {
