--- a/internal/lab/canary/measure.go
+++ b/internal/lab/canary/measure.go
@@ -156,7 +156,7 @@
 
 // String gives the shares of wrong ends.
 func (t *Total) String() string {
-	return fmt.Sprintf("%d innocent cases: %.2f%% refused, %.2f%% found bad; %d guilty cases: %.2f%% served",
+	return fmt.Sprintf("%d good cases: %.2f%% refused, %.2f%% found bad; %d bad cases: %.2f%% served",
 		t.cases[0], share100(t.refused, t.good), share100(t.condemned, t.good), t.cases[1], share100(t.passed, t.bad))
 }
 
--- a/internal/lab/experiment/canary.go
+++ b/internal/lab/experiment/canary.go
@@ -13,7 +13,7 @@
 func runCanary(ctx context.Context, options Options, _ process.Programs, output io.Writer) error {
 	ways := canary.Ways()
 	totals := make([]canary.Total, len(ways))
-	for _, of := range append(canary.Innocent(), canary.Guilty()...) {
+	for _, of := range append(canary.Good(), canary.Bad()...) {
 		measured, err := canary.WeighAll(ctx, of, ways, options.Repetitions)
 		if err != nil {
 			return err
--- a/internal/rolloutcontrol/hearing.go
+++ b/internal/rolloutcontrol/hearing.go
@@ -66,7 +66,7 @@
 		return
 	}
 	t.warned = now
-	for _, judge := range c.panel.judges(view, order.service) {
+	for _, judge := range c.judges.of(view, order.service) {
 		if judge.ID != c.parts.Self.ID {
 			c.sendHold(judge.Address, order)
 		}
--- a/internal/rolloutcontrol/panel.go
+++ b/internal/rolloutcontrol/judgeset.go
@@ -30,9 +30,9 @@
 	return judges[:min(most, len(judges))]
 }
 
-// panel remembers the judges of services for as long as the registered nodes stay the same. The zero panel is
+// judgeSet remembers the judges of services for as long as the registered nodes stay the same. The zero judgeSet is
 // empty; it is not safe for concurrent use.
-type panel struct {
+type judgeSet struct {
 	most      int
 	view      *catalog.View
 	nodes     map[string]catalog.NodeRecord
@@ -40,30 +40,30 @@
 	marks     uint64 // the fingerprint of nodes
 }
 
-// judges gives the judges of a service. The slice is shared and the same as long as the nodes are.
-func (p *panel) judges(view *catalog.View, service string) []catalog.NodeRecord {
-	p.look(view)
-	judges, found := p.byService[service]
+// of gives the judges of a service. The slice is shared and the same as long as the nodes are.
+func (s *judgeSet) of(view *catalog.View, service string) []catalog.NodeRecord {
+	s.look(view)
+	judges, found := s.byService[service]
 	if !found {
-		judges = judgesOf(view.Nodes, service, p.most)
-		p.byService[service] = judges
+		judges = judgesOf(view.Nodes, service, s.most)
+		s.byService[service] = judges
 	}
 	return judges
 }
 
 // fingerprint gives that of the registered nodes.
-func (p *panel) fingerprint(view *catalog.View) uint64 {
-	p.look(view)
-	return p.marks
+func (s *judgeSet) fingerprint(view *catalog.View) uint64 {
+	s.look(view)
+	return s.marks
 }
 
 // look takes the nodes of a view.
-func (p *panel) look(view *catalog.View) {
-	if view == p.view {
+func (s *judgeSet) look(view *catalog.View) {
+	if view == s.view {
 		return
 	}
-	if p.byService == nil || !maps.Equal(view.Nodes, p.nodes) {
-		p.byService, p.marks = map[string][]catalog.NodeRecord{}, registry.Fingerprint(view.Nodes)
+	if s.byService == nil || !maps.Equal(view.Nodes, s.nodes) {
+		s.byService, s.marks = map[string][]catalog.NodeRecord{}, registry.Fingerprint(view.Nodes)
 	}
-	p.view, p.nodes = view, view.Nodes
+	s.view, s.nodes = view, view.Nodes
 }
--- a/internal/rolloutcontrol/pen.go
+++ b/internal/rolloutcontrol/pacer.go
@@ -15,9 +15,9 @@
 	replaces int64
 }
 
-// pen paces the writes of one service's state: one at a time, one where all goes well, and with growing pauses where
+// writePacer paces the writes of one service's state: one at a time, one where all goes well, and with growing pauses where
 // the store does not take it.
-type pen struct {
+type writePacer struct {
 	wants     intent
 	since     time.Time // when it was first wanted
 	notBefore time.Time
@@ -28,18 +28,18 @@
 
 // isDue reports whether a write should be sent now: it is wanted for so long that the judges before this one had
 // their time.
-func (p *pen) isDue(now time.Time, wants intent, wait time.Duration) bool {
+func (p *writePacer) isDue(now time.Time, wants intent, wait time.Duration) bool {
 	if p.isBusy {
 		return false
 	}
 	if wants != p.wants {
-		*p = pen{wants: wants, since: now}
+		*p = writePacer{wants: wants, since: now}
 	}
 	return !p.isDone && now.Sub(p.since) >= wait && !now.Before(p.notBefore)
 }
 
 // dueIn gives how long it is until a write that was asked about is due, 0 when that is not a question of time.
-func (p *pen) dueIn(now time.Time, wait time.Duration) time.Duration {
+func (p *writePacer) dueIn(now time.Time, wait time.Duration) time.Duration {
 	if p.isBusy || p.isDone {
 		return 0
 	}
@@ -47,7 +47,7 @@
 }
 
 // settle notes how a write went. After a conflict the state in force is behind the store's; it comes by itself.
-func (p *pen) settle(now time.Time, err error, cfg Config) {
+func (p *writePacer) settle(now time.Time, err error, cfg Config) {
 	p.isBusy = false
 	switch {
 	case err == nil:
--- a/internal/verdict/cases_test.go
+++ b/internal/verdict/cases_test.go
@@ -11,7 +11,7 @@
 func weigh(of canary.Case) canary.Measure { return canary.Weigh(of, canary.Ways()[0], seeds) }
 
 // Whatever happens to a good version that is not its fault, it is rarely refused.
-func TestInnocentIsFoundGoodInTime(t *testing.T) {
+func TestGoodIsFoundGoodInTime(t *testing.T) {
 	for _, mishap := range canary.Mishaps() {
 		for _, leafs := range []int{3, 30} {
 			of := canary.Case{Name: string(mishap), PerSecond: 500, Leafs: leafs, Mishap: mishap}
@@ -30,7 +30,7 @@
 
 // With few requests a mishap may cost a good version its order, but it is rarely found bad by it. Failures of both
 // versions are the hardest: all requests of a moment go to one version, so there is little to compare with.
-func TestInnocentWithFewRequestsIsNotFoundBad(t *testing.T) {
+func TestGoodWithFewRequestsIsNotFoundBad(t *testing.T) {
 	for _, mishap := range canary.Mishaps() {
 		most := seeds / 10
 		if mishap == canary.BothFail {
@@ -48,8 +48,8 @@
 	}
 }
 
-// guilty are faults that must be found by at most so many bad answers in the middle of the seeds, or 95 in 100.
-var guilty = []struct {
+// bad are faults that must be found by at most so many bad answers in the middle of the seeds, or 95 in 100.
+var bad = []struct {
 	of           canary.Case
 	median, most int
 }{
@@ -70,8 +70,8 @@
 	{canary.Case{Name: "slow from half on", PerSecond: 500, Fault: canary.Fault{Slow: 4, SlowShare: 0.5, From: 0.5}}, 40, 80},
 }
 
-func TestGuiltyIsFoundBadByFewAnswers(t *testing.T) {
-	for _, g := range guilty {
+func TestBadIsFoundBadByFewAnswers(t *testing.T) {
+	for _, g := range bad {
 		t.Run(g.of.Name, func(t *testing.T) {
 			m := weigh(g.of)
 			if m.Bad < seeds*9/10 || m.Good > 0 {
@@ -85,7 +85,7 @@
 }
 
 // With too few answers to find a version bad by, it is at least rarely found good.
-func TestGuiltyWithFewRequestsRarelyServes(t *testing.T) {
+func TestBadWithFewRequestsRarelyServes(t *testing.T) {
 	for _, of := range []canary.Case{
 		{Name: "fails 0.2", PerSecond: 5, Fault: canary.Fault{Failing: 0.2}},
 		{Name: "fails 1", PerSecond: 1, Fault: canary.Fault{Failing: 1}},
--- a/internal/verdict/finding.go
+++ b/internal/verdict/finding.go
@@ -35,20 +35,22 @@
 	// one is at most ten times likelier of a bad version. Without it 5 of 80 good versions with an ill leaf were found
 	// bad in orders of 10 minutes at 200 requests a second, with it none.
 	mostOfMoment = 2.3
-	// mostSuspicious is the level above which a version isn't found good, mostByLittle where there is little evidence.
+	// mostForGood is the level above which a version isn't found good, mostByLittle where there is little evidence.
 	// Without the first 1,576 instead of 1,487 of 4,992 bad versions were found good at some time, without the second
 	// 18.2% instead of 16.9% served.
-	mostSuspicious = 2.0
-	mostByLittle   = 1.0
+	mostForGood  = 2.0
+	mostByLittle = 1.0
 	// rareRoute is the part of a version's answers below which a route is rare; not measured yet.
 	rareRoute = 0.1
 	// leastTraffic is the serving version's answers below which a route has no traffic to speak of: of so many requests
-	// the version on trial gets two by its share, of fewer maybe none. Not measured yet.
+	// the version on trial gets two by its share, of fewer maybe none. With 5 33.4% instead of 23.9% of good
+	// versions with two routes and a request a second are refused, and 4.2% instead of 4.5% of those serve that fail on one
+	// route (1000 seeds each).
 	leastTraffic = 20
 )
 
-// suspect is the suspicion with the highest level.
-type suspect struct {
+// evidenceAgainst is the sum that speaks most against the version, with what it stands for.
+type evidenceAgainst struct {
 	level  float64
 	route  string
 	signal int
@@ -56,28 +58,28 @@
 }
 
 // worst gives what speaks most against the version.
-func (t *Trial) worst() suspect {
-	worst := suspect{level: math.Inf(-1)}
+func (t *Trial) worst() evidenceAgainst {
+	worst := evidenceAgainst{level: math.Inf(-1)}
 	worst = t.worstOf(worst, "", t.pooled)
 	for name, route := range t.routes {
-		worst = t.worstOf(worst, name, route.suspicions)
+		worst = t.worstOf(worst, name, route.cusums)
 	}
 	return worst
 }
 
-func (t *Trial) worstOf(worst suspect, route string, suspicions []*suspicion) suspect {
+func (t *Trial) worstOf(worst evidenceAgainst, route string, cusums []*cusum) evidenceAgainst {
 	most := t.mostOfLeaf(t.last)
-	for i, s := range suspicions {
+	for i, s := range cusums {
 		level := s.level(most)
 		if level > worst.level || level == worst.level && route < worst.route {
-			worst = suspect{level: level, route: route, signal: i, seen: s.seen}
+			worst = evidenceAgainst{level: level, route: route, signal: i, seen: s.seen}
 		}
 	}
 	return worst
 }
 
 // find sets the finding. Bad stays, Good stays unless it turns into Bad.
-func (t *Trial) find(elapsed time.Duration, worst suspect) {
+func (t *Trial) find(elapsed time.Duration, worst evidenceAgainst) {
 	switch {
 	case t.finding == Bad:
 	case worst.level >= t.threshold():
@@ -88,7 +90,7 @@
 }
 
 // isGood reports whether enough speaks for the version, at a time in the order.
-func (t *Trial) isGood(elapsed time.Duration, worst suspect) bool {
+func (t *Trial) isGood(elapsed time.Duration, worst evidenceAgainst) bool {
 	part := float64(elapsed) / float64(t.duration)
 	if part < t.cfg.GoodFrom || elapsed-t.since < t.settle() || t.pooled[0].seen.all < float64(t.cfg.LeastAnswers) {
 		return false
@@ -104,12 +106,12 @@
 	}
 	for _, route := range t.routes {
 		if t.isRare(route) {
-			if !t.haveNothingAgainst(route.suspicions) {
+			if !t.haveNothingAgainst(route.cusums) {
 				return false
 			}
 			continue
 		}
-		if !t.haveEnough(route.suspicions) {
+		if !t.haveEnough(route.cusums) {
 			return false
 		}
 	}
@@ -118,7 +120,7 @@
 
 // isRare reports whether a route has hardly any of the answers, of either version.
 func (t *Trial) isRare(route *route) bool {
-	return route.suspicions[0].seen.all < rareRoute*t.pooled[0].seen.all && !t.hasTraffic(route)
+	return route.cusums[0].seen.all < rareRoute*t.pooled[0].seen.all && !t.hasTraffic(route)
 }
 
 // hasTraffic reports whether a route has more than hardly any of the serving version's answers.
@@ -134,24 +136,24 @@
 // hasShown reports whether the version answered on each route with traffic.
 func (t *Trial) hasShown() bool {
 	for _, route := range t.routes {
-		if route.suspicions[0].seen.all < float64(t.cfg.LeastAnswers) && t.hasTraffic(route) {
+		if route.cusums[0].seen.all < float64(t.cfg.LeastAnswers) && t.hasTraffic(route) {
 			return false
 		}
 	}
 	return true
 }
 
-func (t *Trial) haveEnough(suspicions []*suspicion) bool {
-	for _, s := range suspicions {
-		if s.clearedByOthers() > math.Log(t.cfg.Miss) || s.levelByOthers() > mostSuspicious {
+func (t *Trial) haveEnough(cusums []*cusum) bool {
+	for _, s := range cusums {
+		if s.clearedByOthers() > math.Log(t.cfg.Miss) || s.levelByOthers() > mostForGood {
 			return false
 		}
 	}
 	return true
 }
 
-func (t *Trial) haveNothingAgainst(suspicions []*suspicion) bool {
-	for _, s := range suspicions {
+func (t *Trial) haveNothingAgainst(cusums []*cusum) bool {
+	for _, s := range cusums {
 		if s.cleared(t.mostOfLeaf(t.last)) > 0 {
 			return false
 		}
@@ -161,14 +163,14 @@
 
 // isGoodByLittle reports whether there is something of each route with traffic, and all of it speaks for the version;
 // no leaf is excused.
-func (t *Trial) isGoodByLittle(worst suspect) bool {
+func (t *Trial) isGoodByLittle(worst evidenceAgainst) bool {
 	return worst.level <= mostByLittle && t.hasShown() && t.haveNothingAgainst(t.all())
 }
 
 // settle is a tenth of a short order, since a judge must decide within it.
 func (t *Trial) settle() time.Duration { return min(t.cfg.Settle, t.duration/10) }
 
-func (t *Trial) judgement(worst suspect) Judgement {
+func (t *Trial) judgement(worst evidenceAgainst) Judgement {
 	signal := Failed
 	if worst.signal > 0 {
 		signal = Late
@@ -182,7 +184,7 @@
 }
 
 // reason says the finding in a sentence.
-func (t *Trial) reason(j Judgement, worst suspect) string {
+func (t *Trial) reason(j Judgement, worst evidenceAgainst) string {
 	route := "all routes"
 	if worst.route != "" {
 		route = "route " + worst.route
