The operators' words for roll-outs stay in the platform's folder

Cause: the soak wrote and read them by structs of its own, a second copy outside the adapter. Change: platform gives keys and encodings of orders and of what operators are told; the soak uses them. Test: what stand-ins write is what the adapter reads.

--- a/internal/lab/soak/judge_rollouts_test.go
+++ b/internal/lab/soak/judge_rollouts_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/portgauge/portgauge/internal/lab/httpleaf"
 	"github.com/portgauge/portgauge/internal/lab/rollouts"
+	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/platform"
 )
 
 const leafWork = time.Millisecond
@@ -116,7 +118,7 @@
 	o := newOperator(w, func(text string) { t.Error(text) })
 	number, err := o.order(t.Context(), plan{service: singleName, isServing: true, duration: time.Second})
 	is.NoErr(err)
-	w.store.Put(statusKey(singleName), statusRecord{singleName, "first", "succeeded"})
+	w.store.Put(platform.StatusKey(singleName), platform.EncodeStatus(rollout.State{Service: singleName, Target: "first", Phase: rollout.Succeeded}))
 	o.look(singleName)
 	o.look(singleName)
 	told, _ := o.outcome(number)
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/lab/rollouts"
+	"github.com/portgauge/portgauge/internal/rollout"
 	"github.com/portgauge/portgauge/internal/wait"
+	"github.com/portgauge/portgauge/platform"
 )
 
 // Times of an operator who moves services to other versions.
@@ -57,19 +58,19 @@
 }
 
 func (o *operator) look(service string) {
-	item, found := o.world.store.Item(statusKey(service))
+	item, found := o.world.store.Item(platform.StatusKey(service))
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := o.told[service]
 	if !found || len(known) > 0 && known[len(known)-1].Revision == item.Revision {
 		return
 	}
-	var status statusRecord
-	if err := json.Unmarshal(item.Value, &status); err != nil {
+	target, phase, err := platform.ParseStatus(item.Value)
+	if err != nil {
 		o.tell("UNREADABLE STATUS " + string(item.Value))
 	}
 	o.told[service] = append(known, rollouts.Telling{
-		Revision: item.Revision, Target: status.TargetVersion, Outcome: outcomes[status.State], At: time.Now(),
+		Revision: item.Revision, Target: target, Outcome: outcomes[phase], At: time.Now(),
 	})
 }
 
@@ -131,7 +132,9 @@
 	defer o.mu.Unlock()
 	now := time.Now()
 	target.Order(now)
-	revision := o.world.store.Put(orderKey(p.service), orderRecord{p.service, target.Name(), p.duration.Seconds()})
+	revision := o.world.store.Put(platform.OrderKey(p.service), platform.EncodeOrder(rollout.Order{
+		Service: p.service, Target: target.Name(), DurationMillis: p.duration.Milliseconds(),
+	}))
 	for _, release := range o.releases {
 		if release.Target.Service() == p.service && release.Until == 0 {
 			release.Until = revision
@@ -187,7 +190,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	release := o.releases[number]
-	release.EndRevision = o.world.store.Remove(orderKey(release.Target.Service()))
+	release.EndRevision = o.world.store.Remove(platform.OrderKey(release.Target.Service()))
 	release.Ended = time.Now()
 }
 
--- a/internal/lab/soak/records.go
+++ b/internal/lab/soak/records.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"github.com/portgauge/portgauge/internal/lab/rollouts"
+	"github.com/portgauge/portgauge/internal/rollout"
 )
 
 // Prefixes of the routes: a gathered one, a repeatable and an at-most-once one to the same service,
@@ -24,24 +25,9 @@
 
 func leafKey(id string) string { return "servers/" + id }
 
-func orderKey(service string) string { return "op/rollout/" + service }
-
-func statusKey(service string) string { return "status/rollout/" + service }
-
-// orderRecord asks that a service move to a version.
-type orderRecord struct {
-	Service, TargetVersion string
-	DurationS              float64
-}
-
-// statusRecord is what operators are told of an order.
-type statusRecord struct {
-	Service, TargetVersion, State string
-}
-
-// outcomes are the states that operators are told.
-var outcomes = map[string]rollouts.Outcome{
-	"running": rollouts.Running, "succeeded": rollouts.Succeeded, "rolled_back": rollouts.RolledBack,
+// outcomes are what operators are told of an order, by its phase.
+var outcomes = map[rollout.Phase]rollouts.Outcome{
+	rollout.Canary: rollouts.Running, rollout.Succeeded: rollouts.Succeeded, rollout.RolledBack: rollouts.RolledBack,
 }
 
 func evacuationKey(zone string) string { return "op/evacuate/" + zone }
