Soak: what is told of the next order for the same version is that order's

It was the check that was wrong: such a telling is held to the promises of the order that stands. Orders replaced by one for another version are judged as before. The unit test failed without the change.

--- a/internal/lab/rollouts/release.go
+++ b/internal/lab/rollouts/release.go
@@ -33,8 +33,9 @@
 	// Ended is when it was taken back or replaced, zero if it was not, and EndRevision what wrote that.
 	Ended       time.Time
 	EndRevision int64
-	// Until is the revision of the next order for the service, 0 if there was none.
+	// Until is the revision of the next order for the service, 0 if there was none, and Next the version it is for.
 	Until int64
+	Next  string
 	// Told is what the operators were told of the service, of this order or not.
 	Told []Telling
 }
@@ -88,6 +89,7 @@
 			if telling.Outcome != Running && final == "" {
 				final = telling.Outcome
 			}
+		case r.Next == r.Target.Name(): // what is told of this version then is told of the next order
 		case telling.Revision > r.Revision && telling.Target == r.Target.Name() && telling.Outcome != Running:
 			misled = append(misled, telling)
 		}
--- a/internal/lab/rollouts/release_test.go
+++ b/internal/lab/rollouts/release_test.go
@@ -98,6 +98,11 @@
 		})
 	}
 	r := sample(Fault{}, nil, nil)
+	r.tell(Succeeded, 6, time.Second)
+	r.Until, r.Next = 7, "b"
+	r.tell(Succeeded, 8, 2*time.Second)
+	is.New(t).Equal(len(r.Misled()), 0) // the next order is for the same version
+	r = sample(Fault{}, nil, nil)
 	r.Told = []Telling{{Revision: 6, Target: "c", Outcome: Running}}
 	is.New(t).Equal(len(r.Misled()), 1) // of another version
 }
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -137,7 +137,7 @@
 	}))
 	for _, release := range o.releases {
 		if release.Target.Service() == p.service && release.Until == 0 {
-			release.Until = revision
+			release.Until, release.Next = revision, target.Name()
 		}
 	}
 	o.releases = append(o.releases, &rollouts.Release{
