One jitter for pauses

The judges of roll-outs wrote a third copy of what registry and configsync had: half to one and a half of a pause. wait.Jittered serves all three; the figures are as they were, behaviour too.

--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,7 +189,7 @@
 // pause waits for a time with jitter, so that nodes that failed together don't retry
 // together; false when the context ended.
 func pause(ctx context.Context, duration time.Duration) bool {
-	return wait.For(ctx, time.Duration(float64(duration)*(0.5+rand.Float64())))
+	return wait.For(ctx, wait.Jittered(duration))
 }
 
 // backoff doubles a pause up to the most allowed.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,7 +9,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -89,7 +88,7 @@
 
 // pause spreads the tries of nodes that failed together.
 func (r *Registry) pause() time.Duration {
-	return time.Duration(float64(r.config.RetryPause) * (0.5 + rand.Float64()))
+	return wait.Jittered(r.config.RetryPause)
 }
 
 func (r *Registry) register(ctx context.Context) (lease int64, granted time.Duration, err error) {
--- a/internal/rolloutcontrol/pacer.go
+++ b/internal/rolloutcontrol/pacer.go
@@ -1,11 +1,11 @@
 package rolloutcontrol
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/wait"
 )
 
 // intent is a write that a judge wants done: a phase of an order in place of the state of a revision.
@@ -56,11 +56,6 @@
 		p.notBefore = now.Add(cfg.MaximumRetryPause)
 	default:
 		p.pause = min(max(2*p.pause, cfg.RetryPause), cfg.MaximumRetryPause)
-		p.notBefore = now.Add(jittered(p.pause))
+		p.notBefore = now.Add(wait.Jittered(p.pause))
 	}
 }
-
-// jittered gives half to one and a half of a pause, so that judges that failed together don't retry together.
-func jittered(pause time.Duration) time.Duration {
-	return time.Duration(float64(pause) * (0.5 + rand.Float64()))
-}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -17,3 +18,8 @@
 		return false
 	}
 }
+
+// Jittered gives half to one and a half of a pause, so that those who failed together don't try again together.
+func Jittered(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (0.5 + rand.Float64()))
+}
