Sight: where the store stands, its restores, and whole states that are dropped

Cause: no line and no figure named the revision or the epoch of the store, and a whole state that is dropped as older left no trace; the nodes' own lines of served requests filled what operators keep of the log (64 KB) after 40 s. Change: the client of the users' platform reads the header that tells of restores and tells of each call's epoch and revision; `store_found` and `store_restored` lines, `store_revision`, `store_epoch`, `config_states_dropped_total`; one warning a second about a dropped state. Nothing is decided by any of it.

--- a/cmd/portgauge/dialects.go
+++ b/cmd/portgauge/dialects.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/portgauge/portgauge/internal/node"
 	"github.com/portgauge/portgauge/internal/settings"
+	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/platform"
 )
 
@@ -11,7 +12,7 @@
 	return []node.Dialect{{
 		Name: platform.Name,
 		HTTP: platform.Dialect(),
-		Connect: func(config settings.Platform, called func(call string, status int)) node.PlatformStore {
+		Connect: func(config settings.Platform, called func(store.Answer)) node.PlatformStore {
 			return platform.NewClient(config, called)
 		},
 	}}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/portgauge/portgauge/internal/boottime"
 	"github.com/portgauge/portgauge/internal/catalog"
@@ -43,6 +44,8 @@
 	Seeds []string
 	// Relayed is told of messages sent, by kind; it may be nil.
 	Relayed func(kind string)
+	// StateDropped is told of each whole state of the store that is older than the one in force; it may be nil.
+	StateDropped func()
 	// Settled gives the revision at which the node is settled: it sends nothing by an older rule and has nothing
 	// in flight by one. Nil means that it always is at the revision in force.
 	Settled func() int64
@@ -59,6 +62,7 @@
 	logger    *zap.Logger
 	seeds     []string // guarded by mu
 	relayed   func(kind string)
+	dropped   func()
 	settledAt func() int64
 	members   *membership.Membership
 
@@ -67,9 +71,10 @@
 	initialised atomic.Bool
 	ready       chan struct{} // closed once initialised
 	storeDownAt atomic.Int64  // unix nanoseconds; 0 while the watch is up
-	isStandby   bool          // whether the node stands by and looked at the store since it does; of the watch loop
-	hasWoken    atomic.Bool   // whether the machine was suspended since the watch was opened
-	checking    atomic.Bool   // whether a push is being checked
+	droppedTold rate.Sometimes
+	isStandby   bool        // whether the node stands by and looked at the store since it does; of the watch loop
+	hasWoken    atomic.Bool // whether the machine was suspended since the watch was opened
+	checking    atomic.Bool // whether a push is being checked
 	pulling     atomic.Bool
 	pullPending atomic.Bool
 	pushedAt    atomic.Int64 // when the last push arrived, in unix nanoseconds
@@ -93,6 +98,10 @@
 	if relayed == nil {
 		relayed = func(string) {}
 	}
+	dropped := parts.StateDropped
+	if dropped == nil {
+		dropped = func() {}
+	}
 	settledAt := parts.Settled
 	if settledAt == nil {
 		settledAt = parts.Catalog.Revision
@@ -107,15 +116,22 @@
 		logger:    parts.Logger,
 		seeds:     parts.Seeds,
 		relayed:   relayed,
+		dropped:   dropped,
 		settledAt: settledAt,
 		startedAt: time.Now(),
 		ready:     make(chan struct{}),
 		pushes:    make(chan catalog.Change, pushBacklog),
 		contacts:  map[string][]string{},
 		notices:   map[string]*notice{},
+
+		droppedTold: rate.Sometimes{First: 1, Interval: tellDroppedInterval},
 	}
 }
 
+// tellDroppedInterval is how often a whole state that was dropped is logged at most: a node that reads one again and
+// again does so up to 66 times a second.
+const tellDroppedInterval = time.Second
+
 // pushBacklog is how many changes may wait to be pushed; digests heal what overflows.
 const pushBacklog = 1024
 
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -163,7 +163,9 @@
 		return err
 	}
 	before := s.catalog.Revision()
-	s.catalog.Replace(snapshot)
+	if !s.catalog.Replace(snapshot) && snapshot.Revision < before {
+		s.stateDropped(snapshot.Revision, before)
+	}
 	s.catalog.ConfirmSince(asked, 0)
 	s.markInitialised()
 	s.storeRegained()
@@ -182,6 +184,14 @@
 	}
 }
 
+// stateDropped counts a whole state that is older than the one in force, and tells of it now and then.
+func (s *Syncer) stateDropped(revision, inForce int64) {
+	s.dropped()
+	s.droppedTold.Do(func() {
+		s.logger.Warn("whole state of the store dropped as older", zap.Int64("revision", revision), zap.Int64("in_force", inForce))
+	})
+}
+
 // storeLost notes, and tells once, that the store can't be followed.
 func (s *Syncer) storeLost(err error) {
 	if s.storeDownAt.CompareAndSwap(0, time.Now().UnixNano()) {
--- a/internal/node/dialect.go
+++ b/internal/node/dialect.go
@@ -24,9 +24,8 @@
 	Name string
 	// HTTP names the headers and paths that callers and leafs use.
 	HTTP httpdialect.Dialect
-	// Connect makes the connection to the store. The called function is told of each call by
-	// name and status, 0 when no answer came.
-	Connect func(config settings.Platform, called func(call string, status int)) PlatformStore
+	// Connect makes the connection to the store. The called function is told of each call.
+	Connect func(config settings.Platform, called func(store.Answer)) PlatformStore
 }
 
 // dialects are the protocols that a node speaks besides the product's own.
@@ -47,7 +46,7 @@
 }
 
 // newPlatform connects to the platform by the dialect that the settings name.
-func newPlatform(config settings.Settings, known dialects, metrics *telemetry.Metrics, lifecycle fx.Lifecycle) (platformParts, error) {
+func newPlatform(config settings.Settings, known dialects, metrics *telemetry.Metrics, journal *storeJournal, lifecycle fx.Lifecycle) (platformParts, error) {
 	if config.Platform.Dialect == settings.DefaultDialect {
 		return newOwnPlatform(config, metrics, lifecycle)
 	}
@@ -55,9 +54,7 @@
 		if dialect.Name != config.Platform.Dialect {
 			continue
 		}
-		connected := dialect.Connect(config.Platform, func(call string, status int) {
-			metrics.StoreCalls.WithLabelValues(call, statusLabel(status)).Inc()
-		})
+		connected := dialect.Connect(config.Platform, journal.called)
 		lifecycle.Append(fx.StopHook(connected.Close))
 		lessor, _ := connected.(store.Lessor)
 		guarded, _ := connected.(store.Guarded)
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,14 +47,6 @@
 	return zap.ParseAtomicLevel(config.LogLevel)
 }
 
-// statusLabel names a call's status in the metrics.
-func statusLabel(status int) string {
-	if status == 0 {
-		return "no_answer"
-	}
-	return strconv.Itoa(status)
-}
-
 // listerParts are what the list of machines is made from.
 type listerParts struct {
 	fx.In
@@ -256,8 +247,9 @@
 	syncer := configsync.New(configsync.Parts{
 		Config: config.ConfigSync, Catalog: known, Store: kept, Machines: lister, Transport: transport,
 		Leafs: choice, Logger: logger, Seeds: config.Seeds,
-		Relayed: func(kind string) { metrics.ConfigRelayed.WithLabelValues(kind).Inc() },
-		Settled: settled,
+		Relayed:      func(kind string) { metrics.ConfigRelayed.WithLabelValues(kind).Inc() },
+		StateDropped: metrics.StatesDropped.Inc,
+		Settled:      settled,
 	})
 	choice.OnDraining(syncer.LeafDraining)
 	return syncer
--- /dev/null
+++ b/internal/node/store_journal.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/decisionlog"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/telemetry"
+)
+
+// Names of events of the store: its first answer, and that it came back from a copy.
+const (
+	eventStoreFound    = "store_found"
+	eventStoreRestored = "store_restored"
+)
+
+// storeEvent says where the store stands, and where it stood before it was restored.
+type storeEvent struct {
+	Time     time.Time `json:"time"`
+	Event    string    `json:"event"`
+	Call     string    `json:"call"`
+	Epoch    int64     `json:"epoch"`
+	Revision int64     `json:"revision,omitempty"`
+	// Before is what the last answers before the restore told of.
+	Before *storePlace `json:"before,omitempty"`
+}
+
+// storePlace is the highest revision that an epoch of the store told of.
+type storePlace struct {
+	Epoch    int64 `json:"epoch"`
+	Revision int64 `json:"revision"`
+}
+
+// storeJournal tells metrics and the decision log of the store's answers.
+type storeJournal struct {
+	metrics *telemetry.Metrics
+	log     *decisionlog.Log
+
+	mu    sync.Mutex
+	place *storePlace // nil before the first answer
+}
+
+func newStoreJournal(metrics *telemetry.Metrics, log *decisionlog.Log) *storeJournal {
+	return &storeJournal{metrics: metrics, log: log}
+}
+
+// called notes a call of the store.
+func (j *storeJournal) called(answer store.Answer) {
+	j.metrics.StoreCalls.WithLabelValues(answer.Call, statusLabel(answer.Status)).Inc()
+	if answer.Status == 0 {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.place == nil || j.place.Epoch != answer.Epoch {
+		j.tellEpoch(answer)
+		j.place = &storePlace{Epoch: answer.Epoch}
+	}
+	j.metrics.StoreEpoch.Set(float64(answer.Epoch))
+	if answer.Revision > 0 {
+		j.place.Revision = max(j.place.Revision, answer.Revision)
+		j.metrics.StoreRevision.Set(float64(answer.Revision))
+	}
+}
+
+// tellEpoch logs an answer of another epoch than the one before. The lock must be held.
+func (j *storeJournal) tellEpoch(answer store.Answer) {
+	event := eventStoreFound
+	if j.place != nil {
+		event = eventStoreRestored
+	}
+	j.log.Write(decisionlog.Failed, storeEvent{
+		Time: time.Now(), Event: event, Call: answer.Call, Epoch: answer.Epoch, Revision: answer.Revision, Before: j.place,
+	})
+}
+
+// statusLabel names a call's status in the metrics.
+func statusLabel(status int) string {
+	if status == 0 {
+		return "no_answer"
+	}
+	return strconv.Itoa(status)
+}
--- /dev/null
+++ b/internal/node/store_journal_test.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/decisionlog"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/telemetry"
+)
+
+// The log tells the first epoch and each change of it, with where the store stood before; metrics show where it stands.
+func TestRestoresOfTheStoreAreLogged(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	metrics := telemetry.NewMetrics()
+	log := decisionlog.New(decisionlog.DefaultConfig(), &output, func() {})
+	journal := newStoreJournal(metrics, log)
+	for _, answer := range []store.Answer{
+		{Call: "kv-range", Status: 200, Epoch: 1, Revision: 40},
+		{Call: "kv-watch", Status: 200, Epoch: 1, Revision: 65},
+		{Call: "kv-watch"}, // no answer tells of no epoch
+		{Call: "kv-keep", Status: 200, Epoch: 2},
+		{Call: "kv-watch", Status: 410, Epoch: 2},
+		{Call: "kv-range", Status: 200, Epoch: 2, Revision: 62},
+	} {
+		journal.called(answer)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	log.Run(ended)
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], `"event":"store_found","call":"kv-range","epoch":1,"revision":40`))
+	is.True(strings.Contains(lines[1], `"event":"store_restored","call":"kv-keep","epoch":2,"before":{"epoch":1,"revision":65}`))
+	families, err := metrics.Registry.Gather()
+	is.NoErr(err)
+	told := map[string]float64{}
+	for _, family := range families {
+		if strings.Contains(family.GetName(), "store_") && family.Metric[0].GetGauge() != nil {
+			told[family.GetName()] = family.Metric[0].GetGauge().GetValue()
+		}
+	}
+	is.Equal(told["portgauge_store_epoch"], 2.0)
+	is.Equal(told["portgauge_store_revision"], 62.0)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -38,6 +38,18 @@
 	Stale
 )
 
+// Answer says how a call of the store went.
+type Answer struct {
+	// Call names the call.
+	Call string
+	// Status is the protocol's status, 0 when no answer came.
+	Status int
+	// Epoch counts the restores of the store from a copy; 0 where it tells of none, or no answer came.
+	Epoch int64
+	// Revision is where the store stands by the answer; 0 where it does not say.
+	Revision int64
+}
+
 // WatchRole is how closely a watch follows the store.
 type WatchRole int
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -58,6 +58,12 @@
 	LeafConnections prometheus.Counter
 	// StoreCalls counts calls of the store by name and status.
 	StoreCalls *prometheus.CounterVec
+	// StoreRevision is where the store stands by its last answer that said so, StoreEpoch how often it was restored
+	// from a copy until then.
+	StoreRevision prometheus.Gauge
+	StoreEpoch    prometheus.Gauge
+	// StatesDropped counts whole states of the store that were read and not put into force, since they are older.
+	StatesDropped prometheus.Counter
 	// LogLinesLeftOut counts decisions that were not logged.
 	LogLinesLeftOut prometheus.Counter
 	// Members is the number of nodes known in the zone, by state.
@@ -91,6 +97,9 @@
 		Quarantined:          counter("requests_quarantined_total", "Requests put under quarantine, since leafs ended while they ran them."),
 		LeafConnections:      counter("leaf_connections_opened_total", "Connections opened to leafs."),
 		StoreCalls:           counters("store_calls_total", "Calls of the store.", "call", "status"),
+		StoreRevision:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "store_revision", Help: "Revision of the store by its last answer."}),
+		StoreEpoch:           prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "store_epoch", Help: "Restores of the store from a copy by its last answer."}),
+		StatesDropped:        counter("config_states_dropped_total", "Whole states of the store that were older than the one in force."),
 		LogLinesLeftOut:      counter("log_lines_left_out_total", "Decisions that were not logged."),
 		Members:              prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Nodes known in the zone by state."}, []string{"state"}),
 	}
@@ -100,6 +109,7 @@
 		metrics.ConfigRejected, metrics.ConfigRelayed, metrics.ControlBytes, metrics.Members,
 		metrics.FrontRequests, metrics.FrontLatency, metrics.FrontAttempts, metrics.FrontAttemptFailures,
 		metrics.FrontMissingParts, metrics.TreePassed, metrics.TreeLatency, metrics.TreeGathered, metrics.LeafsLost, metrics.Quarantined, metrics.LeafConnections, metrics.StoreCalls, metrics.LogLinesLeftOut,
+		metrics.StoreRevision, metrics.StoreEpoch, metrics.StatesDropped,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
