A call that is given up before its line is never sent

Cause: the calls that wait for a connection to another node were written one after the other once it was there, whatever became of them meanwhile. One given up while it was written could have its cancel before its line. Change: whether a call is under way and that its line is begun are one step; one given up while it is written is told so behind its line.

--- a/internal/servingtree/client.go
+++ b/internal/servingtree/client.go
@@ -38,10 +38,27 @@
 	began   time.Time
 	// waited is how long the request waited for its connection, in nanoseconds.
 	waited atomic.Int64
-	sent   atomic.Bool
 	signs  chan struct{}
 	parts  chan Answer
 	done   chan Result
+
+	// The rest is guarded by the session's mutex.
+
+	progress  progress
+	isGivenUp bool // while its line was being written
+}
+
+// progress is how far a call's line is.
+type progress int
+
+const (
+	waiting progress = iota // for its connection: nothing was sent
+	writing
+	written
+)
+
+func newCall(ask Ask) *Call {
+	return &Call{ask: &ask, began: time.Now(), signs: make(chan struct{}, 1), parts: make(chan Answer, 1), done: make(chan Result, 1)}
 }
 
 // Signs gives a value when the intermediate has shown that it is at work on the request.
@@ -64,17 +81,21 @@
 }
 
 // Cancel ends a call whose reply nobody waits for. It reports whether the request may have reached the
-// intermediate.
+// intermediate: false is a promise that it has not and never will.
 func (c *Call) Cancel() bool {
-	if c.session != nil && c.session.take(c.number) != nil && c.sent.Load() {
+	if c.session == nil {
+		return false
+	}
+	reached, isUnderWay := c.session.giveUp(c)
+	if isUnderWay && reached == written {
 		c.session.send(line{Number: c.number, Cancel: true})
 	}
-	return c.sent.Load()
+	return reached != waiting
 }
 
 // Start asks the intermediate at an address. It does not wait for the connection.
 func (c *Client) Start(address string, ask Ask) *Call {
-	call := &Call{ask: &ask, began: time.Now(), signs: make(chan struct{}, 1), parts: make(chan Answer, 1), done: make(chan Result, 1)}
+	call := newCall(ask)
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -170,18 +191,60 @@
 	}
 }
 
-// sendAsk writes a call's request; one that can't be written whole may have arrived. What it waited for the
-// connection is taken off its times, and so are the ways, where they take longer than was thought.
+// sendAsk writes a call's request, unless the call is over: whether it is, and that it is sent, are one step, so that a
+// call that was given up as never sent is not sent later, when its connection is there. One that can't be written whole may
+// have arrived. What it waited for the connection is taken off its times, and so are the ways, where they take longer
+// than was thought.
 func (s *session) sendAsk(open *wire, call *Call) {
+	if !s.beginWriting(call) {
+		return
+	}
 	waited := time.Since(call.began)
 	call.waited.Store(int64(waited))
 	ask := call.ask.after(waited, roundtrip.Of(open.socket).Mostly())
-	call.sent.Store(true)
-	if err := open.write(line{Number: call.number, Ask: &ask}); err != nil {
+	err := open.write(line{Number: call.number, Ask: &ask})
+	isGivenUp := s.endWriting(call)
+	if err != nil {
 		if taken := s.take(call.number); taken != nil {
 			taken.done <- Result{Err: &BrokenError{Cause: err}}
 		}
+		return
+	}
+	if isGivenUp {
+		s.send(line{Number: call.number, Cancel: true})
+	}
+}
+
+// beginWriting marks a call as being sent; false when it is over.
+func (s *session) beginWriting(call *Call) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls[call.number] != call {
+		return false
+	}
+	call.progress = writing
+	return true
+}
+
+// endWriting marks a call as sent, and reports whether it was given up meanwhile.
+func (s *session) endWriting(call *Call) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	call.progress = written
+	return call.isGivenUp
+}
+
+// giveUp removes a call, and gives how far its line was and whether the call was still under way. One that is being written
+// is told as given up by its writer, behind its line.
+func (s *session) giveUp(call *Call) (reached progress, isUnderWay bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isUnderWay = s.calls[call.number] == call
+	if isUnderWay {
+		delete(s.calls, call.number)
+		call.isGivenUp = true
 	}
+	return call.progress, isUnderWay
 }
 
 // send writes a line of a call that was sent before; it is lost with the connection.
@@ -251,12 +314,12 @@
 		return false
 	}
 	s.wire = open
-	waiting := make([]*Call, 0, len(s.calls))
+	held := make([]*Call, 0, len(s.calls))
 	for _, call := range s.calls {
-		waiting = append(waiting, call)
+		held = append(held, call)
 	}
 	s.mu.Unlock()
-	for _, call := range waiting {
+	for _, call := range held {
 		s.sendAsk(open, call)
 	}
 	return true
--- a/internal/servingtree/servingtree_test.go
+++ b/internal/servingtree/servingtree_test.go
@@ -213,7 +213,7 @@
 	client := newClient(t, testConfig())
 	address := frozen.Addr().String()
 	call := client.Start(address, Ask{ID: "a"})
-	for !call.sent.Load() {
+	for !call.isAt(written) {
 		time.Sleep(time.Millisecond)
 	}
 	client.DropSilent(address, time.Hour, io.ErrNoProgress)
