An attempt given up as its connection comes up is not sent

Cause: that an attempt has no connection and that it is over were noted in two steps. A connection that came up between them took the attempt and sent it, though it was told as never sent. Change: one step.

--- a/internal/leafhttp/connections_test.go
+++ b/internal/leafhttp/connections_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -125,6 +126,43 @@
 	is.True(errors.As(<-ended, &broken))
 }
 
+// What callers saw: a refusal that said "not run", although the leaf had the request. The order of events: an attempt is
+// given up while its connection is being opened; before that is noted, the connection is there and takes the attempt;
+// then the attempt is told as never sent, and its request goes out. The cause: that nothing was sent yet and that nothing
+// will be were two steps, each under the lock, with room for the connection between them.
+//
+// Evidence: of 2,000 attempts given up as their connection comes up, some hundred were told as never sent and reached the
+// leaf.
+func TestAttemptGivenUpAsItsConnectionComesUp(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, DefaultConfig(), ok("hello"))
+	var isUp atomic.Bool
+	b.pool.opened = func() { isUp.Store(true) }
+	neverSent := map[string]bool{}
+	for number := range 2000 {
+		isUp.Store(false)
+		target, request := b.target(), b.request()
+		ended := make(chan error, 1)
+		giveUp := b.pool.Start(target, request, time.Now().Add(time.Minute), func(_ *Response, err error) { ended <- err })
+		for !isUp.Load() {
+			runtime.Gosched()
+		}
+		for range number % 200 { // the moments differ by nanoseconds
+			isUp.Load()
+		}
+		giveUp(context.Canceled)
+		var told *NeverSentError
+		if errors.As(<-ended, &told) {
+			neverSent[request.ID] = true
+		}
+		b.pool.Keep(func(string) bool { return false })
+	}
+	time.Sleep(50 * time.Millisecond) // what was sent has arrived
+	for _, asked := range b.leaf.Asked() {
+		is.True(!neverSent[asked.ID])
+	}
+}
+
 // An answer that is faster than the writer notes the end of its write keeps the connection; it is
 // given back once the write is done.
 func TestAnswerBeforeTheWriteIsDoneKeepsTheConnection(t *testing.T) {
--- a/internal/leafhttp/exchange.go
+++ b/internal/leafhttp/exchange.go
@@ -63,9 +63,11 @@
 	}
 	held := e.conn
 	if held == nil {
+		// That nothing was sent and that nothing will be is one step: between two, a connection that comes up would send it.
 		p.stopWaiting(e)
+		e.ended = true
 		p.mu.Unlock()
-		e.end(nil, &NeverSentError{Cause: cause})
+		e.done(nil, &NeverSentError{Cause: cause})
 		return
 	}
 	if p.config.LingerTimeout > 0 && errors.Is(cause, ErrSuperseded) {
