A leaf's own 503 is no promise that the request has not run

Cause: a leaf's failure is passed on as it is. By 408, 421, 429 and 503 callers are promised that the request has not run; a leaf that answers by one without the mark "not executed" may have run it. Change: such an answer counts as a failed run, without its status and stamp: 502, or another leaf's answer where the request may be repeated.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,8 +77,11 @@
 	case isSuccess:
 		return scatter.Result[leafhttp.Response]{Reason: reasonUnsigned, Execution: scatter.Unknown, Outcome: balancer.Failed}
 	}
-	w.keepFailure(response)
 	result := scatter.Result[leafhttp.Response]{Reason: reasonLeafError, Execution: scatter.Ran, Outcome: balancer.Failed}
+	if promisesNotRun(response.Status) {
+		return result
+	}
+	w.keepFailure(response)
 	if response.Status < http.StatusInternalServerError {
 		// The request itself is at fault, by the leaf's word: others would say the same.
 		result.Final, result.Outcome = true, balancer.Declined
@@ -86,6 +89,17 @@
 	return result
 }
 
+// promisesNotRun reports whether callers take a status for the promise that a request has not run and never will. A leaf
+// that answers by one without the mark that it did not run the request may have run it: passed on, the status would have
+// the caller do the work twice.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // keepFailure remembers a leaf's own failure, to be passed on if no other leaf does better.
 func (w *gathering) keepFailure(response *leafhttp.Response) {
 	w.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -251,7 +251,9 @@
 	})
 }
 
-// What a caller of one leaf is told, and how often leafs were asked.
+// What a caller of one leaf is told, and how often leafs were asked. A leaf that ran a request and answers by a status by
+// which callers are promised that it did not run is not passed on: they were told "not run" by 408, 429 and 503, and would
+// have had the work done twice.
 func TestSingleLeafOutcomes(t *testing.T) {
 	broken := &leafhttp.BrokenAnswerError{Cause: errors.New("reset")}
 	neverSent := &leafhttp.NeverSentError{Cause: errors.New("refused")}
@@ -270,6 +272,10 @@
 		"success":                       {"/single/1", []reply{{answered(200, "x"), nil}}, 200, "", 0, 1},
 		"own failure, then success":     {"/single/1", []reply{{answered(500, "x"), nil}, {answered(200, "y"), nil}}, 200, "", 0, 2},
 		"own failures are passed on":    {"/single/1", []reply{{answered(500, "x"), nil}}, 500, "", 0, 2},
+		"own 503 is no promise":         {"/single/1", []reply{{answered(503, "x"), nil}}, 0, failure.LeafFailed, failure.Ran, 2},
+		"own 429 is no promise":         {"/single/1", []reply{{answered(429, "x"), nil}}, 0, failure.LeafFailed, failure.Ran, 2},
+		"once: own 503 is no promise":   {"/once/1", []reply{{answered(503, "x"), nil}}, 0, failure.LeafFailed, failure.Ran, 1},
+		"once: own 408 is no promise":   {"/once/1", []reply{{answered(408, "x"), nil}}, 0, failure.LeafFailed, failure.Ran, 1},
 		"own 404 is final":              {"/single/1", []reply{{answered(404, "x"), nil}}, 404, "", 0, 1},
 		"broken, then success":          {"/single/1", []reply{{nil, broken}, {answered(200, "y"), nil}}, 200, "", 0, 2},
 		"broken twice":                  {"/single/1", []reply{{nil, broken}}, 0, failure.LeafFailed, failure.Unknown, 2},
