A search that can't start over tells of the plan that ran

If the service is gone by then, the failure said NOT_RUN, which held for the second plan only. Change: the failure tells what is known of the plans before. Before: TestServiceGoneBeforeStartingOver: NOT_RUN after a leaf had run; after: RAN.

--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -221,7 +221,7 @@
 	for replans := 0; ; replans++ {
 		service, err := e.service(query.service)
 		if err != nil {
-			return nil, congested, err
+			return nil, congested, failedAfter(err, executionOf(ran, maybeRan))
 		}
 		work := newKeyScatter(e, query, service, e.policy(service.Spec), service.Manifest.Plan(query.asked))
 		outcomes := work.run(ctx)
@@ -237,6 +237,14 @@
 	}
 }
 
+// failedAfter gives a failure to start over, with what is known of the plans before it: that nothing runs now says nothing
+// of them.
+func failedAfter(err error, execution failure.ExecutionState) error {
+	failed := *failure.From(err)
+	failed.Execution = execution
+	return &failed
+}
+
 // mayReplan says whether a query can start over on a newer snapshot than the given one.
 func (e *Engine) mayReplan(query *query, pinned *catalog.Service, replans int, ran bool) bool {
 	if replans >= e.config.ReplanLimit || (query.atMostOnce && ran) {
--- a/internal/search/engine_test.go
+++ b/internal/search/engine_test.go
@@ -201,6 +201,29 @@
 	})
 }
 
+// A search whose first plan has run at a leaf is not told as not run when its service is gone before it starts over. Callers
+// got NOT_RUN: the failure of the second look at the configuration said what holds for a search that has not begun.
+func TestServiceGoneBeforeStartingOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		leafs := &scriptedLeafs{answer: func(_ string, r *leafv1.SearchShardRequest) (time.Duration, error) {
+			if r.GetIdentity().GetShardId() == "low" {
+				return time.Millisecond, nil // it runs
+			}
+			return 2 * time.Millisecond, refusal(r, leafv1.RefusalReason_REFUSAL_REASON_SNAPSHOT_GONE)
+		}}
+		engine, known := newTestEngine(t, leafs)
+		go func() {
+			publish(t, known, "v2")
+			deleted := catalog.Entry{Key: catalog.ServiceKey("s"), Revision: known.Revision() + 1, Deleted: true}
+			known.Apply(catalog.Change{Entry: deleted, Previous: known.Revision()})
+		}()
+		_, err := engine.Search(t.Context(), &searchv1.SearchRequest{Service: "s"})
+		is.True(failure.Is(err, failure.UnknownService))
+		is.Equal(failure.From(err).Execution, failure.Ran)
+	})
+}
+
 // A query that no leaf answers ends at its deadline, not later.
 func TestDeadlineIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
