--- a/internal/lab/kvstore/kvstore.go
+++ b/internal/lab/kvstore/kvstore.go
@@ -2,7 +2,7 @@
 //
 // It keeps what the published protocol promises: linearizable reads and transactions, watches
 // that wait, leases, dropped history; and it misbehaves on request: it refuses, is silent, loses
-// answers after the change was made, hushes watches.
+// answers after the change was made, hushes watches, and comes back from a backup.
 package kvstore
 
 import (
@@ -61,10 +61,22 @@
 	changed   chan struct{}
 	faults    Faults
 	calls     map[string]int
+	// epoch counts the restores; it is told where it is not 0.
+	epoch  int64
+	backup backup
 	// stale is what stale reads are answered by while they are held back.
 	stale staleState
 }
 
+// backup is the whole state at an earlier revision.
+type backup struct {
+	revision  int64
+	items     map[string]Item
+	history   []Item
+	leases    map[int64]lease
+	nextLease int64
+}
+
 // staleState is the state at an earlier revision.
 type staleState struct {
 	revision int64
@@ -117,6 +129,49 @@
 	return s.revision
 }
 
+// TellEpoch has answers tell of an epoch from now on, also before the first restore.
+func (s *Store) TellEpoch(epoch int64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.epoch = epoch
+}
+
+// Backup keeps the state as it is for Restore.
+func (s *Store) Backup() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.backup = backup{
+		revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history), leases: maps.Clone(s.leases), nextLease: s.nextLease,
+	}
+}
+
+// Restore brings the store back from the last backup: what was written since is gone, leases too, and revisions and ids of
+// leases are given out again.
+func (s *Store) Restore() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.epoch++
+	s.revision, s.nextLease = s.backup.revision, s.backup.nextLease
+	s.items, s.leases = maps.Clone(s.backup.items), maps.Clone(s.backup.leases)
+	s.history = slices.Clone(s.backup.history)
+	s.compacted = min(s.compacted, s.revision)
+	s.wake()
+}
+
+// Epoch gives how often the store was restored.
+func (s *Store) Epoch() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.epoch
+}
+
+// Revision gives where the store stands.
+func (s *Store) Revision() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision
+}
+
 // Compact drops the history.
 func (s *Store) Compact() {
 	s.mutex.Lock()
@@ -179,6 +234,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.epoch > 0 {
+		c.Header("Store-Era", strconv.FormatInt(s.epoch, 10))
+	}
 	s.calls[strings.Split(strings.TrimPrefix(c.Request.URL.Path, "/portgauge/"), "/")[0]]++
 	s.expire(time.Now())
 	if s.faults.Refuse != 0 {
@@ -248,9 +306,10 @@
 	waitMillis, _ := strconv.ParseInt(c.Query("WaitMs"), 10, 64)
 	ctx, cancel := context.WithTimeout(c.Request.Context(), time.Duration(waitMillis)*time.Millisecond)
 	defer cancel()
+	epoch := s.Epoch()
 	for {
 		s.mutex.Lock()
-		if after < s.compacted {
+		if after < s.compacted || after > s.revision || s.epoch != epoch {
 			s.mutex.Unlock()
 			c.Status(http.StatusGone)
 			return
