--- a/internal/canary/splitter.go
+++ b/internal/canary/splitter.go
@@ -8,6 +8,7 @@
 	"github.com/portgauge/portgauge/internal/boottime"
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/rollout"
 )
 
@@ -67,6 +68,8 @@
 	trials map[string]*trial // by service
 	// holds are the newest orders held, by service; an order before it was replaced.
 	holds map[string]int64
+	// heldAt is the revision at which the holds were looked at last; 0 before the first state.
+	heldAt int64
 }
 
 // New makes the splitter of a node.
@@ -235,7 +238,7 @@
 	if order := view.Rollouts[service].Order; order != nil {
 		begun.duration = order.Duration()
 	}
-	if s.config.Slack > 0 && rule.Order > s.first && s.fleet.IsRegistered() {
+	if s.config.Slack > 0 && rule.Order > revision.Count(s.first) && s.fleet.IsRegistered() {
 		begun.part, begun.start = s.part(view, service), s.random()
 	}
 	return begun
--- a/internal/canary/stage.go
+++ b/internal/canary/stage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/rollout"
 )
 
@@ -77,12 +78,14 @@
 	}
 }
 
-// dropHolds forgets holds of orders that were replaced or taken back; those that this node has yet to learn of stay.
-// The lock must be held.
+// dropHolds forgets holds of orders that were replaced or taken back; those that this node has yet to learn of stay. After a
+// restore of the store there are none of those: orders that were lost have ids that others get. The lock must be held.
 func (s *Splitter) dropHolds() {
 	view := s.view()
+	isRestored := s.heldAt != 0 && revision.IsLater(view.Revision, s.heldAt)
+	s.heldAt = view.Revision
 	for service, order := range s.holds {
-		if order <= view.Revision && view.Leafs.Rule(service).Order != order {
+		if (isRestored || order <= revision.Count(view.Revision)) && view.Leafs.Rule(service).Order != order {
 			delete(s.holds, service)
 		}
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"github.com/portgauge/portgauge/internal/leafset"
 	"github.com/portgauge/portgauge/internal/manifest"
 	"github.com/portgauge/portgauge/internal/quarantine"
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/routing"
 )
 
@@ -52,14 +54,16 @@
 	Versions map[string]string
 }
 
-func emptyView(revision int64) *View {
-	return &View{Revision: revision, Services: map[string]*Service{}, Leafs: leafset.Empty(), Remembered: leafset.Empty(), Nodes: map[string]NodeRecord{}, Rollouts: map[string]Rollout{}}
+func emptyView(at int64) *View {
+	return &View{Revision: at, Services: map[string]*Service{}, Leafs: leafset.Empty(), Remembered: leafset.Empty(), Nodes: map[string]NodeRecord{}, Rollouts: map[string]Rollout{}}
 }
 
 // Snapshot is the whole state, for a node that is too far behind for single changes.
 type Snapshot struct {
 	Revision int64   `json:"revision"`
 	Entries  []Entry `json:"entries"`
+	// IsStale says that the store may have told of an earlier state, and that the revision is only what it said with it.
+	IsStale bool `json:"-"`
 }
 
 // Catalog is the configuration state of a node. Reads are lock-free; writes take the lock.
@@ -81,6 +85,10 @@
 	rejected    func(key string, err error)
 	// rollouts says that versions of leafs matter; set before the first state.
 	rollouts bool
+	// restored is what is known of the last restore of the store.
+	restored restored
+	// isProvisional says that the state in force is one that the store may have told of late: any other goes before it.
+	isProvisional atomic.Bool
 }
 
 // New makes an empty catalog at revision 0. The rejected function is told of values that
@@ -129,6 +137,7 @@
 
 // Confirm records that the revision in force was the newest at the given time by the catalog's clock, see Now.
 func (c *Catalog) Confirm(at time.Time) {
+	c.isProvisional.Store(false)
 	after := int64(at.Sub(c.startedAt))
 	for {
 		known := c.confirmed.Load()
@@ -148,24 +157,25 @@
 
 // ApplyAll takes changes in order of revision, up to the first gap, and puts them into force
 // together, so that a key changed many times is decoded once. It reports whether the last of
-// them is now in force.
+// them is now in force. A restore of the store is a gap: what is known from before it is weighed against
+// a whole state, see Replace.
 func (c *Catalog) ApplyAll(changes []Change) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.view.Load()
-	revision := current.Revision
+	position := current.Revision
 	var applied []Change
 	newest := map[string]Entry{}
 	complete := true
 	for _, change := range changes {
-		if change.Entry.Revision <= revision {
+		if change.Entry.Revision <= position {
 			continue
 		}
-		if change.Previous > revision {
+		if change.Previous > position || revision.IsLater(change.Entry.Revision, position) {
 			complete = false
 			break
 		}
-		revision = change.Entry.Revision
+		position = change.Entry.Revision
 		for _, entry := range change.Entries() {
 			newest[entry.Key] = entry
 		}
@@ -174,8 +184,13 @@
 	if len(applied) == 0 {
 		return complete
 	}
-	draft := c.newDraft(current, revision)
+	c.isProvisional.Store(false)
+	draft := c.newDraft(current, position)
 	for _, entry := range newest {
+		if c.isOutranked(entry) {
+			continue
+		}
+		delete(c.restored.kept, entry.Key)
 		c.keep(entry)
 		c.compile(draft, entry)
 	}
@@ -188,23 +203,30 @@
 }
 
 // Replace takes a whole state if it is newer than the one in force, and reports whether. What it
-// changed is kept as one change, so that other nodes can be given just that.
+// changed is kept as one change, so that other nodes can be given just that. Of a store that was restored since,
+// only what is newer than what this node knows is taken: see Kept.
 func (c *Catalog) Replace(snapshot Snapshot) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.view.Load()
-	if snapshot.Revision <= current.Revision {
+	wasProvisional := c.isProvisional.Load()
+	if snapshot.Revision <= current.Revision && (!wasProvisional || snapshot.IsStale) {
 		return false
 	}
+	c.isProvisional.Store(snapshot.IsStale)
+	entries := c.entriesOf(snapshot, current.Revision == 0 || wasProvisional)
+	snapshot.Entries = entries
 	difference := difference(c.entries, current.Revision, snapshot)
-	c.entries = make(map[string]Entry, len(snapshot.Entries))
+	known := c.entries
+	c.entries = make(map[string]Entry, len(entries))
 	draft := c.newDraft(emptyView(snapshot.Revision), snapshot.Revision)
 	// Routes that can't be read must not leave the node without any.
-	draft.view.Routes = current.Routes
-	draft.before = current.Leafs
+	draft.view.Routes, draft.isOlderTaken = current.Routes, wasProvisional
+	draft.before, draft.rolloutsBefore = current.Leafs, current.Rollouts
 	draft.useEditor(leafset.Replace(current.Leafs))
-	for _, entry := range snapshot.Entries {
-		c.keep(entry)
+	for _, entry := range entries {
+		c.noteReplaced(known, entry)
+		c.entries[entry.Key] = entry
 		c.compile(draft, entry)
 	}
 	c.view.Store(draft.done())
@@ -213,10 +235,60 @@
 	return true
 }
 
-// rememberReplaced keeps what a whole state changed, unless there was nothing before it or it is
-// too large; then earlier changes don't reach the revision in force any more.
+// entriesOf gives the entries of a whole state that are put into force. The lock must be held.
+func (c *Catalog) entriesOf(snapshot Snapshot, isFirst bool) []Entry {
+	switch {
+	case isFirst:
+		c.restored.kept = nil
+		for _, entry := range snapshot.Entries {
+			c.noteKept(entry, snapshot.Revision)
+		}
+	case revision.IsLater(snapshot.Revision, c.view.Load().Revision):
+		return c.reconcile(snapshot)
+	default:
+		return c.stillKept(snapshot)
+	}
+	return snapshot.Entries
+}
+
+// stillKept gives the entries of a later state of the same epoch, with those that are kept and not written again. The lock
+// must be held.
+func (c *Catalog) stillKept(snapshot Snapshot) []Entry {
+	entries := make([]Entry, 0, len(snapshot.Entries)+len(c.restored.kept))
+	isRead := make(map[string]bool, len(snapshot.Entries))
+	for _, read := range snapshot.Entries {
+		isRead[read.Key] = true
+		kept, isKept := c.restored.kept[read.Key]
+		if isKept && !kept.IsLost && c.isNewer(kept.Entry, read, snapshot.Revision) {
+			entries = append(entries, kept.Entry)
+			continue
+		}
+		delete(c.restored.kept, read.Key)
+		c.noteKept(read, snapshot.Revision)
+		entries = append(entries, read)
+	}
+	for key, kept := range c.restored.kept {
+		if !isRead[key] && !kept.IsLost {
+			entries = append(entries, kept.Entry)
+		}
+	}
+	return entries
+}
+
+// noteReplaced remembers what an entry of a whole state takes the place of.
+func (c *Catalog) noteReplaced(known map[string]Entry, entry Entry) {
+	before, isKnown := known[entry.Key]
+	if !isKnown {
+		c.restored.note(entry, nil, c.clock.Now())
+		return
+	}
+	c.restored.note(entry, &before, c.clock.Now())
+}
+
+// rememberReplaced keeps what a whole state changed, unless there was nothing before it, it is too large, or the store was
+// restored; then earlier changes don't reach the revision in force any more.
 func (c *Catalog) rememberReplaced(before int64, difference Change) {
-	if before == 0 || difference.Size() > recentBytes {
+	if before == 0 || difference.Size() > recentBytes || revision.IsLater(difference.Entry.Revision, before) {
 		c.recent, c.recentSize = nil, 0
 		return
 	}
@@ -224,12 +296,12 @@
 }
 
 // difference gives what a newer whole state changes, as one change.
-func difference(known map[string]Entry, revision int64, newer Snapshot) Change {
-	change := Change{Entry: Entry{Key: MarkerKey, Revision: newer.Revision, Deleted: true}, Previous: revision}
+func difference(known map[string]Entry, before int64, newer Snapshot) Change {
+	change := Change{Entry: Entry{Key: MarkerKey, Revision: newer.Revision, Deleted: true}, Previous: before}
 	present := make(map[string]bool, len(newer.Entries))
 	for _, entry := range newer.Entries {
 		present[entry.Key] = true
-		if before, found := known[entry.Key]; !found || before.Revision != entry.Revision {
+		if had, found := known[entry.Key]; !found || had.Revision != entry.Revision {
 			change.More = append(change.More, entry)
 		}
 	}
@@ -253,6 +325,7 @@
 // keep remembers an entry; a tombstone of a record that comes and goes with its process is
 // dropped, since ids are never used again and the tombstones would pile up.
 func (c *Catalog) keep(entry Entry) {
+	c.noteReplaced(c.entries, entry)
 	if entry.Deleted && isTransient(entry.Key) {
 		delete(c.entries, entry.Key)
 		return
@@ -261,17 +334,17 @@
 }
 
 // Since gives the changes after a revision, or false when they are no longer kept.
-func (c *Catalog) Since(revision int64) ([]Change, bool) {
+func (c *Catalog) Since(after int64) ([]Change, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision >= c.view.Load().Revision {
+	if after >= c.view.Load().Revision {
 		return nil, true
 	}
-	if len(c.recent) == 0 || c.recent[0].Previous > revision {
+	if len(c.recent) == 0 || c.recent[0].Previous > after {
 		return nil, false
 	}
-	first, _ := slices.BinarySearchFunc(c.recent, revision+1, func(change Change, wanted int64) int {
-		return int(change.Entry.Revision - wanted)
+	first, _ := slices.BinarySearchFunc(c.recent, after+1, func(change Change, wanted int64) int {
+		return cmp.Compare(change.Entry.Revision, wanted)
 	})
 	return slices.Clone(c.recent[first:]), true
 }
--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -36,24 +36,28 @@
 // draft is a view that is not yet in force. Parts of the view before it are copied only when
 // they change.
 type draft struct {
-	view       *View
-	leafs      *leafset.Editor // nil while no leaf changed
-	before     *leafset.Set    // the leafs in force before the draft
-	ownsNodes  bool
-	ownService bool
+	view   *View
+	leafs  *leafset.Editor // nil while no leaf changed
+	before *leafset.Set    // the leafs in force before the draft
+	// rolloutsBefore are the roll-outs in force before the draft.
+	rolloutsBefore map[string]Rollout
+	ownsNodes      bool
+	ownService     bool
 	// ownsQuarantine says that the requests under quarantine are a copy of the draft's own.
 	ownsQuarantine bool
 	// ownsRollouts says that the roll-outs are a copy of the draft's own.
 	ownsRollouts bool
 	// rollouts says that versions of leafs matter.
 	rollouts bool
-	clock    boottime.Clock
+	// isOlderTaken says that routes go before those in force that a later revision wrote.
+	isOlderTaken bool
+	clock        boottime.Clock
 }
 
 func (c *Catalog) newDraft(current *View, revision int64) *draft {
 	next := *current
 	next.Revision = revision
-	return &draft{view: &next, before: current.Leafs, rollouts: c.rollouts, clock: c.clock}
+	return &draft{view: &next, before: current.Leafs, rolloutsBefore: current.Rollouts, rollouts: c.rollouts, clock: c.clock}
 }
 
 func (d *draft) done() *View {
@@ -109,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	if d.view.Routes != nil && d.view.Routes.Revision >= entry.Revision {
+	if d.view.Routes != nil && d.view.Routes.Revision >= entry.Revision && !d.isOlderTaken {
 		return nil
 	}
 	d.view.Routes = routing.NewTable(configuration, entry.Revision)
@@ -166,7 +170,7 @@
 	}
 	known, found := d.before.ByID(id)
 	if !found || known.Revision != entry.Revision {
-		known = leafset.NewLeaf(record, entry.Revision, d.clock.Now())
+		known = leafset.Learn(known, record, entry.Revision, d.clock.Now())
 	}
 	leafs.Put(known)
 	return nil
--- /dev/null
+++ b/internal/catalog/restored_test.go
@@ -0,0 +1,472 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/leafset"
+	"github.com/portgauge/portgauge/internal/revision"
+	"github.com/portgauge/portgauge/internal/rollout"
+	"github.com/portgauge/portgauge/internal/routing"
+)
+
+// fatal fails a test; *testing.T and *rapid.T do.
+type fatal interface{ Fatal(...any) }
+
+// drilled is a store that is restored from backups.
+type drilled struct {
+	t       fatal
+	epoch   int64
+	count   int64
+	entries map[string]Entry
+	log     []Change // of the epoch
+	backup  Snapshot
+}
+
+func newDrilled(t fatal) *drilled { return &drilled{t: t, entries: map[string]Entry{}} }
+
+// put writes a document under a key, nil to remove it, and gives the change.
+func (d *drilled) put(key string, value any) Change {
+	var document json.RawMessage
+	if value != nil {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		document = encoded
+	}
+	wrapped, err := NewDocument("", document, nil)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return d.putValue(key, wrapped, value == nil)
+}
+
+// putValue writes a value as it stands under a key, or removes the key, and gives the change.
+func (d *drilled) putValue(key string, value json.RawMessage, remove bool) Change {
+	before := revision.At(d.epoch, d.count)
+	d.count++
+	entry := Entry{Key: key, Value: value, Revision: revision.At(d.epoch, d.count), Deleted: remove}
+	d.entries[key] = entry
+	if entry.Deleted {
+		delete(d.entries, key)
+	}
+	change := Change{Entry: entry, Previous: before}
+	d.log = append(d.log, change)
+	return change
+}
+
+// state gives the whole state as it is read.
+func (d *drilled) state() Snapshot {
+	snapshot := Snapshot{Revision: revision.At(d.epoch, d.count)}
+	for _, entry := range d.entries {
+		entry.Revision = revision.At(d.epoch, revision.Count(entry.Revision))
+		snapshot.Entries = append(snapshot.Entries, entry)
+	}
+	return snapshot
+}
+
+func (d *drilled) save() { d.backup = d.state() }
+
+// restore brings the store back from its backup.
+func (d *drilled) restore() {
+	d.epoch++
+	d.count = revision.Count(d.backup.Revision)
+	d.entries = map[string]Entry{}
+	for _, entry := range d.backup.Entries {
+		d.entries[entry.Key] = entry
+	}
+	d.log = nil
+}
+
+func routesOf(version int64) routing.Configuration { return routing.Configuration{Version: version} }
+
+func leafOf(id string, state leafset.State, sequence int64) leafset.Record {
+	return leafset.Record{ID: id, Service: "s", Address: "127.0.0.1:1", State: state, Sequence: sequence}
+}
+
+// follower is a node that follows the store.
+func follower(d *drilled) *Catalog {
+	known := New(func(key string, err error) { d.t.Fatal(key, err) })
+	known.EnableRollouts()
+	known.Replace(d.state())
+	return known
+}
+
+// What operators were told is accepted stays in force while the restored store has it as it was before, and ends when they
+// write it again, or something newer.
+func TestRoutesStayThroughARestore(t *testing.T) {
+	is := is.New(t)
+	d := newDrilled(t)
+	d.put(RoutesKey, routesOf(21))
+	d.save()
+	node := follower(d)
+	node.Apply(d.put(RoutesKey, routesOf(25)))
+	node.Apply(d.put(RoutesKey, routesOf(27)))
+	d.restore()
+	is.True(node.Replace(d.state()))
+	is.Equal(node.View().Routes.Version, int64(27))
+	is.Equal(revision.Epoch(node.Revision()), int64(1))
+	is.Equal(len(node.Kept()), 1)
+
+	node.Apply(d.put(RoutesKey, routesOf(25))) // what was accepted first is written again first
+	is.Equal(node.View().Routes.Version, int64(27))
+	node.Apply(d.put(RoutesKey, routesOf(27)))
+	is.Equal(node.View().Routes.Version, int64(27))
+	is.Equal(node.View().Routes.Revision, revision.At(1, 3))
+	is.Equal(len(node.Kept()), 0)
+	node.Apply(d.put(RoutesKey, routesOf(30)))
+	is.Equal(node.View().Routes.Version, int64(30))
+	node.Apply(d.put(RoutesKey, routesOf(29))) // operators may go back
+	is.Equal(node.View().Routes.Version, int64(29))
+}
+
+// A change of the new epoch whose count was given out before comes into force, and one of the epoch before that comes late
+// does not.
+func TestCountsGivenOutAgain(t *testing.T) {
+	is := is.New(t)
+	d := newDrilled(t)
+	d.put(RoutesKey, routesOf(1))
+	d.save()
+	node := follower(d)
+	var late []Change
+	for version := range int64(5) {
+		change := d.put(RoutesKey, routesOf(2+version))
+		late = append(late, change)
+		node.Apply(change)
+	}
+	before := node.Revision()
+	d.restore()
+	changed := d.put(RoutesKey, routesOf(10))
+	is.True(!node.Apply(changed)) // a gap: the whole state is to be weighed
+	is.True(changed.Entry.Revision > before)
+	is.True(revision.Count(changed.Entry.Revision) < revision.Count(before))
+	is.True(node.Replace(d.state()))
+	is.Equal(node.View().Routes.Version, int64(10))
+	is.Equal(len(node.Kept()), 0)
+	is.True(node.ApplyAll(late))
+	is.Equal(node.View().Routes.Version, int64(10))
+	_, isKept := node.Since(before)
+	is.True(!isKept) // no changes lead from one epoch to the next
+}
+
+// Leafs that drain or are gone stay so although the restored store lists them as before, until they write again; those that
+// it lost are the last ones asked.
+func TestLeafsThroughARestore(t *testing.T) {
+	is := is.New(t)
+	d := newDrilled(t)
+	d.put(LeafKey("stays"), leafOf("stays", leafset.Ready, 1))
+	d.put(LeafKey("drains"), leafOf("drains", leafset.Ready, 1))
+	d.put(LeafKey("goes"), leafOf("goes", leafset.Ready, 1))
+	d.save()
+	node := follower(d)
+	node.Apply(d.put(LeafKey("drains"), leafOf("drains", leafset.Draining, 2)))
+	node.Apply(d.put(LeafKey("goes"), nil))
+	node.Apply(d.put(LeafKey("comes"), leafOf("comes", leafset.Ready, 1)))
+	began := time.Now()
+	d.restore()
+	is.True(node.Replace(d.state()))
+	leafs := node.View().Leafs
+	drains, _ := leafs.ByID("drains")
+	is.Equal(drains.State, leafset.Draining)
+	_, isListed := leafs.ByID("goes")
+	is.True(!isListed)
+	_, isListed = leafs.ByID("comes")
+	is.True(!isListed)
+	_, isLast := leafs.LostByID("comes", began)
+	is.True(isLast)
+	is.Equal(len(leafs.Ready("s")), 1)
+
+	node.Apply(d.put(LeafKey("comes"), leafOf("comes", leafset.Ready, 2)))
+	node.Apply(d.put(LeafKey("drains"), leafOf("drains", leafset.Ready, 1))) // it says itself that this is older
+	drains, _ = node.View().Leafs.ByID("drains")
+	is.Equal(drains.State, leafset.Draining)
+	node.Apply(d.put(LeafKey("drains"), nil))
+	is.Equal(len(node.View().Leafs.Ready("s")), 2)
+}
+
+// A leaf that was cold when it registered is not cold anew because the store was restored.
+func TestLeafsStayWarmThroughARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDrilled(t)
+		cold := leafOf("a", leafset.Ready, 1)
+		cold.WarmupMillis = 3000
+		d.put(LeafKey("a"), cold)
+		d.save()
+		node := follower(d)
+		time.Sleep(time.Minute)
+		d.restore()
+		is.True(node.Replace(d.state()))
+		leaf, _ := node.View().Leafs.ByID("a")
+		is.True(leaf.ColdUntil.Before(time.Now()))
+		node.Apply(d.put(LeafKey("a"), cold)) // this it says anew
+		leaf, _ = node.View().Leafs.ByID("a")
+		is.True(leaf.ColdUntil.After(time.Now()))
+	})
+}
+
+// What operators and the fleet wrote since the backup stays in force until it is written again, or for as long as that may
+// take; what was there before and is gone was removed.
+func TestOtherEntriesThroughARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDrilled(t)
+		d.put(EvacuationKey("long"), struct{}{})
+		node := follower(d)
+		time.Sleep(2 * KeepFor)
+		node.Apply(d.put(EvacuationKey("back"), struct{}{}))
+		d.save()
+		node.Apply(d.put(EvacuationKey("new"), struct{}{}))
+		node.Apply(d.put(EvacuationKey("again"), struct{}{}))
+		node.Apply(d.put(EvacuationKey("back"), nil))
+		d.restore()
+		d.put(EvacuationKey("long"), nil) // before the node looks
+		is.True(node.Replace(d.state()))
+		is.Equal(node.View().Leafs.EvacuatedZones(), []string{"again", "back", "new"})
+		node.Apply(d.put(EvacuationKey("again"), struct{}{}))
+		is.Equal(len(node.Kept()), 1)
+		time.Sleep(KeepFor - time.Second)
+		node.LetGo()
+		is.Equal(node.View().Leafs.EvacuatedZones(), []string{"again", "back", "new"})
+		time.Sleep(time.Second)
+		node.LetGo()
+		is.Equal(node.View().Leafs.EvacuatedZones(), []string{"again", "back"})
+		is.Equal(len(node.Kept()), 0)
+	})
+}
+
+// A verdict on a version outlives the restore, also where its order was lost with it and is written again.
+func TestVerdictsThroughARestore(t *testing.T) {
+	for _, isOrderLost := range []bool{false, true} {
+		t.Run(fmt.Sprint("order lost: ", isOrderLost), func(t *testing.T) {
+			is := is.New(t)
+			d := newDrilled(t)
+			order := rollout.Order{Service: "s", Target: "v2", DurationMillis: 60000}
+			if isOrderLost {
+				d.save()
+			}
+			node := follower(d)
+			node.Apply(d.put(RolloutKey("s"), order))
+			if !isOrderLost {
+				d.save()
+			}
+			written := node.View().Rollouts["s"].Order
+			state := rollout.State{Service: "s", OrderRevision: revision.Count(written.Revision), Phase: rollout.RolledBack, Serving: "v1", Target: "v2"}
+			node.Apply(d.put(RolloutStateKey("s"), state))
+			is.Equal(node.View().Leafs.Rule("s").Trial, "")
+			d.restore()
+			d.put(EvacuationKey("other"), struct{}{}) // takes the count of the order, or of its state
+			is.True(node.Replace(d.state()))
+			is.Equal(node.View().Leafs.Rule("s").Trial, "")
+			if isOrderLost {
+				node.Apply(d.put(RolloutKey("s"), order))
+				is.Equal(node.View().Rollouts["s"].Order.ID(), written.ID())
+			}
+			is.Equal(node.View().Leafs.Rule("s").Trial, "")
+			is.Equal(node.View().Leafs.Rule("s").Serving, "v1")
+
+			// What is written again can be told by a node that never saw it.
+			renewed, isDue := node.Renewed(node.Kept()[0].Entry)
+			is.True(isDue)
+			node.Apply(d.putValue(RolloutStateKey("s"), renewed, false))
+			is.Equal(len(node.Kept()), 0)
+			fresh := follower(d)
+			is.Equal(fresh.View().Leafs.Rule("s").Trial, "")
+
+			order.Target = "v3"
+			node.Apply(d.put(RolloutStateKey("s"), nil))
+			node.Apply(d.put(RolloutKey("s"), order))
+			is.Equal(node.View().Leafs.Rule("s").Trial, "v3")
+		})
+	}
+}
+
+// A node that started after the restore learns from another what the store lacks, and lets it go no later than in a minute.
+func TestFreshNodeLearnsWhatIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDrilled(t)
+		d.put(RoutesKey, routesOf(1))
+		d.save()
+		node := follower(d)
+		node.Apply(d.put(RoutesKey, routesOf(2)))
+		node.Apply(d.put(EvacuationKey("z"), struct{}{}))
+		d.restore()
+		is.True(node.Replace(d.state()))
+		fresh := follower(d)
+		is.Equal(fresh.View().Routes.Version, int64(1))
+		is.True(fresh.KeptSum() != node.KeptSum())
+		var kept []Entry
+		for _, one := range node.Kept() {
+			kept = append(kept, one.Entry)
+		}
+		fresh.Keep(kept)
+		is.Equal(fresh.View().Routes.Version, int64(2))
+		is.Equal(fresh.View().Leafs.EvacuatedZones(), []string{"z"})
+		is.Equal(fresh.KeptSum(), node.KeptSum())
+
+		another := New(nil)
+		is.True(another.Replace(node.Snapshot())) // as a peer gives it
+		is.Equal(another.KeptSum(), node.KeptSum())
+		is.Equal(another.View().Routes.Version, int64(2))
+
+		time.Sleep(KeepFor)
+		node.LetGo()
+		node.Keep(kept)
+		is.Equal(len(node.View().Leafs.EvacuatedZones()), 0)
+		is.Equal(node.View().Routes.Version, int64(2)) // routes stay
+	})
+}
+
+// Epochs may follow on each other, also two at once, while what was lost first is not written again yet.
+func TestRestoresInARow(t *testing.T) {
+	is := is.New(t)
+	d := newDrilled(t)
+	d.put(RoutesKey, routesOf(1))
+	d.save()
+	node := follower(d)
+	node.Apply(d.put(RoutesKey, routesOf(2)))
+	d.restore()
+	is.True(node.Replace(d.state()))
+	d.restore()
+	d.restore()
+	is.True(node.Replace(d.state()))
+	is.Equal(revision.Epoch(node.Revision()), int64(3))
+	is.Equal(node.View().Routes.Version, int64(2))
+	node.Apply(d.put(RoutesKey, routesOf(2)))
+	is.Equal(len(node.Kept()), 0)
+}
+
+// A node that starts may read a state that the store told of late, with a revision that is none of the epoch.
+func TestStaleStateOfAnEpochBefore(t *testing.T) {
+	is := is.New(t)
+	d := newDrilled(t)
+	d.put(RoutesKey, routesOf(1))
+	d.save()
+	for version := range int64(5) {
+		d.put(RoutesKey, routesOf(2+version))
+	}
+	late := d.state()
+	d.restore()
+	late.Revision, late.IsStale = revision.At(d.epoch, revision.Count(late.Revision)), true
+	node := New(nil)
+	is.True(node.Replace(late))
+	is.True(node.Replace(d.state()))
+	is.Equal(node.Revision(), revision.At(1, 1))
+	is.Equal(node.View().Routes.Version, int64(1))
+	is.True(!node.Replace(d.state()))
+}
+
+// However the store is restored, whatever nodes see of it and give each other, in whatever order: the version of the routes
+// never falls, and once operators have written again what was lost, all nodes have what the store has.
+func TestNodesFollowAStoreThatIsRestored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDrilled(t)
+		d.put(RoutesKey, routesOf(1))
+		d.save()
+		nodes := []*Catalog{follower(d), follower(d), follower(d)}
+		highest := make([]int64, len(nodes))
+		operators := map[string]any{RoutesKey: routesOf(1)}
+		version := int64(1)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			node := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+			switch rapid.SampledFrom([]string{"routes", "evacuate", "end", "leaf", "save", "restore", "again", "read", "watch", "late", "pull", "kept"}).Draw(t, "step") {
+			case "routes":
+				version++
+				operators[RoutesKey] = routesOf(version)
+				d.put(RoutesKey, routesOf(version))
+			case "evacuate":
+				operators[EvacuationKey("z")] = struct{}{}
+				d.put(EvacuationKey("z"), struct{}{})
+			case "end":
+				delete(operators, EvacuationKey("z"))
+				d.put(EvacuationKey("z"), nil)
+			case "leaf":
+				d.put(LeafKey("l"), leafOf("l", leafset.Ready, 0))
+			case "save":
+				d.save()
+			case "restore":
+				d.restore()
+			case "again":
+				writeAgain(d, operators)
+			case "read":
+				node.Replace(d.state())
+			case "watch":
+				node.ApplyAll(d.log)
+			case "late":
+				from := rapid.IntRange(0, len(d.log)).Draw(t, "from")
+				node.ApplyAll(d.log[from:])
+			case "pull":
+				pull(node, nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")])
+			case "kept":
+				exchangeKept(node, nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "peer")])
+			}
+			for index, one := range nodes {
+				if now := one.View().Routes.Version; now < highest[index] {
+					t.Fatal("routes fell from ", highest[index], " to ", now)
+				}
+				highest[index] = one.View().Routes.Version
+			}
+		}
+		for _, node := range nodes {
+			node.Replace(d.state())
+		}
+		from := len(d.log)
+		writeAgain(d, operators)
+		for _, node := range nodes {
+			if !node.ApplyAll(d.log[from:]) {
+				node.Replace(d.state())
+			}
+			if node.View().Routes.Version != version {
+				t.Fatal("routes ", node.View().Routes.Version, " in force, ", version, " accepted")
+			}
+			_, wanted := operators[EvacuationKey("z")]
+			if node.View().Leafs.IsEvacuated("z") != wanted {
+				t.Fatal("evacuated: ", !wanted, ", accepted: ", wanted)
+			}
+		}
+	})
+}
+
+// writeAgain has operators write again what they wrote, and take back what they took back.
+func writeAgain(d *drilled, operators map[string]any) {
+	for _, key := range slices.Sorted(maps.Keys(operators)) {
+		d.put(key, operators[key])
+	}
+	if _, wanted := operators[EvacuationKey("z")]; !wanted {
+		d.put(EvacuationKey("z"), nil)
+	}
+}
+
+// pull brings a node up to another as peers do.
+func pull(node, peer *Catalog) {
+	changes, kept := peer.Since(node.Revision())
+	if !kept {
+		node.Replace(peer.Snapshot())
+		return
+	}
+	node.ApplyAll(changes)
+}
+
+// exchangeKept gives a node what another keeps, as peers at the same revision do.
+func exchangeKept(node, peer *Catalog) {
+	if node.Revision() != peer.Revision() {
+		return
+	}
+	var kept []Entry
+	for _, one := range peer.Kept() {
+		if !one.IsLost {
+			kept = append(kept, one.Entry)
+		}
+	}
+	node.Keep(kept)
+}
--- a/internal/catalog/rollout.go
+++ b/internal/catalog/rollout.go
@@ -4,6 +4,9 @@
 	"maps"
 	"strings"
 
+	json "github.com/goccy/go-json"
+
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/rollout"
 )
 
@@ -20,6 +23,35 @@
 	return key == VersionsKey || strings.HasPrefix(key, rolloutPrefix) || strings.HasPrefix(key, rolloutStatePrefix)
 }
 
+// Renewed gives the value by which an entry of an earlier epoch is written again; not due yet where it depends on another that
+// is not written again. The state of a roll-out names its order, which a restored store may have at another count.
+func (c *Catalog) Renewed(entry Entry) (value json.RawMessage, isDue bool) {
+	service, isState := strings.CutPrefix(entry.Key, rolloutStatePrefix)
+	if !isState || entry.Deleted {
+		return entry.Value, true
+	}
+	view := c.View()
+	known := view.Rollouts[service]
+	if known.Order == nil || known.State == nil || !known.State.Answers(known.Order) {
+		return entry.Value, true
+	}
+	if revision.IsLater(view.Revision, known.Order.Revision) {
+		return nil, false
+	}
+	state := *known.State
+	state.OrderRevision = revision.Count(known.Order.Revision)
+	document, err := json.Marshal(state)
+	if err != nil {
+		return nil, false
+	}
+	envelope, err := OpenEnvelope(entry.Value)
+	if err != nil {
+		return nil, false
+	}
+	value, err = NewDocument(envelope.ChangeID, document, nil)
+	return value, err == nil
+}
+
 // compileVersions takes the versions that services are served by.
 func (d *draft) compileVersions(entry Entry) error {
 	versions := map[string]string{}
@@ -54,9 +86,12 @@
 	if err != nil {
 		return err
 	}
-	if known.Order, err = rollout.ParseOrder(document, entry.Revision); err != nil {
+	order, err := rollout.ParseOrder(document, entry.Revision)
+	if err != nil {
 		return err
 	}
+	order.Follow(d.rolloutBefore(service).Order)
+	known.Order = order
 	d.setRollout(service, known)
 	return nil
 }
@@ -79,6 +114,14 @@
 	return nil
 }
 
+// rolloutBefore gives what was known of a service's roll-out before the draft: of a whole state, what it takes the place of.
+func (d *draft) rolloutBefore(service string) Rollout {
+	if known, found := d.view.Rollouts[service]; found {
+		return known
+	}
+	return d.rolloutsBefore[service]
+}
+
 // editableRollout gives a copy of what is known of a service's roll-out.
 func (d *draft) editableRollout(service string) Rollout {
 	if !d.ownsRollouts {
--- a/internal/configsync/fleet_test.go
+++ b/internal/configsync/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/portgauge/portgauge/internal/machines"
 	"github.com/portgauge/portgauge/internal/membership"
 	"github.com/portgauge/portgauge/internal/peer"
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/store"
 )
 
@@ -43,6 +45,9 @@
 	forgotten int64
 	// cutOff holds the nodes that don't reach the platform.
 	cutOff map[string]bool
+	// epoch counts the restores, which the store tells of unless it is mute.
+	epoch  int64
+	isMute bool
 	// forgetful says that watches tell where the store is, and not of changes.
 	forgetful bool
 }
@@ -80,11 +85,27 @@
 func (p *memoryPlatform) put(key string, value []byte) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	revision := int64(len(p.log) + 1)
-	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: key, Value: value, Revision: revision}, Previous: revision - 1})
+	at := revision.At(p.epoch, int64(len(p.log)+1))
+	p.log = append(p.log, catalog.Change{Entry: catalog.Entry{Key: key, Value: value, Revision: at}, Previous: at - 1})
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return at
+}
+
+// restore brings the store back as it was after so many changes.
+func (p *memoryPlatform) restore(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isMute {
+		p.epoch++
+	}
+	p.log = slices.Clone(p.log[:count])
+	for index := range p.log {
+		p.log[index].Entry.Revision = revision.At(p.epoch, int64(index+1))
+		p.log[index].Previous = revision.At(p.epoch, int64(index))
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
-	return revision
 }
 
 func (p platformView) List(_ context.Context, consistency store.Consistency) (catalog.Snapshot, error) {
@@ -104,7 +125,7 @@
 	for _, change := range known {
 		entries[change.Entry.Key] = change.Entry
 	}
-	snapshot := catalog.Snapshot{Revision: int64(len(known))}
+	snapshot := catalog.Snapshot{Revision: revision.At(p.epoch, int64(len(known))), IsStale: consistency == store.Stale}
 	for _, entry := range entries {
 		snapshot.Entries = append(snapshot.Entries, entry)
 	}
@@ -123,8 +144,12 @@
 	}
 	for isFirst := true; ; isFirst = false {
 		p.mu.Lock()
-		missed, changed, down := p.log[after:], p.changed, p.cutOff[p.node]
-		newest, forgetful := int64(len(p.log)), p.forgetful
+		if revision.Epoch(after) != p.epoch || revision.Count(after) > int64(len(p.log)) {
+			p.mu.Unlock()
+			return store.ErrHistoryGone
+		}
+		missed, changed, down := p.log[revision.Count(after):], p.changed, p.cutOff[p.node]
+		newest, forgetful := revision.At(p.epoch, int64(len(p.log))), p.forgetful
 		silent := p.silent[p.node]
 		p.mu.Unlock()
 		if silent {
@@ -273,10 +298,10 @@
 }
 
 // lagging gives the nodes that do not have a revision in force.
-func (f *fleet) lagging(revision int64) []string {
+func (f *fleet) lagging(wanted int64) []string {
 	var lagging []string
 	for id, node := range f.nodes {
-		if node.catalog.Revision() < revision {
+		if node.catalog.Revision() < wanted {
 			lagging = append(lagging, id)
 		}
 	}
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -149,7 +149,7 @@
 	s.relayed("pull")
 	after, asked := s.catalog.Revision(), s.catalog.Mark()
 	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), Pull: &peer.Pull{After: after}})
-	if err != nil || answer.State == nil || !answer.State.Initialised {
+	if err != nil || answer.State == nil || !answer.State.Initialised || s.isForeign(answer.Digest) {
 		return false, nil
 	}
 	if len(answer.State.Elsewhere) > 0 {
@@ -176,8 +176,10 @@
 		if err != nil {
 			return err
 		}
+		before := s.catalog.Revision()
 		if s.catalog.Replace(snapshot) {
 			s.wholeStates.keep(snapshot.Revision, state.Snapshot)
+			s.cameToEpoch(before)
 		}
 	}
 	s.early.apply(s.catalog, state.Changes)
@@ -187,6 +189,9 @@
 // HandlePull gives a peer what it lacks.
 func (s *Syncer) HandlePull(from string, pull peer.Pull) peer.State {
 	state := peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
+	if pull.Kept {
+		state.Kept = s.keptEntries()
+	}
 	changes, kept := s.catalog.Since(pull.After)
 	if kept || !state.Initialised {
 		state.Changes = changes
--- a/internal/configsync/push.go
+++ b/internal/configsync/push.go
@@ -124,12 +124,29 @@
 	if err != nil {
 		s.logger.Warn("push can't be read", zap.String("peer", from), zap.Error(err))
 	}
-	gap := err != nil || !s.early.apply(s.catalog, changes)
 	s.takeNotices(push.Notices)
+	if err == nil && s.leadsToEpoch(changes) {
+		go s.followToEpoch(from, push)
+		return peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
+	}
+	gap := err != nil || !s.early.apply(s.catalog, changes)
 	s.notePushed(changes)
 	if gap {
 		go s.pullFrom(context.Background(), from)
 	}
+	s.handOn(push)
+	return peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
+}
+
+// followToEpoch takes the whole state of a new epoch from the node that pushed word of it, and hands that on then: so each
+// node takes it from the one before it in the tree, which has it by then.
+func (s *Syncer) followToEpoch(from string, push peer.Push) {
+	s.pullFrom(context.Background(), from)
+	s.handOn(push)
+}
+
+// handOn hands a push on to whom it names.
+func (s *Syncer) handOn(push peer.Push) {
 	switch {
 	case push.WholeZone:
 		push.WholeZone = false
@@ -137,7 +154,6 @@
 	case len(push.Subtree) > 0:
 		s.relay(context.Background(), push)
 	}
-	return peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
 }
 
 func (s *Syncer) notePushed(changes []catalog.Change) {
--- a/internal/configsync/standby.go
+++ b/internal/configsync/standby.go
@@ -79,7 +79,7 @@
 	before := s.catalog.Revision()
 	err := s.catchUp(ctx)
 	if errors.Is(err, store.ErrHistoryGone) {
-		err = s.readStore(ctx)
+		err = s.readAnew(ctx)
 	}
 	s.offerUnpushed(before)
 	return err
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -75,6 +75,8 @@
 	isStandby   bool        // whether the node stands by and looked at the store since it does; of the watch loop
 	hasWoken    atomic.Bool // whether the machine was suspended since the watch was opened
 	checking    atomic.Bool // whether a push is being checked
+	comparing   atomic.Bool // whether what is kept is compared with a peer
+	looking     atomic.Bool // whether the store is looked at for a peer that does not count epochs
 	pulling     atomic.Bool
 	pullPending atomic.Bool
 	pushedAt    atomic.Int64 // when the last push arrived, in unix nanoseconds
@@ -166,17 +168,24 @@
 
 // Digest implements membership.Listener.
 func (s *Syncer) Digest() peer.Digest {
-	return peer.Digest{Revision: s.catalog.Revision(), AgeMillis: s.catalog.Age().Milliseconds()}
+	return peer.Digest{
+		Revision: s.catalog.Revision(), AgeMillis: s.catalog.Age().Milliseconds(), Kept: s.catalog.KeptSum(), CountsEpochs: true,
+	}
 }
 
-// Heard implements membership.Listener: it pulls from a peer that is ahead.
+// Heard implements membership.Listener: it pulls from a peer that is ahead, or keeps something else.
 func (s *Syncer) Heard(from string, digest peer.Digest, notices []peer.LeafNotice) {
 	s.takeNotices(notices)
-	revision := s.catalog.Revision()
-	if digest.Revision == revision && s.initialised.Load() {
+	known := s.catalog.Revision()
+	if s.isForeign(digest) {
+		s.lookForUnaware(digest)
+		return
+	}
+	if digest.Revision == known && s.initialised.Load() {
 		s.catalog.Confirm(s.catalog.Now().Add(-s.waited() - time.Duration(digest.AgeMillis)*time.Millisecond))
+		s.compareKept(from, digest)
 	}
-	if digest.Revision > revision {
+	if digest.Revision > known {
 		s.pullLater(from, digest.Revision)
 	}
 }
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -78,6 +78,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, store.ErrHistoryGone) {
+			err = s.readAnew(ctx)
+		}
 		if err == nil {
 			retryAfter = s.config.RetryPause
 			continue
@@ -85,12 +88,9 @@
 		if errors.Is(err, errWatchAnew) {
 			continue
 		}
-		if errors.Is(err, store.ErrHistoryGone) {
-			if err = s.readStore(ctx); err == nil {
-				continue
-			}
+		if !errors.Is(err, errNothingNewer) {
+			s.storeLost(err)
 		}
-		s.storeLost(err)
 		if time.Since(opened) > s.config.WatchSilence {
 			retryAfter = s.config.RetryPause
 		}
@@ -101,6 +101,22 @@
 	}
 }
 
+// errNothingNewer ends a try to catch up with the store whose whole state is not newer than what is in force.
+var errNothingNewer = merry.New("the store's whole state is not newer than the one in force")
+
+// readAnew takes the whole state of a store that no longer tells of changes. Where that moves nothing on, as with a store
+// that went back without saying so, the next try has to wait: without a pause one node made 60 such reads a second.
+func (s *Syncer) readAnew(ctx context.Context) error {
+	before := s.catalog.Revision()
+	if err := s.readStore(ctx); err != nil {
+		return err
+	}
+	if s.catalog.Revision() == before {
+		return errNothingNewer
+	}
+	return nil
+}
+
 // follow follows the store as a watcher of a rank does, for some time.
 func (s *Syncer) follow(ctx context.Context, rank int) error {
 	if rank > 0 {
@@ -157,18 +173,25 @@
 func (s *Syncer) readStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.config.WatchSilence)
 	defer cancel()
-	asked := s.catalog.Mark()
+	asked, before := s.catalog.Mark(), s.catalog.Revision()
 	snapshot, err := s.store.List(ctx, store.Linearizable)
 	if err != nil {
 		return err
 	}
-	before := s.catalog.Revision()
-	if !s.catalog.Replace(snapshot) && snapshot.Revision < before {
+	isTaken := s.catalog.Replace(snapshot)
+	switch {
+	case isTaken || snapshot.Revision >= before:
+		s.catalog.ConfirmSince(asked, 0)
+	default:
+		// The store does not have what is in force here: that is not shown to be the newest.
 		s.stateDropped(snapshot.Revision, before)
 	}
-	s.catalog.ConfirmSince(asked, 0)
 	s.markInitialised()
 	s.storeRegained()
+	if s.cameToEpoch(before) {
+		s.enqueue(epochChange(before, s.catalog.Revision()))
+		return nil
+	}
 	s.enqueueSince(before)
 	return nil
 }
--- a/internal/leafmemory/writer.go
+++ b/internal/leafmemory/writer.go
@@ -81,7 +81,7 @@
 	w.isWritten = slices.Equal(w.wanted, records(view.Remembered))
 }
 
-// records gives the ready leafs in order of id, without what changes as they warm up.
+// records gives the ready leafs in order of id, without what changes from one of their writes to the next.
 func records(set *leafset.Set) []leafset.Record {
 	var ready []leafset.Record
 	for _, id := range set.IDs() {
@@ -90,7 +90,7 @@
 			continue
 		}
 		record := leaf.Record
-		record.WarmupMillis = 0
+		record.WarmupMillis, record.Sequence = 0, 0
 		ready = append(ready, record)
 	}
 	slices.SortFunc(ready, func(a, b leafset.Record) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -1,9 +1,11 @@
 // Package leafset holds which leafs there are, as the platform's discovery tells it.
 //
-// A leaf is one incarnation of a back end: a new start has a new id, even at an old address.
+// A leaf is one incarnation of a back end. A new start mostly has a new id, even at an old address; one that keeps its id
+// begins another life of the leaf, which knows nothing of the one before.
 package leafset
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +13,7 @@
 	json "github.com/goccy/go-json"
 
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/rollout"
 )
 
@@ -38,6 +41,25 @@
 	State State `json:"state"`
 	// WarmupMillis is how much longer the leaf was slow when the record was written.
 	WarmupMillis int64 `json:"warmup_millis,omitempty"`
+	// Born is when the leaf's process started, in Unix milliseconds by its time of day: it orders the lives of leafs that
+	// keep their id. 0 where it is not told.
+	Born int64 `json:"born,omitempty"`
+	// Sequence orders the records of one life; 0 where it is not told.
+	Sequence int64 `json:"sequence,omitempty"`
+}
+
+// IsOfEarlierLife reports whether a record was written by a process that another one of the same id came after.
+func (r Record) IsOfEarlierLife(other Record) bool { return r.Born > 0 && r.Born < other.Born }
+
+// IsSameLife reports whether two records of an id were written by the same process, as far as they tell.
+func (r Record) IsSameLife(other Record) bool { return r.Born == other.Born }
+
+// Compare orders two records of an id by what they say themselves; it is not told where they don't.
+func Compare(a, b Record) (order int, isTold bool) {
+	if a.IsSameLife(b) {
+		return cmp.Compare(a.Sequence, b.Sequence), a.Sequence != b.Sequence
+	}
+	return cmp.Compare(a.Born, b.Born), a.Born > 0 && b.Born > 0
 }
 
 // Leaf is a record with when and how this node learned of it; immutable.
@@ -51,28 +73,38 @@
 }
 
 // NewLeaf makes a leaf from a record that this node learned of at a time.
-func NewLeaf(record Record, revision int64, learned time.Time) *Leaf {
-	leaf := &Leaf{Record: record, Revision: revision}
+func NewLeaf(record Record, at int64, learned time.Time) *Leaf {
+	leaf := &Leaf{Record: record, Revision: at}
 	if record.WarmupMillis > 0 {
 		leaf.ColdUntil = learned.Add(time.Duration(record.WarmupMillis) * time.Millisecond)
 	}
 	return leaf
 }
 
+// Learn makes a leaf from a record that takes the place of what is known of its id, nil where nothing is. What is read once
+// more after a restore of the store, the same write of another epoch, tells nothing new of how cold the leaf is.
+func Learn(known *Leaf, record Record, at int64, learned time.Time) *Leaf {
+	leaf := NewLeaf(record, at, learned)
+	if known != nil && known.Record == record && revision.Count(known.Revision) == revision.Count(at) {
+		leaf.ColdUntil = known.ColdUntil
+	}
+	return leaf
+}
+
 // List is many records, as they are written down together.
 type List struct {
 	Leafs []Record `json:"leafs"`
 }
 
 // ParseList reads a list in JSON into a set of the given revision.
-func ParseList(content []byte, revision int64) (*Set, error) {
+func ParseList(content []byte, at int64) (*Set, error) {
 	var list List
 	if err := json.Unmarshal(content, &list); err != nil {
 		return nil, failure.Invalid("leafs", "not a list of leafs: %v", err)
 	}
 	editor := Empty().Edit()
 	for _, record := range list.Leafs {
-		editor.Put(&Leaf{Record: record, Revision: revision})
+		editor.Put(&Leaf{Record: record, Revision: at})
 	}
 	return editor.Done(), nil
 }
--- a/internal/node/rollout_journal.go
+++ b/internal/node/rollout_journal.go
@@ -81,7 +81,7 @@
 // OrderSeen implements rolloutcontrol.Journal.
 func (j rolloutJournal) OrderSeen(record rolloutcontrol.OrderRecord) {
 	j.log.Write(decisionlog.Failed, orderEvent{
-		Time: time.Now(), Event: eventOrderSeen, Service: record.Order.Service, Order: record.Order.Revision,
+		Time: time.Now(), Event: eventOrderSeen, Service: record.Order.Service, Order: record.Order.ID(),
 		Target: record.Order.Target, DurationMillis: record.Order.DurationMillis, Rank: record.Rank,
 	})
 }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -12,6 +12,7 @@
 	json "github.com/goccy/go-json"
 
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/revision"
 )
 
 // Order asks that the requests of a service move to the leafs of a version.
@@ -23,6 +24,17 @@
 	DurationMillis int64 `json:"duration_millis"`
 	// Revision is the store's revision that wrote the order.
 	Revision int64 `json:"-"`
+	// id is that of the order that this one is written again of; 0 where it is none.
+	id int64
+}
+
+// ID names the order among those of its service: the store's count that wrote it first, which stays the same when the store
+// is restored, and when operators write it again after that as it was.
+func (o *Order) ID() int64 {
+	if o.id != 0 {
+		return o.id
+	}
+	return revision.Count(o.Revision)
 }
 
 // Duration is how long the roll-out may take.
@@ -42,14 +54,25 @@
 }
 
 // ParseOrder reads and checks an order in JSON that a revision wrote.
-func ParseOrder(content []byte, revision int64) (*Order, error) {
-	order := &Order{Revision: revision}
+func ParseOrder(content []byte, at int64) (*Order, error) {
+	order := &Order{Revision: at}
 	if err := json.Unmarshal(content, order); err != nil {
 		return nil, failure.Invalid("rollout", "not a roll-out order: %v", err)
 	}
 	return order, order.Validate()
 }
 
+// Follow takes the id of an order that was in force before, if this one is the same: as it was, and written again after a
+// restore of the store.
+func (o *Order) Follow(before *Order) {
+	if before == nil || !revision.IsLater(o.Revision, before.Revision) {
+		return
+	}
+	if o.Target == before.Target && o.DurationMillis == before.DurationMillis {
+		o.id = before.ID()
+	}
+}
+
 // Phase is how far a roll-out is.
 type Phase string
 
@@ -72,7 +95,7 @@
 // that the order is still the one that it answers.
 type State struct {
 	Service string `json:"service"`
-	// OrderRevision is the revision of the order that the state answers.
+	// OrderRevision is the store's count that wrote the order which the state answers.
 	OrderRevision int64 `json:"order_revision"`
 	Phase         Phase `json:"phase"`
 	// Serving is the version that served before the order, and serves on unless it succeeds.
@@ -89,8 +112,8 @@
 }
 
 // ParseState reads and checks a state in JSON that a revision wrote.
-func ParseState(content []byte, revision int64) (*State, error) {
-	state := &State{Revision: revision}
+func ParseState(content []byte, at int64) (*State, error) {
+	state := &State{Revision: at}
 	if err := json.Unmarshal(content, state); err != nil {
 		return nil, failure.Invalid("rollout_state", "not the state of a roll-out: %v", err)
 	}
@@ -100,6 +123,16 @@
 	return state, checks.Err()
 }
 
+// Answers reports whether the state is of an order. One of before a restore of the store is of the order that operators
+// wrote again after it, for the same version.
+func (s *State) Answers(order *Order) bool {
+	if order == nil || s.Target != order.Target {
+		return false
+	}
+	count := revision.Count(s.OrderRevision)
+	return count == order.ID() || count == revision.Count(order.Revision) || revision.IsLater(order.Revision, s.Revision)
+}
+
 // Served gives the version that serves once the state is final, or until then.
 func (s *State) Served() string {
 	if s.Phase == Succeeded {
@@ -143,7 +176,7 @@
 	Trial string
 	// Phase is Canary or Switching while there is a Trial, else empty.
 	Phase Phase
-	// Order is the revision of the order under way, 0 where there is none.
+	// Order is the id of the order under way, 0 where there is none.
 	Order int64
 	// Revision is that of the state that the rule follows from, 0 where there is none yet.
 	Revision int64
@@ -165,11 +198,11 @@
 	if order == nil || order.Target == rule.Serving {
 		return rule
 	}
-	answered := state != nil && state.OrderRevision == order.Revision
+	answered := state != nil && state.Answers(order)
 	if answered && state.Phase.IsFinal() {
 		return rule
 	}
-	rule.Trial, rule.Order, rule.Phase = order.Target, order.Revision, Canary
+	rule.Trial, rule.Order, rule.Phase = order.Target, order.ID(), Canary
 	if answered {
 		rule.Phase = state.Phase
 	}
--- a/internal/rolloutcontrol/controller.go
+++ b/internal/rolloutcontrol/controller.go
@@ -16,6 +16,7 @@
 
 	"github.com/portgauge/portgauge/internal/boottime"
 	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/revision"
 )
 
 // Splitter is what draws the requests for versions on trial at this node.
@@ -196,7 +197,7 @@
 	}
 	for service, followed := range c.trials {
 		known := view.Rollouts[service]
-		if isUnderWay(known) && known.Order.Revision == followed.order.Revision {
+		if isUnderWay(known) && known.Order.ID() == followed.order.ID() {
 			continue
 		}
 		if isAnswered(known) && (followed.state == nil || followed.state.Revision != known.State.Revision) {
@@ -214,14 +215,15 @@
 // learnOrder takes an order that is under way.
 func (c *Controller) learnOrder(now time.Time, view *catalog.View, service string, known catalog.Rollout) {
 	followed := c.trials[service]
-	if followed == nil || followed.order.Revision != known.Order.Revision {
+	if followed == nil || followed.order.ID() != known.Order.ID() {
 		followed = &trial{order: *known.Order, learned: now, hadAtStart: !c.hasStarted}
 		c.trials[service] = followed
-		if c.holds.has(orderKey{service, known.Order.Revision}) {
-			c.parts.Splitter.Hold(service, known.Order.Revision) // word of it came before the order
+		if c.holds.has(orderKey{service, known.Order.ID()}) {
+			c.parts.Splitter.Hold(service, known.Order.ID()) // word of it came before the order
 		}
 		c.parts.Journal.OrderSeen(OrderRecord{Order: *known.Order, Rank: c.rank(view, service)})
 	}
+	followed.order = *known.Order // a restored store has it at another revision
 	before := followed.state
 	followed.learn(now, view)
 	if state := followed.state; state != nil && (before == nil || before.Revision != state.Revision) {
@@ -231,7 +233,7 @@
 
 // isAnswered reports whether the state is of the order.
 func isAnswered(known catalog.Rollout) bool {
-	return known.Order != nil && known.State != nil && known.State.OrderRevision == known.Order.Revision
+	return known.State != nil && known.State.Answers(known.Order)
 }
 
 // isUnderWay reports whether there is an order without a final state.
@@ -241,11 +243,11 @@
 
 // isWanted reports whether counts and holds of an order still matter: it is under way, or not learned of yet.
 func (c *Controller) isWanted(view *catalog.View, order orderKey) bool {
-	if order.revision > view.Revision {
+	if order.id > revision.Count(view.Revision) {
 		return true
 	}
 	known := view.Rollouts[order.service]
-	return isUnderWay(known) && known.Order.Revision == order.revision
+	return isUnderWay(known) && known.Order.ID() == order.id
 }
 
 func (c *Controller) rank(view *catalog.View, service string) int {
--- a/internal/rolloutcontrol/hearing.go
+++ b/internal/rolloutcontrol/hearing.go
@@ -51,12 +51,12 @@
 	if !c.isWanted(c.parts.Catalog.View(), order) || !c.holds.put(order, "held by the word of "+from) {
 		return
 	}
-	c.parts.Splitter.Hold(order.service, order.revision)
-	c.parts.Journal.Held(HoldRecord{Service: order.service, Order: order.revision, From: from})
+	c.parts.Splitter.Hold(order.service, order.id)
+	c.parts.Journal.Held(HoldRecord{Service: order.service, Order: order.id, From: from})
 }
 
 func (c *Controller) sendHold(address string, order orderKey) {
-	c.parts.Sender.Send(address, peer.Message{RolloutHold: &peer.RolloutHold{Service: order.service, Order: order.revision}})
+	c.parts.Sender.Send(address, peer.Message{RolloutHold: &peer.RolloutHold{Service: order.service, Order: order.id}})
 }
 
 // warnJudges tells the other judges of a hold, also those that told of no counts, until its state is written: any of
@@ -78,7 +78,7 @@
 	if !c.holds.put(order, reason) {
 		return
 	}
-	c.parts.Splitter.Hold(order.service, order.revision)
+	c.parts.Splitter.Hold(order.service, order.id)
 	nodes := 0
 	for _, address := range c.tallies.addresses(order) {
 		if address != c.parts.Self.Address {
@@ -86,5 +86,5 @@
 			nodes++
 		}
 	}
-	c.parts.Journal.Held(HoldRecord{Service: order.service, Order: order.revision, Reason: reason, Nodes: nodes})
+	c.parts.Journal.Held(HoldRecord{Service: order.service, Order: order.id, Reason: reason, Nodes: nodes})
 }
--- a/internal/rolloutcontrol/judge.go
+++ b/internal/rolloutcontrol/judge.go
@@ -29,7 +29,7 @@
 
 // judge looks at the counts of an order and writes what follows.
 func (c *Controller) judge(ctx context.Context, now time.Time, view *catalog.View, t *trial, rank int) time.Duration {
-	order := orderKey{t.order.Service, t.order.Revision}
+	order := orderKey{t.order.Service, t.order.ID()}
 	rows, newest := c.tallies.sum(order)
 	if reason, isHeld := c.holds.reason(order); isHeld {
 		t.judgement = verdict.Judgement{Finding: verdict.Bad, Reason: reason}
--- a/internal/rolloutcontrol/tallies.go
+++ b/internal/rolloutcontrol/tallies.go
@@ -22,8 +22,8 @@
 
 // orderKey names the order of a service.
 type orderKey struct {
-	service  string
-	revision int64
+	service string
+	id      int64
 }
 
 // tally is what one process counted for one order.
--- a/internal/rolloutcontrol/trial.go
+++ b/internal/rolloutcontrol/trial.go
@@ -5,6 +5,7 @@
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/evidence"
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/rollout"
 	"github.com/portgauge/portgauge/internal/verdict"
 )
@@ -49,7 +50,7 @@
 // learn takes what is in force of the order's roll-out.
 func (t *trial) learn(now time.Time, view *catalog.View) {
 	known := view.Rollouts[t.order.Service]
-	if known.State != nil && known.State.OrderRevision == t.order.Revision {
+	if known.State != nil && known.State.Answers(&t.order) {
 		t.learnState(now, known.State)
 	} else {
 		t.state = nil
@@ -166,7 +167,7 @@
 		started = t.state.StartedUnixMillis
 	}
 	return rollout.State{
-		Service: t.order.Service, OrderRevision: t.order.Revision, Phase: phase, Serving: t.serving, Target: t.order.Target,
+		Service: t.order.Service, OrderRevision: revision.Count(t.order.Revision), Phase: phase, Serving: t.serving, Target: t.order.Target,
 		StartedUnixMillis: started, Reason: reason, DecidedBy: self,
 	}
 }
--- a/internal/routing/configuration.go
+++ b/internal/routing/configuration.go
@@ -6,6 +6,7 @@
 package routing
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -34,6 +35,11 @@
 	Limits   Limits    `json:"limits"`
 }
 
+// Compare orders two configurations by the operators' own numbers; it is not told where those are the same.
+func Compare(a, b Configuration) (order int, isTold bool) {
+	return cmp.Compare(a.Version, b.Version), a.Version != b.Version
+}
+
 // Route sends the requests of a host and path prefix to one target. Exactly one of Service,
 // Weighted and Gathered is set.
 type Route struct {
