What a restore of the store lost is written again, and leases are looked after

Cause elsewhere, of the same class: leases and ids of leases are given out again, and a renewal after ten seconds finds out late or never; findings of the quarantine, verdicts on versions and evacuations that the fleet wrote were gone with the store's memory of them. Change: a node looks each second whether the epoch changed, and renews or registers; it never ends a lease of an epoch before. One node of all writes each lost entry again (package rewriter), those that only operators and leafs write left out.

--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -94,14 +94,11 @@
 // that is known to be gone is left out.
 func (c *Catalog) newest(read Entry, position int64) (entry Entry, isUsed bool) {
 	known, isKnown := c.entries[read.Key]
-	if !isKnown {
-		if isOfProcess(read.Key) && c.restored.past.has(read) {
-			return Entry{}, false
-		}
-		c.noteKept(read, position)
-		return read, true
+	if !isKnown && isOfProcess(read.Key) && c.restored.past.has(read) {
+		return Entry{}, false
 	}
-	if c.isNewer(known, read, position) {
+	// A node's record goes with a lease, which is lost with it: what the store has of it is what there is.
+	if isKnown && !strings.HasPrefix(read.Key, nodePrefix) && c.isNewer(known, read, position) {
 		c.restored.kept[read.Key] = Kept{Entry: known}
 		return known, true
 	}
@@ -221,6 +218,13 @@
 	return err == nil && record.IsOfEarlierLife(later)
 }
 
+// Supersedes reports whether an entry that is kept is newer than what the store has of its key.
+func (c *Catalog) Supersedes(kept, stored Entry) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isNewer(kept, stored, c.view.Load().Revision)
+}
+
 // Kept gives the entries that are newer than what the store has of them.
 func (c *Catalog) Kept() []Kept {
 	c.mu.Lock()
--- a/internal/lab/kvstore/kvstore.go
+++ b/internal/lab/kvstore/kvstore.go
@@ -188,6 +188,19 @@
 	return item, found
 }
 
+// Count gives how many keys begin with a prefix.
+func (s *Store) Count(prefix string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *Store) write(item Item) {
 	item.Revision, item.Made = s.revision, s.revision
 	if known, found := s.items[item.Key]; found {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 			newClock,
 			newRegister,
 			newQuarantineSync,
+			newRewriter,
 		),
 		fx.WithLogger(func(logger *zap.Logger) fxevent.Logger {
 			events := &fxevent.ZapLogger{Logger: logger}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -35,6 +35,7 @@
 	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/registry"
 	"github.com/portgauge/portgauge/internal/retrybudget"
+	"github.com/portgauge/portgauge/internal/rewriter"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
 	"github.com/portgauge/portgauge/internal/settings"
@@ -112,6 +113,10 @@
 	return leafmemory.NewWriter(config.LeafMemory, known, kept, self.ID, logger)
 }
 
+func newRewriter(known *catalog.Catalog, kept store.Store, self catalog.NodeRecord, journal *storeJournal) *rewriter.Writer {
+	return rewriter.New(known, kept, self.ID, journal)
+}
+
 func newBalancer(config settings.Settings, beliefs *beliefJournal) *balancer.Balancer {
 	choice := balancer.New(config.Balancer, config.Node.Zone)
 	choice.OnEjected(beliefs.leafEjected)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -26,6 +26,7 @@
 	"github.com/portgauge/portgauge/internal/quarantinesync"
 	"github.com/portgauge/portgauge/internal/reachability"
 	"github.com/portgauge/portgauge/internal/registry"
+	"github.com/portgauge/portgauge/internal/rewriter"
 	"github.com/portgauge/portgauge/internal/search"
 	"github.com/portgauge/portgauge/internal/servingtree"
 	"github.com/portgauge/portgauge/internal/settings"
@@ -74,6 +75,7 @@
 	Lessor     store.Lessor `optional:"true"`
 	Logger     *zap.Logger
 	Quarantine *quarantinesync.Sync
+	Rewriter   *rewriter.Writer
 	Clock      boottime.Clock
 	Gateway    *gateway.Gateway
 	Leafs      *leafhttp.Pool
@@ -98,6 +100,7 @@
 			go parts.Beliefs.run(ctx)
 			running.Go(func() { parts.Rollouts.run(ctx) })
 			running.Go(func() { parts.Quarantine.Run(ctx) })
+			running.Go(func() { parts.Rewriter.Run(ctx) })
 			wakers := []func(time.Duration){parts.Gateway.Woke, parts.Leafs.Woke, func(time.Duration) { parts.Syncer.Woke() }}
 			if parts.Lessor != nil {
 				record := registry.New(parts.Config.Registry, parts.Lessor, parts.Self, parts.Logger)
--- a/internal/node/store_journal.go
+++ b/internal/node/store_journal.go
@@ -6,16 +6,27 @@
 	"time"
 
 	"github.com/portgauge/portgauge/internal/decisionlog"
+	"github.com/portgauge/portgauge/internal/rewriter"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/telemetry"
 )
 
-// Names of events of the store: its first answer, and that it came back from a copy.
+// Names of events of the store: its first answer, that it came back from a copy, and that it was given again what it lost
+// by that.
 const (
-	eventStoreFound    = "store_found"
-	eventStoreRestored = "store_restored"
+	eventStoreFound     = "store_found"
+	eventStoreRestored  = "store_restored"
+	eventEntryRewritten = "entry_rewritten"
 )
 
+// rewrittenEvent says that the store took an entry again, or why not.
+type rewrittenEvent struct {
+	Time  time.Time `json:"time"`
+	Event string    `json:"event"`
+	Key   string    `json:"key"`
+	Error string    `json:"error,omitempty"`
+}
+
 // storeEvent says where the store stands, and where it stood before it was restored.
 type storeEvent struct {
 	Time     time.Time `json:"time"`
@@ -42,6 +53,8 @@
 	place *storePlace // nil before the first answer
 }
 
+var _ rewriter.Journal = (*storeJournal)(nil)
+
 func newStoreJournal(metrics *telemetry.Metrics, log *decisionlog.Log) *storeJournal {
 	return &storeJournal{metrics: metrics, log: log}
 }
@@ -65,6 +78,15 @@
 	}
 }
 
+// Rewritten implements rewriter.Journal.
+func (j *storeJournal) Rewritten(key string, err error) {
+	event := rewrittenEvent{Time: time.Now(), Event: eventEntryRewritten, Key: key}
+	if err != nil {
+		event.Error = err.Error()
+	}
+	j.log.Write(decisionlog.Failed, event)
+}
+
 // tellEpoch logs an answer of another epoch than the one before. The lock must be held.
 func (j *storeJournal) tellEpoch(answer store.Answer) {
 	event := eventStoreFound
--- a/internal/registry/left.go
+++ b/internal/registry/left.go
@@ -62,6 +62,14 @@
 	return told != 0 && told != lease && told != l.seen
 }
 
+// revision gives the revision in force; 0 where there is no configuration.
+func (l *leftRecord) revision() int64 {
+	if l.known == nil {
+		return 0
+	}
+	return l.known.Revision()
+}
+
 // read gives the record in force, an empty one when there is none that can be read.
 func (l *leftRecord) read(id string) leasedRecord {
 	var record leasedRecord
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,6 +15,7 @@
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/store"
 	"github.com/portgauge/portgauge/internal/wait"
 )
@@ -55,6 +56,9 @@
 	left   leftRecord
 	// woken tells that the machine was suspended.
 	woken chan struct{}
+	// registeredAt is the revision in force when the node registered: a restore of the store since may have lost its lease, and
+	// given the lease's id to another node.
+	registeredAt int64
 }
 
 // New makes a registry for a node.
@@ -68,7 +72,11 @@
 // Run registers the node and renews its lease until the context ends; then it ends the lease.
 func (r *Registry) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		r.registeredAt = r.left.revision()
 		lease, granted, err := r.register(ctx)
+		if r.registeredAt == 0 { // there was no configuration yet
+			r.registeredAt = r.left.revision()
+		}
 		if err != nil {
 			r.logger.Warn("node can't be registered", zap.Error(err))
 			if !wait.For(ctx, r.pause()) {
@@ -128,6 +136,10 @@
 func (r *Registry) renew(ctx context.Context, lease int64, granted time.Duration) {
 	pause := granted / renewals
 	for r.rest(ctx, pause) {
+		if r.isRestored() {
+			r.logger.Info("the store was restored: looking after the node's record", zap.Int64("lease", lease))
+			return
+		}
 		if r.left.isReplaced(r.self, lease) {
 			return
 		}
@@ -143,9 +155,14 @@
 			pause = granted / renewals
 		}
 	}
-	r.end(lease)
+	if !r.isRestored() { // the id may be another node's by now
+		r.end(lease)
+	}
 }
 
+// isRestored reports whether the store was restored since the node registered.
+func (r *Registry) isRestored() bool { return revision.IsLater(r.left.revision(), r.registeredAt) }
+
 // Woke has the lease renewed at once: it went on to run out while the machine was suspended.
 func (r *Registry) Woke() {
 	select {
@@ -154,16 +171,35 @@
 	}
 }
 
-// rest waits for a time, or until the machine wakes; false when the context ended.
+// lookInterval is how often a node looks whether the store was restored. The looks of a fleet are spread over it, so that
+// 3,300 nodes renew or register within a second, of the 6,000 calls that a store of that size takes.
+const lookInterval = time.Second
+
+// rest waits for a time, or until the machine wakes or the store was restored; false when the context ended.
 func (r *Registry) rest(ctx context.Context, pause time.Duration) bool {
+	for until := time.Now().Add(pause); ctx.Err() == nil; {
+		left := time.Until(until)
+		if left <= 0 || r.isRestored() {
+			return true
+		}
+		if r.awoke(ctx, min(left, lookInterval)) {
+			return ctx.Err() == nil
+		}
+	}
+	return false
+}
+
+// awoke waits for a time, and reports whether the machine woke meanwhile.
+func (r *Registry) awoke(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-r.woken:
+		return true
 	case <-ctx.Done():
 	}
-	return ctx.Err() == nil
+	return false
 }
 
 func (r *Registry) keep(ctx context.Context, lease int64) error {
--- /dev/null
+++ b/internal/registry/restored_test.go
@@ -0,0 +1,84 @@
+package registry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/revision"
+)
+
+// A restore of the store is noticed within a second, not by the next renewal: a node whose record it lost registers anew, one
+// whose record it still has renews that lease, and neither touches the lease that it had, which may be another node's.
+func TestRecordIsLookedAfterOnceTheStoreIsRestored(t *testing.T) {
+	for name, isLost := range map[string]bool{"lost": true, "still there": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				known := catalog.New(nil)
+				leave(t, known, leasedRecord{NodeRecord: resuming, Lease: 7})
+				ready := make(chan struct{})
+				close(ready)
+				lessor := &memoryLessor{put: map[string]int64{}}
+				record := New(DefaultConfig(), lessor, resuming, zap.NewNop())
+				record.ResumeFrom(known, ready)
+				ctx, cancel := context.WithCancel(t.Context())
+				ended := make(chan struct{})
+				go func() {
+					record.Run(ctx)
+					close(ended)
+				}()
+				time.Sleep(time.Second)
+				_, kept, _, _ := lessor.calls(catalog.NodeKey("n"))
+				is.Equal(kept, 1)
+				snapshot := known.Snapshot()
+				snapshot.Revision = revision.At(1, 1)
+				if isLost {
+					snapshot.Entries = nil
+				}
+				for index := range snapshot.Entries {
+					snapshot.Entries[index].Revision = revision.At(1, 1)
+				}
+				is.True(known.Replace(snapshot))
+				time.Sleep(1100 * time.Millisecond)
+				granted, kept, lost, _ := lessor.calls(catalog.NodeKey("n"))
+				is.Equal(granted == 1, isLost)
+				is.Equal(kept == 2, !isLost)
+				is.Equal(lost, 0)
+				cancel()
+				<-ended
+			})
+		})
+	}
+}
+
+// A node that stops before it has noticed a restore leaves the lease that it had alone.
+func TestLeaseOfBeforeARestoreIsNotEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		known := catalog.New(nil)
+		leave(t, known, leasedRecord{NodeRecord: catalog.NodeRecord{ID: "other"}})
+		ready := make(chan struct{})
+		close(ready)
+		lessor := &memoryLessor{put: map[string]int64{}}
+		record := New(DefaultConfig(), lessor, resuming, zap.NewNop())
+		record.ResumeFrom(known, ready)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			record.Run(ctx)
+			close(ended)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		is.True(known.Replace(catalog.Snapshot{Revision: revision.At(1, 1)}))
+		cancel()
+		<-ended
+		_, _, endedLeases, _ := lessor.calls(catalog.NodeKey("n"))
+		is.Equal(endedLeases, 0)
+	})
+}
--- /dev/null
+++ b/internal/rewriter/rewriter.go
@@ -0,0 +1,119 @@
+// Package rewriter writes again what the fleet wrote to the platform's store and a restore of the store lost.
+//
+// Every node keeps such entries in force, see catalog.Kept. One of them writes each: the first by the hash of their ids, and
+// the others take over one after the other if nothing comes of it. Operators and leafs write again what is theirs.
+package rewriter
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/registry"
+	"github.com/portgauge/portgauge/internal/store"
+	"github.com/portgauge/portgauge/internal/wait"
+)
+
+const (
+	// checkInterval is how often a node looks for what is to be written again.
+	checkInterval = time.Second
+	// takeover is how long each node waits for the one before it: two looks, and a call that times out.
+	takeover = 3 * time.Second
+	// mostWrites bounds the entries that a node writes again at one look. All of 3,300 nodes together write what is kept once;
+	// a store that takes 400 writes a second has 20 entries of 20 nodes written in one.
+	mostWrites = 20
+	// callTimeout bounds one call of the store.
+	callTimeout = time.Second
+)
+
+// Journal is told of entries that are written again.
+type Journal interface {
+	// Rewritten tells that the store took an entry again, or why not.
+	Rewritten(key string, err error)
+}
+
+// Writer writes again what is lost, for one node.
+type Writer struct {
+	catalog *catalog.Catalog
+	store   store.Store
+	self    string
+	journal Journal
+	// tried is when this node last wrote a key, by key.
+	tried map[string]time.Time
+}
+
+// New makes a writer for the node of an id.
+func New(known *catalog.Catalog, kept store.Store, self string, journal Journal) *Writer {
+	return &Writer{catalog: known, store: kept, self: self, journal: journal, tried: map[string]time.Time{}}
+}
+
+// Run writes again what is lost until the context ends.
+func (w *Writer) Run(ctx context.Context) {
+	for wait.For(ctx, wait.Jittered(checkInterval)) {
+		w.catalog.LetGo()
+		w.writeDue(ctx)
+	}
+}
+
+// writeDue writes the entries that are this node's to write now.
+func (w *Writer) writeDue(ctx context.Context) {
+	kept := w.catalog.Kept()
+	if len(kept) == 0 {
+		clear(w.tried)
+		return
+	}
+	slices.SortFunc(kept, func(a, b catalog.Kept) int { return strings.Compare(a.Entry.Key, b.Entry.Key) })
+	writes := 0
+	for _, one := range kept {
+		if writes >= mostWrites || ctx.Err() != nil {
+			return
+		}
+		if !w.mayWrite(one) || !w.isDue(one.Entry.Key, time.Now()) {
+			continue
+		}
+		value, isReady := w.catalog.Renewed(one.Entry)
+		if !isReady {
+			continue
+		}
+		writes++
+		w.tried[one.Entry.Key] = time.Now()
+		w.journal.Rewritten(one.Entry.Key, w.write(ctx, one.Entry, value))
+	}
+}
+
+// mayWrite reports whether nodes may write an entry. A leaf that writes its own record is left to that.
+func (w *Writer) mayWrite(one catalog.Kept) bool {
+	owned, isOwned := w.store.(store.Owned)
+	if !isOwned || owned.MayWrite(one.Entry.Key) {
+		return true
+	}
+	if one.IsLost {
+		w.catalog.LetGo(one.Entry.Key)
+	}
+	return false
+}
+
+// isDue reports whether it is this node's turn to write a key.
+func (w *Writer) isDue(key string, now time.Time) bool {
+	view := w.catalog.View()
+	rank := registry.Rank(view.Nodes, key, w.self)
+	turn := w.catalog.RestoredAt().Add(checkInterval + time.Duration(rank)*takeover)
+	return !now.Before(turn) && now.Sub(w.tried[key]) >= takeover
+}
+
+// write puts an entry in the place of what the store has, unless that is newer: then word of it is on its way.
+func (w *Writer) write(ctx context.Context, entry catalog.Entry, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	current, err := w.store.Get(ctx, entry.Key)
+	if err != nil {
+		return err
+	}
+	if current != nil && !w.catalog.Supersedes(entry, *current) {
+		return nil
+	}
+	_, err = w.store.CompareAndSwap(ctx, entry.Key, current.LiveRevision(), value, entry.Deleted)
+	return err
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -84,6 +84,12 @@
 	Watch(ctx context.Context, after int64, role WatchRole, receive func(Event) error) error
 }
 
+// Owned is a store of which some keys are written by others only.
+type Owned interface {
+	// MayWrite reports whether nodes may write a key.
+	MayWrite(key string) bool
+}
+
 // Condition is what a guarded write needs of a key: that it is still at a revision; 0 means that the key is
 // absent or deleted.
 type Condition struct {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -62,6 +62,8 @@
 	// from a copy until then.
 	StoreRevision prometheus.Gauge
 	StoreEpoch    prometheus.Gauge
+	// Kept is how many entries are kept in force that a restored store lacks.
+	Kept prometheus.Gauge
 	// StatesDropped counts whole states of the store that were read and not put into force, since they are older.
 	StatesDropped prometheus.Counter
 	// LogLinesLeftOut counts decisions that were not logged.
@@ -99,6 +101,7 @@
 		StoreCalls:           counters("store_calls_total", "Calls of the store.", "call", "status"),
 		StoreRevision:        prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "store_revision", Help: "Revision of the store by its last answer."}),
 		StoreEpoch:           prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "store_epoch", Help: "Restores of the store from a copy by its last answer."}),
+		Kept:                 prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_kept_entries", Help: "Entries in force that the restored store lacks."}),
 		StatesDropped:        counter("config_states_dropped_total", "Whole states of the store that were older than the one in force."),
 		LogLinesLeftOut:      counter("log_lines_left_out_total", "Decisions that were not logged."),
 		Members:              prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Nodes known in the zone by state."}, []string{"state"}),
@@ -109,7 +112,7 @@
 		metrics.ConfigRejected, metrics.ConfigRelayed, metrics.ControlBytes, metrics.Members,
 		metrics.FrontRequests, metrics.FrontLatency, metrics.FrontAttempts, metrics.FrontAttemptFailures,
 		metrics.FrontMissingParts, metrics.TreePassed, metrics.TreeLatency, metrics.TreeGathered, metrics.LeafsLost, metrics.Quarantined, metrics.LeafConnections, metrics.StoreCalls, metrics.LogLinesLeftOut,
-		metrics.StoreRevision, metrics.StoreEpoch, metrics.StatesDropped,
+		metrics.StoreRevision, metrics.StoreEpoch, metrics.StatesDropped, metrics.Kept,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
