What operators don't write again after a restore is let go in 10 s

Traced: a zone was evacuated, the restore lost that, and the operator ended the evacuation before he had written it again. The store then has nothing under the key and no word of its end; nodes held to it for a minute, and the zone's leafs got nothing.

What operators write but for routes now stays for 10 s unless written again (they take 3 s), what nodes write until one has written it, however long the store takes nothing: a minute was too long for the one and too short for the other. The catalog is told which keys are whose by the store.

Seen in the same logs: changes of many entries are named by a key that the store has nothing under. It was kept as an entry, and written again after a restore each 3 s for ever. It is no entry any more.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -177,7 +177,9 @@
 		}
 		position = change.Entry.Revision
 		for _, entry := range change.Entries() {
-			newest[entry.Key] = entry
+			if entry.Key != MarkerKey {
+				newest[entry.Key] = entry
+			}
 		}
 		applied = append(applied, change)
 	}
--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -18,9 +18,14 @@
 // So a node that comes to a new epoch keeps what it knows to be newer, until that is written again. Whoever wrote it does
 // so: operators and leafs, and the nodes what the fleet wrote.
 
-// KeepFor is how long what the restored store lacks stays in force unless it is written again, but for routes, which stay.
-// Operators write again within seconds; a minute leaves them time, and bounds what nobody wants any more.
-const KeepFor = time.Minute
+// KeepFor is how long what others than nodes write, and the restored store lacks, stays in force unless it is written again,
+// but for routes, which stay. Operators write again within 3 s, and what they took back before they did is never written: the
+// keys of a lost entry and of one that was lost and then taken back look the same. So a zone whose evacuation ended in that
+// time stays out for so long, and no longer. What nodes write stays until they have written it again.
+const KeepFor = 10 * time.Second
+
+// lossWindow is how long before the store went away an entry may have come to be lost with it: backups are some seconds old.
+const lossWindow = time.Minute
 
 // Kept is an entry of an earlier epoch that is newer than what the store has.
 type Kept struct {
@@ -39,6 +44,23 @@
 	past pastWrites
 	// learned is when an entry came that is neither a leaf nor a node.
 	learned map[string]time.Time
+	// mayWrite reports whether nodes may write a key; nil where they may write all.
+	mayWrite func(key string) bool
+}
+
+// SetOwners has the catalog know which keys nodes may write: only these are kept until they are written again.
+func (c *Catalog) SetOwners(mayWrite func(key string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restored.mayWrite = mayWrite
+}
+
+// isOver reports whether an entry that the restored store lacks was kept for long enough.
+func (c *Catalog) isOver(key string) bool {
+	if key == RoutesKey || c.restored.mayWrite == nil || c.restored.mayWrite(key) {
+		return false
+	}
+	return !c.restored.at.IsZero() && c.clock.Since(c.restored.at) >= KeepFor
 }
 
 // isOfProcess reports whether a key is the record of a process, which writes it again by itself.
@@ -191,7 +213,7 @@
 	case isOfProcess(known.Key), known.Key == RememberedKey: // written again by whoever they are of
 		return false
 	}
-	return now.Sub(c.restored.learned[known.Key]) < KeepFor
+	return now.Sub(c.restored.learned[known.Key]) < lossWindow
 }
 
 // isOutranked reports whether a change is older than what is kept of its key, by what both say of their order: operators
@@ -283,7 +305,7 @@
 	switch {
 	case !revision.IsLater(position, entry.Revision), isOfProcess(entry.Key):
 		return false
-	case entry.Key != RoutesKey && !c.restored.at.IsZero() && c.clock.Since(c.restored.at) >= KeepFor:
+	case c.isOver(entry.Key):
 		return false
 	case !isKnown:
 		return true
@@ -301,7 +323,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.view.Load()
-	isOver := c.clock.Since(c.restored.at) >= KeepFor
 	gone := map[string]bool{}
 	for _, key := range keys {
 		gone[key] = true
@@ -309,7 +330,7 @@
 	draft := c.newDraft(current, current.Revision)
 	var removed []Entry
 	for key, one := range c.restored.kept {
-		if !gone[key] && (!isOver || key == RoutesKey) {
+		if !gone[key] && !c.isOver(key) {
 			continue
 		}
 		delete(c.restored.kept, key)
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -214,6 +214,9 @@
 	})
 }
 
+// fleetMayWrite says that two evacuations are operators' to write.
+func fleetMayWrite(key string) bool { return key != EvacuationKey("z") && key != EvacuationKey("new") }
+
 // What operators and the fleet wrote since the backup stays in force until it is written again, or for as long as that may
 // take; what was there before and is gone was removed.
 func TestOtherEntriesThroughARestore(t *testing.T) {
@@ -222,7 +225,8 @@
 		d := newDrilled(t)
 		d.put(EvacuationKey("long"), struct{}{})
 		node := follower(d)
-		time.Sleep(2 * KeepFor)
+		node.SetOwners(fleetMayWrite)
+		time.Sleep(2 * lossWindow)
 		node.Apply(d.put(EvacuationKey("back"), struct{}{}))
 		d.save()
 		node.Apply(d.put(EvacuationKey("new"), struct{}{}))
@@ -244,6 +248,45 @@
 	})
 }
 
+// What nodes write themselves stays until one of them has written it, however long the store takes nothing.
+func TestFleetsOwnStaysUntilItIsWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := newDrilled(t)
+		d.save()
+		node := follower(d)
+		node.SetOwners(fleetMayWrite)
+		node.Apply(d.put(EvacuationKey("fleets"), struct{}{}))
+		d.restore()
+		is.True(node.Replace(d.state()))
+		time.Sleep(time.Hour)
+		node.LetGo()
+		is.Equal(node.View().Leafs.EvacuatedZones(), []string{"fleets"})
+		node.Apply(d.put(EvacuationKey("fleets"), struct{}{}))
+		is.Equal(len(node.Kept()), 0)
+	})
+}
+
+// A change of many entries names itself by a key under which the store has nothing: it is never kept, or written.
+func TestMarkersAreNotKept(t *testing.T) {
+	is := is.New(t)
+	d := newDrilled(t)
+	d.put(RoutesKey, routesOf(1))
+	d.save()
+	first, second := follower(d), follower(d)
+	d.put(RoutesKey, routesOf(2))
+	first.Replace(d.state())
+	changes, isKept := first.Since(second.Revision())
+	is.True(isKept)
+	is.Equal(changes[0].Entry.Key, MarkerKey)
+	is.True(second.ApplyAll(changes))
+	is.Equal(second.View().Routes.Version, int64(2))
+	d.restore()
+	is.True(second.Replace(d.state()))
+	is.Equal(len(second.Kept()), 1)
+	is.Equal(second.Kept()[0].Entry.Key, RoutesKey)
+}
+
 // A verdict on a version outlives the restore, also where its order was lost with it and is written again.
 func TestVerdictsThroughARestore(t *testing.T) {
 	for _, isOrderLost := range []bool{false, true} {
@@ -290,7 +333,7 @@
 	}
 }
 
-// A node that started after the restore learns from another what the store lacks, and lets it go no later than in a minute.
+// A node that started after the restore learns from another what the store lacks, and lets it go in time.
 func TestFreshNodeLearnsWhatIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -298,6 +341,7 @@
 		d.put(RoutesKey, routesOf(1))
 		d.save()
 		node := follower(d)
+		node.SetOwners(fleetMayWrite)
 		node.Apply(d.put(RoutesKey, routesOf(2)))
 		node.Apply(d.put(EvacuationKey("z"), struct{}{}))
 		d.restore()
--- a/internal/rewriter/rewriter.go
+++ b/internal/rewriter/rewriter.go
@@ -44,8 +44,11 @@
 	tried map[string]time.Time
 }
 
-// New makes a writer for the node of an id.
+// New makes a writer for the node of an id. The catalog is told which keys the store lets nodes write.
 func New(known *catalog.Catalog, kept store.Store, self string, journal Journal) *Writer {
+	if owned, isOwned := kept.(store.Owned); isOwned {
+		known.SetOwners(owned.MayWrite)
+	}
 	return &Writer{catalog: known, store: kept, self: self, journal: journal, tried: map[string]time.Time{}}
 }
 
