Soak: series that overlap, a store that is restored, and logs of what fails; the older configuration is traced

What the soak played were single faults. Clients use open connections until a process is gone.

A node was frozen from 6.0 to 9.3 s; version 2 was accepted at 8.3 s, version 3 at 13.1 s. The four requests that waited ended within 1 ms at 9.32 s, served by version 1, 2, 2 and 1 in the order in which they were sent. The check took the fourth, whose service versions 1 and 3 name, for version 3: a version that was not accepted for 3.7 s yet. No node went back. It compared a request with what was seen by others under way at the same time. Now it compares with what had been seen when the request was sent, all of it: this also finds a request that goes behind an earlier version while a later one is seen, which was passed over. The test of the sequence fails with the check as it was, and a real step back within it is found.

--- a/internal/lab/kvstore/kvstore.go
+++ b/internal/lab/kvstore/kvstore.go
@@ -188,17 +188,17 @@
 	return item, found
 }
 
-// Count gives how many keys begin with a prefix.
-func (s *Store) Count(prefix string) int {
+// Keys gives the keys that begin with a prefix, in no order.
+func (s *Store) Keys(prefix string) []string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	count := 0
+	var keys []string
 	for key := range s.items {
 		if strings.HasPrefix(key, prefix) {
-			count++
+			keys = append(keys, key)
 		}
 	}
-	return count
+	return keys
 }
 
 func (s *Store) write(item Item) {
--- a/internal/lab/soak/fatal.go
+++ b/internal/lab/soak/fatal.go
@@ -98,7 +98,7 @@
 	state.link.Close()
 	state.leaf.Stop()
 	time.AfterFunc(leafBack, func() { w.replaceEnded(state) })
-	time.AfterFunc(recordLapse, func() { w.store.Remove(leafKey(id)) })
+	time.AfterFunc(recordLapse, func() { w.unregister(id) })
 }
 
 // replaceEnded starts a leaf in place of one that ended, unless its version is over.
--- a/internal/lab/soak/judge_test.go
+++ b/internal/lab/soak/judge_test.go
@@ -113,6 +113,30 @@
 	is.Equal(len(judgeConfiguration(w, []outcome{served(old, 14*time.Second)}).Broken), 0)
 }
 
+// A node was frozen while the second configuration was accepted. When it went on, the requests that waited there were served
+// within a millisecond, by the first version and the second in turn, those sent later not always by the later one. Nothing
+// went back, and a third version, which sends to the first service again, was not accepted yet: that answers of requests under
+// way show it seen was a fault of this check.
+func TestRequestsOfAFrozenNodeAreServedInAnyOrder(t *testing.T) {
+	is := is.New(t)
+	w := still(t)
+	began := time.Now()
+	w.changes = []change{{1, singleName, began}, {2, anotherName, began.Add(8 * time.Second)}, {3, singleName, began.Add(13 * time.Second)}}
+	w.nodes[0].troubles = []trouble{{from: began.Add(6 * time.Second), until: began.Add(9300 * time.Millisecond)}}
+	const first, second = "leaf-3", "leaf-4"
+	served := func(leafID string, sent, ended int) outcome {
+		o := w.answered("r", Switched, leafID+".r", "", nil)
+		o.sent, o.ended = began.Add(time.Duration(sent)*time.Millisecond), began.Add(time.Duration(ended)*time.Millisecond)
+		return o
+	}
+	frozen := []outcome{served(first, 6900, 9322), served(second, 7000, 9324), served(first, 7700, 9323)}
+	is.Equal(judgeConfiguration(w, append(frozen, served(second, 9400, 9430), served(first, 13500, 13530))).Broken, nil)
+	is.Equal(len(judgeConfiguration(w, append(frozen, served(first, 9400, 9430))).Broken), 1) // back, once all had ended
+	// What was seen of an earlier version holds also for requests that were sent before a later one was seen.
+	later := []outcome{served(second, 8200, 8230), served(second, 8300, 8330), served(first, 13100, 13200), served(first, 8900, 8930)}
+	is.Equal(len(judgeConfiguration(w, later).Broken), 1)
+}
+
 // A leaving leaf that is asked after the bound is found, while no node has trouble.
 func TestJudgeDraining(t *testing.T) {
 	is := is.New(t)
--- a/internal/lab/soak/link.go
+++ b/internal/lab/soak/link.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// Aim passes new connections on to another target.
+func (l *Link) Aim(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
+func (l *Link) aim() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.target
+}
+
 // Close ends the link.
 func (l *Link) Close() {
 	l.Set(Resetting)
@@ -94,7 +107,7 @@
 		reset(conn)
 		return
 	}
-	target, err := net.Dial("tcp4", l.target)
+	target, err := net.Dial("tcp4", l.aim())
 	if err != nil {
 		reset(conn)
 		return
--- a/internal/lab/soak/node.go
+++ b/internal/lab/soak/node.go
@@ -114,6 +114,7 @@
 retry_budget: {ratio: 0.2, window: 10s, allowance: 56}
 rollouts: {enabled: true}
 canary: {share: %[15]v, slack: %[16]v}
+decision_log: {lines_per_second: 100}
 seeds: ["%[14]s"]
 `
 
--- a/internal/lab/soak/records.go
+++ b/internal/lab/soak/records.go
@@ -36,6 +36,7 @@
 type leafRecord struct {
 	Service, Address, Zone, Version, State string
 	Capacity, Sequence                     int
+	Born                                   int64 `json:"born"`
 }
 
 // routeRecord is a route as operators write it.
--- /dev/null
+++ b/internal/lab/soak/series.go
@@ -0,0 +1,111 @@
+package soak
+
+import "time"
+
+// Times of work that comes in a row.
+const (
+	seriesGap   = 400 * time.Millisecond
+	restartGap  = 300 * time.Millisecond
+	reloadTimes = 4
+)
+
+// series are kinds of trouble and work that come in a row, or meet several processes at once.
+func series() []fault {
+	return []fault{
+		{"nodes stopped and started in turn", (*injector).rollNodes},
+		{"nodes killed at once", (*injector).killSome},
+		{"nodes told to reload in a row", (*injector).reloadOften},
+		{"configurations in a row, twice", (*injector).changeTwice},
+		{"leaf started again under its id", (*injector).restartLeaf},
+		{"leafs started again under their ids", (*injector).restartLeafs},
+	}
+}
+
+// together begins some faults one after the other and gives what ends all of them.
+func together(begin ...func() func()) func() {
+	var ends []func()
+	for _, one := range begin {
+		ends = append(ends, one())
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+// rollNodes stops each node and starts it again, one after the other.
+func (i *injector) rollNodes(time.Duration) func() {
+	for _, node := range i.world.nodes {
+		if !node.claim() {
+			continue
+		}
+		node.stop(touchSlack)
+		if err := node.process.Stop(); err != nil {
+			i.tell("FAILED STOP " + err.Error())
+		}
+		i.restart(node)
+		time.Sleep(seriesGap)
+	}
+	return nothing
+}
+
+func (i *injector) killSome(span time.Duration) func() {
+	kill := func() func() { return i.killNode(span) }
+	return together(kill, kill, kill)
+}
+
+func (i *injector) reloadOften(span time.Duration) func() {
+	for range reloadTimes {
+		i.reloadNode(span)()
+		time.Sleep(seriesGap / reloadTimes)
+	}
+	return nothing
+}
+
+func (i *injector) changeTwice(span time.Duration) func() {
+	i.changeOften(span)
+	time.Sleep(seriesGap)
+	return i.changeOften(span)
+}
+
+// restartLeaf ends a leaf's process, and has another one take its id and place.
+func (i *injector) restartLeaf(span time.Duration) func() {
+	id, state := i.leaf(span)
+	state.link.Set(Resetting)
+	time.Sleep(restartGap)
+	if err := i.world.startAgain(id, state); err != nil {
+		i.tell("FAILED LEAF " + err.Error())
+	}
+	state.link.Set(Sound)
+	return nothing
+}
+
+func (i *injector) restartLeafs(span time.Duration) func() {
+	restart := func() func() { return i.restartLeaf(span) }
+	return together(restart, restart, restart)
+}
+
+// startAgain starts another process of a leaf under its id, which knows nothing of the one before.
+func (w *world) startAgain(id string, state *leafState) error {
+	started, err := w.startLeaf(id, state.version)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	before, isGone := state.leaf, state.hasEnded || state.record == ""
+	if !isGone {
+		state.earlier = append(state.earlier, before)
+		state.leaf, state.born, state.sequence = started, time.Now().UnixMilli(), 0
+		state.link.Aim(started.Address())
+	}
+	record := state.record
+	w.mu.Unlock()
+	if isGone {
+		started.Stop()
+		return nil
+	}
+	before.Stop()
+	w.register(id, record)
+	return nil
+}
--- a/internal/lab/soak/versions.go
+++ b/internal/lab/soak/versions.go
@@ -88,6 +88,6 @@
 // remove removes the records of a version's leafs.
 func (w *world) remove(version *rollouts.Version) {
 	for _, id := range w.leafsOf(version) {
-		w.store.Remove(leafKey(id))
+		w.unregister(id)
 	}
 }
