A record of the quarantine that a restore lost before it was in force is saved again

TestQuarantineOutlivesARestoredStore failed in 3 of 5 plays, by chance of the moment. Traced with the node's log: the store took the record at revision 17 while the node had revision 13 in force; the store was restored before the watch told of 17, so no catalog held the record, and the node that had found it took it for saved. It is now saved once for each epoch of the store. TestRecordThatARestoreLost fails without (1 write, 2 wanted), and the test above passes in 6 of 6 plays.

In a fleet the other nodes that keep evidence had taken over after 1 to 3 s; alone, nobody did.

--- a/internal/quarantinesync/save.go
+++ b/internal/quarantinesync/save.go
@@ -14,6 +14,7 @@
 	"github.com/portgauge/portgauge/internal/fingerprint"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/quarantine"
+	"github.com/portgauge/portgauge/internal/revision"
 )
 
 // saveAll writes the records that the store does not have and that are this node's to write, and tells of its own again.
@@ -79,11 +80,7 @@
 // save writes a record to the store beside whatever else is done. A write whose answer is lost may have been made, and is
 // made again: the key is there then, by whoever wrote it.
 func (s *Sync) save(ctx context.Context, record quarantine.Record) {
-	s.mu.Lock()
-	isSaved := s.saved[record.Content]
-	s.saved[record.Content] = true // while the call is under way, too
-	s.mu.Unlock()
-	if isSaved {
+	if !s.claimSave(record.Content) {
 		return
 	}
 	s.running.Go(func() {
@@ -101,6 +98,19 @@
 	})
 }
 
+// claimSave reports whether a record is to be written, and notes that it is: once for each epoch of the store.
+func (s *Sync) claimSave(content fingerprint.Fingerprint) bool {
+	now := s.parts.Catalog.Revision()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, isSaved := s.saved[content]
+	if isSaved && !revision.IsLater(now, at) {
+		return false
+	}
+	s.saved[content] = now
+	return true
+}
+
 // write puts a record in place of what is at a revision, 0 for nothing. It fails with RevisionConflict where something
 // else is there.
 func (s *Sync) write(ctx context.Context, record quarantine.Record, expected int64) (int64, error) {
--- a/internal/quarantinesync/sync.go
+++ b/internal/quarantinesync/sync.go
@@ -68,8 +68,9 @@
 	heardAt map[fingerprint.Fingerprint]time.Time
 	// toldAt is when all nodes were told again of a record that the store does not have.
 	toldAt map[fingerprint.Fingerprint]time.Time
-	// saved are records that the store took, until that is in force here.
-	saved map[fingerprint.Fingerprint]bool
+	// saved are records that the store took or is asked to, with the revision that was in force then, until they are in
+	// force here. A restore of the store in between may have lost them.
+	saved map[fingerprint.Fingerprint]int64
 }
 
 var _ quarantine.Listener = (*Sync)(nil)
@@ -78,7 +79,7 @@
 func New(parts Parts) *Sync {
 	s := &Sync{
 		parts: parts, findings: make(chan func(context.Context), backlog), waiting: map[fingerprint.Fingerprint]bool{},
-		heardAt: map[fingerprint.Fingerprint]time.Time{}, toldAt: map[fingerprint.Fingerprint]time.Time{}, saved: map[fingerprint.Fingerprint]bool{},
+		heardAt: map[fingerprint.Fingerprint]time.Time{}, toldAt: map[fingerprint.Fingerprint]time.Time{}, saved: map[fingerprint.Fingerprint]int64{},
 	}
 	parts.Register.SetListener(s)
 	return s
