Leafs are known by life, and what others write under their prefix tells of none

A leaf may start again under its name. Until now everything kept by its id went over to the new process: word that it leaves, in-flight counts, slowness, connections, evidence. A leaf's id holds its name and, where its record tells it, when it was born; names alone go on the wire and into the store's keys. So whatever is kept by id ends with the life, with no rule of its own in each place; TestWhatIsKeptOfALeafEndsWithItsLife, TestConnectionsBelongToOneLife and TestEachLifeHasItsID name each kind. Weighed against it: a comparison of births in each of some 25 places that keep something. A record of an earlier life that comes late, as a change or with a whole state, changes nothing. Leafs that tell of no birth are as before, and so are documents, so that nodes of the version before read them.

An entry that others write in the place of a leaf's (fields missing, of another type, an unknown state, no text) was a draining leaf, or left the last good record in use.

--- a/internal/admin/routes.go
+++ b/internal/admin/routes.go
@@ -54,7 +54,7 @@
 		return nil, firstFault(err)
 	}
 	record := leafset.Record{
-		ID: leaf.GetId(), Service: leaf.GetService(), Address: leaf.GetAddress(), Zone: leaf.GetZone(),
+		Name: leaf.GetId(), Service: leaf.GetService(), Address: leaf.GetAddress(), Zone: leaf.GetZone(),
 		Slots: int(leaf.GetSlots()), State: leafset.Ready, Version: leaf.GetVersion(),
 	}
 	if leaf.GetDraining() {
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, failure.NotRun, "encode leaf")
 	}
-	revision, _, err := a.writeDocument(ctx, catalog.LeafKey(record.ID), document, request.GetExpectedRevision(), request.GetChangeId())
+	revision, _, err := a.writeDocument(ctx, catalog.LeafKey(record.Name), document, request.GetExpectedRevision(), request.GetChangeId())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/canary/fixture_test.go
+++ b/internal/canary/fixture_test.go
@@ -45,7 +45,7 @@
 
 func (s *site) putLeaf(version string, index int, state leafset.State) {
 	id := leafID(version, index)
-	s.put(catalog.LeafKey(id), leafset.Record{ID: id, Service: "s", Address: "127.0.0.1:1", Version: version, State: state})
+	s.put(catalog.LeafKey(id), leafset.Record{Name: id, Service: "s", Address: "127.0.0.1:1", Version: version, State: state})
 }
 
 func leafID(version string, index int) string { return fmt.Sprintf("%s-%d", version, index) }
--- a/internal/canary/stage_test.go
+++ b/internal/canary/stage_test.go
@@ -188,8 +188,8 @@
 	is := is.New(t)
 	built, splitter, order := started(t, 0)
 	built.put(catalog.RememberedKey, leafset.List{Leafs: []leafset.Record{
-		{ID: "old", Service: "s", Address: "127.0.0.1:1", Version: target, State: leafset.Ready},
-		{ID: "other", Service: "s", Address: "127.0.0.1:1", Version: before, State: leafset.Ready},
+		{Name: "old", Service: "s", Address: "127.0.0.1:1", Version: target, State: leafset.Ready},
+		{Name: "other", Service: "s", Address: "127.0.0.1:1", Version: before, State: leafset.Ready},
 	}})
 	built.phase(order, rollout.RolledBack)
 	built.put(catalog.LeafKey(leafID(target, 1)), nil)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -265,6 +266,10 @@
 			entries = append(entries, kept.Entry)
 			continue
 		}
+		if known, isKnown := c.entries[read.Key]; isKnown && strings.HasPrefix(read.Key, leafPrefix) && isOfEarlierLife(read, known) {
+			entries = append(entries, known)
+			continue
+		}
 		delete(c.restored.kept, read.Key)
 		c.noteKept(read, snapshot.Revision)
 		entries = append(entries, read)
--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -154,21 +154,20 @@
 	}
 }
 
-func (d *draft) compileLeaf(id string, entry Entry) error {
+// compileLeaf takes the record of a leaf. One that can't be read may come from another writer: it tells of no leaf, also not
+// of the one that was told of under its name before.
+func (d *draft) compileLeaf(name string, entry Entry) error {
 	leafs := d.leafEditor()
 	if entry.Deleted {
-		leafs.Remove(id)
+		leafs.Remove(name)
 		return nil
 	}
-	document, err := DecodeDocument(entry)
+	record, err := leafRecord(name, entry)
 	if err != nil {
+		leafs.Disown(name)
 		return err
 	}
-	record, err := leafset.Parse(document)
-	if err != nil {
-		return err
-	}
-	known, found := d.before.ByID(id)
+	known, found := d.before.ByName(name)
 	if !found || known.Revision != entry.Revision {
 		known = leafset.Learn(known, record, entry.Revision, d.clock.Now())
 	}
@@ -176,6 +175,18 @@
 	return nil
 }
 
+// leafRecord reads the record of a leaf, which must be kept under the leaf's name.
+func leafRecord(name string, entry Entry) (leafset.Record, error) {
+	record, err := parsed(entry, leafset.Parse)
+	if err != nil {
+		return leafset.Record{}, err
+	}
+	if record.Name != name {
+		return leafset.Record{}, failure.Invalid("id", "%q; the record is kept under %q", record.Name, name)
+	}
+	return record, nil
+}
+
 func (d *draft) compileNode(id string, entry Entry) error {
 	if !d.ownsNodes {
 		d.view.Nodes = maps.Clone(d.view.Nodes)
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -110,6 +110,17 @@
 	Payload []byte `json:"payload,omitempty"`
 	// Document is the payload of entries that are JSON: routes, leafs and nodes.
 	Document json.RawMessage `json:"document,omitempty"`
+	// Refused says why what the store has under the key can't be read; such an entry has nothing else.
+	Refused string `json:"refused,omitempty"`
+}
+
+// NewRefusal gives the value of an entry that can't be read, with the reason.
+func NewRefusal(reason error) []byte {
+	value, err := json.Marshal(Envelope{Refused: reason.Error()})
+	if err != nil {
+		return nil // a value that is refused as well
+	}
+	return value
 }
 
 // NewDocument wraps a JSON document for a write that replaces the given entry, if any.
@@ -124,6 +135,9 @@
 // DecodeDocument reads the JSON document of an entry.
 func DecodeDocument(entry Entry) (json.RawMessage, error) {
 	envelope, err := OpenEnvelope(entry.Value)
+	if err == nil && envelope.Refused != "" {
+		err = failure.Invalid("value", "%s", envelope.Refused)
+	}
 	return envelope.Document, err
 }
 
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -90,7 +90,7 @@
 func routesOf(version int64) routing.Configuration { return routing.Configuration{Version: version} }
 
 func leafOf(id string, state leafset.State, sequence int64) leafset.Record {
-	return leafset.Record{ID: id, Service: "s", Address: "127.0.0.1:1", State: state, Sequence: sequence}
+	return leafset.Record{Name: id, Service: "s", Address: "127.0.0.1:1", State: state, Sequence: sequence}
 }
 
 // follower is a node that follows the store.
@@ -514,3 +514,22 @@
 	}
 	node.Keep(kept)
 }
+
+// A record of an earlier life of a leaf that comes late, as a change or with a whole state, changes nothing.
+func TestLateRecordOfAnEarlierLife(t *testing.T) {
+	is := is.New(t)
+	d := newDrilled(t)
+	first, second := leafOf("a", leafset.Draining, 9), leafOf("a", leafset.Ready, 1)
+	first.Born, second.Born = 10, 20
+	d.put(LeafKey("a"), second)
+	node := follower(d)
+	node.Apply(d.put(LeafKey("a"), first))
+	is.Equal(node.View().Leafs.IDs(), []string{"a@20"})
+	is.Equal(len(node.View().Leafs.Ready("s")), 1)
+	d.put(RoutesKey, routesOf(1))
+	is.True(node.Replace(d.state()))
+	is.Equal(node.View().Leafs.IDs(), []string{"a@20"})
+	is.Equal(node.View().Routes.Version, int64(1))
+	node.Apply(d.put(LeafKey("a"), nil))
+	is.Equal(node.View().Leafs.Len(), 0)
+}
--- a/internal/catalog/rollout_test.go
+++ b/internal/catalog/rollout_test.go
@@ -32,7 +32,7 @@
 }
 
 func versionLeaf(id, service, version string) leafset.Record {
-	return leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Version: version, State: leafset.Ready}
+	return leafset.Record{Name: id, Service: service, Address: "127.0.0.1:1", Version: version, State: leafset.Ready}
 }
 
 var (
--- a/internal/configsync/contacts.go
+++ b/internal/configsync/contacts.go
@@ -116,7 +116,7 @@
 			version = list.Version
 			leaving = leavingLeafs(list)
 		}
-		s.pushLeaving(ctx, leaving)
+		s.pushLeaving(ctx, s.lives(leaving))
 	}
 }
 
@@ -130,6 +130,20 @@
 	return leaving
 }
 
+// lives gives the ids of the leafs in force of some names: the machine list doesn't tell lives apart.
+func (s *Syncer) lives(names []string) []string {
+	known := s.catalog.View().Leafs
+	ids := make([]string, 0, len(names))
+	for _, name := range names {
+		id := name
+		if leaf, found := known.ByName(name); found {
+			id = leaf.ID
+		}
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // contactInterval is how often watchers draw new contacts in other zones.
 const contactInterval = time.Minute
 
--- a/internal/connshare/connshare_test.go
+++ b/internal/connshare/connshare_test.go
@@ -34,7 +34,7 @@
 func leafs(count, zones int) []*leafset.Leaf {
 	list := make([]*leafset.Leaf, count)
 	for index := range list {
-		list[index] = &leafset.Leaf{Record: leafset.Record{ID: fmt.Sprintf("leaf-%02d", index), Zone: zoneName(index % zones)}}
+		list[index] = leafset.NewLeaf(leafset.Record{Name: fmt.Sprintf("leaf-%02d", index), Zone: zoneName(index % zones)}, 0, time.Time{})
 	}
 	return list
 }
--- a/internal/evidence/collector_test.go
+++ b/internal/evidence/collector_test.go
@@ -45,7 +45,7 @@
 }
 
 func leaf(id, service, version string) *leafset.Leaf {
-	return &leafset.Leaf{Record: leafset.Record{ID: id, Service: service, Version: version, Zone: "z-" + id}}
+	return leafset.NewLeaf(leafset.Record{Name: id, Service: service, Version: version, Zone: "z-" + id}, 0, time.Time{})
 }
 
 // Leafs on trial have a row each, those that serve share one for each route; nothing else has any.
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -84,7 +84,7 @@
 		gathered = append(gathered, service)
 		for _, replica := range []string{"a", "b"} {
 			id := service + replica
-			set(catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: address, State: leafset.Ready})
+			set(catalog.LeafKey(id), leafset.Record{Name: id, Service: service, Address: address, State: leafset.Ready})
 		}
 	}
 	set(catalog.RoutesKey, routing.Configuration{Version: 1, Routes: []routing.Route{{
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -64,7 +64,7 @@
 		if g.warmup != nil && !g.warmup.HasRoom(leaf) {
 			continue
 		}
-		way := leafhttp.Target{Incarnation: leaf.ID, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare}
+		way := leafhttp.Target{Incarnation: leaf.ID, Name: leaf.Name, Address: leaf.Address, Connections: part.Connections, Spare: part.Spare}
 		*targets = append(*targets, target{way, leaf})
 		candidates = append(candidates, balancer.Candidate{LeafID: leaf.ID, Zone: leaf.Zone, Spare: part.Connections == 0, LastResort: part.LastResort})
 	}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -137,7 +137,7 @@
 					for index, id := range []string{"a", "b"} {
 						name := id + strings.Repeat("'", number)
 						put(t, g.catalog, catalog.LeafKey("s0"+[]string{"a", "b"}[index]), nil)
-						put(t, g.catalog, catalog.LeafKey(name), leafset.Record{ID: name, Service: "s0", Address: "127.0.0.1:1", State: leafset.Ready})
+						put(t, g.catalog, catalog.LeafKey(name), leafset.Record{Name: name, Service: "s0", Address: "127.0.0.1:1", State: leafset.Ready})
 					}
 					_, err := g.Serve(t.Context(), ask(path))
 					is.True(err != nil)
@@ -280,7 +280,7 @@
 		g := guarded(t, leafs, register)
 		time.AfterFunc(fatalWork/2, func() {
 			for _, id := range []string{"s0a", "s0b"} {
-				put(t, g.catalog, catalog.LeafKey(id), leafset.Record{ID: id, Service: "s0", Address: "127.0.0.1:1", State: leafset.Draining})
+				put(t, g.catalog, catalog.LeafKey(id), leafset.Record{Name: id, Service: "s0", Address: "127.0.0.1:1", State: leafset.Draining})
 			}
 		})
 		_, err := g.Serve(t.Context(), ask("/once/1"))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -145,7 +145,7 @@
 		gathered = append(gathered, service)
 		for _, replica := range []string{"a", "b"} {
 			id := service + replica
-			put(t, known, catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", State: leafset.Ready})
+			put(t, known, catalog.LeafKey(id), leafset.Record{Name: id, Service: service, Address: "127.0.0.1:1", State: leafset.Ready})
 		}
 	}
 	route := routing.Route{Host: "h", MaximumAttempts: 2, TimeoutMillis: 1000, ObjectiveMillis: 200}
@@ -385,7 +385,7 @@
 	for leafs.warmedCount() < shardCount {
 		time.Sleep(time.Millisecond)
 	}
-	put(t, g.catalog, catalog.LeafKey("new"), leafset.Record{ID: "new", Service: "new", Address: "127.0.0.1:1", State: leafset.Ready})
+	put(t, g.catalog, catalog.LeafKey("new"), leafset.Record{Name: "new", Service: "new", Address: "127.0.0.1:1", State: leafset.Ready})
 	put(t, g.catalog, catalog.RoutesKey, routing.Configuration{Version: 2, Routes: []routing.Route{{
 		Host: "h", Prefix: "/pages/", Gathered: []string{"new"}, TopRecords: 1, Repeatability: routing.Repeatable,
 	}}})
--- /dev/null
+++ b/internal/gateway/lives_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/portgauge/portgauge/internal/balancer"
+	"github.com/portgauge/portgauge/internal/catalog"
+	"github.com/portgauge/portgauge/internal/leafset"
+)
+
+// born puts a life of the leaf "s0a" in force, and gives how the gateway knows it.
+func born(t *testing.T, g *Gateway, at int64) (*leafset.Leaf, target, balancer.Candidate) {
+	t.Helper()
+	put(t, g.catalog, catalog.LeafKey("s0a"), leafset.Record{Name: "s0a", Service: "s0", Address: "127.0.0.1:1", State: leafset.Ready, Born: at})
+	leaf, found := g.catalog.View().Leafs.ByName("s0a")
+	if !found {
+		t.Fatal("the leaf is not in force")
+	}
+	var targets []target
+	candidates := g.addParts(nil, "s0", false, 1, []*leafset.Leaf{leaf}, &targets)
+	return leaf, targets[0], candidates[0]
+}
+
+// What is kept of a leaf belongs to one of its lives: word that it leaves, its load and slowness, what was seen of it, its
+// connections, whether discovery lists it. Requests name the leaf as it calls itself.
+func TestWhatIsKeptOfALeafEndsWithItsLife(t *testing.T) {
+	is := is.New(t)
+	g, _ := newGateway(t, &scriptedLeafs{})
+	first, firstTarget, firstCandidate := born(t, g, 1000)
+	choose := func(candidate balancer.Candidate) *balancer.Leaf {
+		return g.balancer.Choose([]balancer.Candidate{candidate}, nil).Leaf
+	}
+	kept := choose(firstCandidate)
+	g.balancer.SetLeaving(first.ID, time.Now().Add(time.Minute))
+	is.True(choose(firstCandidate) == nil)
+
+	second, secondTarget, secondCandidate := born(t, g, 2000)
+	fresh := choose(secondCandidate)
+	is.True(fresh != nil && fresh != kept)                            // leaving; load, slowness, ejection
+	is.True(balancer.KeyOf(first.ID) != balancer.KeyOf(second.ID))    // what nodes tell each other of it
+	is.True(firstTarget.Incarnation != secondTarget.Incarnation)      // connections, and checks whether it ended
+	is.Equal(secondTarget.Name, "s0a")                                // what requests name
+	is.True(!g.isListed(first.ID) && g.isListed(second.ID))           // evidence of requests that end leafs
+	is.True(!g.memory.MayAsk(first.ID) && g.memory.MayAsk(second.ID)) // requests that wait for it
+	put(t, g.catalog, catalog.LeafKey("s0a"), leafset.Record{Name: "s0a", Service: "s0", Address: "127.0.0.1:1", State: leafset.Draining, Born: 1000})
+	is.True(g.isListed(second.ID)) // late word of the first
+}
--- a/internal/gateway/reach_test.go
+++ b/internal/gateway/reach_test.go
@@ -70,7 +70,7 @@
 		}
 		for replica, zone := range zones {
 			id := service + string(rune('a'+replica))
-			put(t, g.catalog, catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Zone: zone, State: leafset.Ready})
+			put(t, g.catalog, catalog.LeafKey(id), leafset.Record{Name: id, Service: service, Address: "127.0.0.1:1", Zone: zone, State: leafset.Ready})
 		}
 	}
 }
--- a/internal/gateway/refresh_test.go
+++ b/internal/gateway/refresh_test.go
@@ -24,7 +24,7 @@
 	changes := map[string]func(t *testing.T, g *Gateway){
 		"drained": func(t *testing.T, g *Gateway) {
 			for _, id := range []string{"s0a", "s0b"} {
-				put(t, g.catalog, catalog.LeafKey(id), leafset.Record{ID: id, Service: "s0", Address: "127.0.0.1:1", State: leafset.Draining})
+				put(t, g.catalog, catalog.LeafKey(id), leafset.Record{Name: id, Service: "s0", Address: "127.0.0.1:1", State: leafset.Draining})
 			}
 		},
 		"evacuated": func(t *testing.T, g *Gateway) { put(t, g.catalog, catalog.EvacuationKey(""), struct{}{}) },
@@ -44,7 +44,7 @@
 				g, _ := newGateway(t, leafs)
 				go func() {
 					time.Sleep(50 * time.Millisecond)
-					put(t, g.catalog, catalog.LeafKey("s0c"), leafset.Record{ID: "s0c", Service: "s0", Zone: "west", Address: "127.0.0.1:1", State: leafset.Ready})
+					put(t, g.catalog, catalog.LeafKey("s0c"), leafset.Record{Name: "s0c", Service: "s0", Zone: "west", Address: "127.0.0.1:1", State: leafset.Ready})
 					change(t, g)
 					changed.Store(true)
 				}()
@@ -73,7 +73,7 @@
 		g, _ := newGateway(t, leafs)
 		g.warmup = warmup.New(warmup.DefaultConfig(), g.catalog, coldFleet{}, catalog.NodeRecord{ID: "n"})
 		put(t, g.catalog, catalog.LeafKey("s0a"), leafset.Record{
-			ID: "s0a", Service: "s0", Address: "127.0.0.1:1", State: leafset.Ready, WarmupMillis: 60_000,
+			Name: "s0a", Service: "s0", Address: "127.0.0.1:1", State: leafset.Ready, WarmupMillis: 60_000,
 		})
 		put(t, g.catalog, catalog.RoutesKey, routing.Configuration{Version: 2, Routes: []routing.Route{{
 			Host: "h", Prefix: "/single/", Service: "s0", Repeatability: routing.Repeatable,
--- a/internal/gateway/tree_fleet_test.go
+++ b/internal/gateway/tree_fleet_test.go
@@ -156,7 +156,7 @@
 		}
 		for _, zone := range zones {
 			id := service + zone
-			put(b.t, node.catalog, catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Zone: zone, State: leafset.Ready})
+			put(b.t, node.catalog, catalog.LeafKey(id), leafset.Record{Name: id, Service: service, Address: "127.0.0.1:1", Zone: zone, State: leafset.Ready})
 		}
 	}
 	for _, known := range nodes {
--- a/internal/gateway/tree_test.go
+++ b/internal/gateway/tree_test.go
@@ -78,7 +78,7 @@
 			node.server.Announce()
 		}, GroupLeaving},
 		"another table": {func(node *treeNode) {
-			put(node.t, node.catalog, catalog.LeafKey("other"), leafset.Record{ID: "other", Service: "other", Address: "127.0.0.1:1"})
+			put(node.t, node.catalog, catalog.LeafKey("other"), leafset.Record{Name: "other", Service: "other", Address: "127.0.0.1:1", State: leafset.Ready})
 			put(node.t, node.catalog, catalog.RoutesKey, routing.Configuration{Version: 2})
 		}, GroupDeclined},
 		"busy": {func(node *treeNode) { node.gateway.config.MaximumGathered = 0 }, GroupDeclined},
--- a/internal/gateway/trial_fixture_test.go
+++ b/internal/gateway/trial_fixture_test.go
@@ -73,7 +73,7 @@
 }
 
 func trialLeaf(id, version, zone string) leafset.Record {
-	return leafset.Record{ID: id, Service: "s0", Address: "127.0.0.1:1", Zone: zone, Version: version, State: leafset.Ready}
+	return leafset.Record{Name: id, Service: "s0", Address: "127.0.0.1:1", Zone: zone, Version: version, State: leafset.Ready}
 }
 
 func isOnTrial(leaf string) bool { return leaf == "s0c" || leaf == "s0d" }
--- a/internal/lab/kvstore/kvstore.go
+++ b/internal/lab/kvstore/kvstore.go
@@ -111,6 +111,11 @@
 	if err != nil {
 		panic(err) // tests pass only values that can be encoded
 	}
+	return s.PutBytes(key, content)
+}
+
+// PutBytes writes bytes, which need not be JSON, under a key and gives the revision.
+func (s *Store) PutBytes(key string, content []byte) int64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
--- a/internal/leafhttp/connection.go
+++ b/internal/leafhttp/connection.go
@@ -123,7 +123,7 @@
 		c.fail(errStale)
 		return
 	}
-	e.request.encode(&c.outgoing, c.pool.dialect, e.target.Incarnation, remaining)
+	e.request.encode(&c.outgoing, c.pool.dialect, e.target.expected(), remaining)
 	isInline := len(e.request.Body) <= inlineBody
 	if isInline {
 		c.outgoing.Write(e.request.Body)
--- a/internal/leafhttp/connections_test.go
+++ b/internal/leafhttp/connections_test.go
@@ -247,3 +247,24 @@
 	opened, _ := b.leaf.Connections()
 	is.Equal(opened, 1)
 }
+
+// Each life of a leaf has connections of its own, and requests name the leaf as it calls itself.
+func TestConnectionsBelongToOneLife(t *testing.T) {
+	is := is.New(t)
+	var named []string
+	b := newBench(t, DefaultConfig(), func(request httpleaf.Request) httpleaf.Answer {
+		named = append(named, request.Incarnation)
+		return httpleaf.Answer{Body: []byte("x")}
+	})
+	name := b.target().Incarnation
+	for _, life := range []string{name + "@10", name + "@20"} {
+		target := b.target()
+		target.Incarnation, target.Name = life, name
+		_, err := b.ask(t.Context(), target, b.request(), time.Now().Add(5*time.Second))
+		is.NoErr(err)
+	}
+	is.Equal(named, []string{name, name})
+	is.Equal(b.pool.Open(), 2)
+	b.pool.Keep(func(life string) bool { return life == name+"@20" })
+	is.Equal(b.pool.Open(), 1)
+}
--- a/internal/leafhttp/pool.go
+++ b/internal/leafhttp/pool.go
@@ -1,6 +1,7 @@
 package leafhttp
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -11,15 +12,20 @@
 
 // Target is the leaf that an attempt goes to.
 type Target struct {
-	// Incarnation is the leaf's id; the leaf refuses requests meant for another.
+	// Incarnation is the leaf's id, one of each of its lives.
 	Incarnation string
-	Address     string
+	// Name is what the leaf calls itself: it refuses requests meant for another. Empty if the id is its name.
+	Name    string
+	Address string
 	// Connections is how many this node may have to the leaf in any case.
 	Connections int
 	// Spare is how many more it may try while the leaf takes them.
 	Spare int
 }
 
+// expected gives the name that the leaf must have to take a request.
+func (t Target) expected() string { return cmp.Or(t.Name, t.Incarnation) }
+
 // Pool holds the connections of a node to leafs; safe for concurrent use.
 type Pool struct {
 	config  Config
--- a/internal/leafmemory/leafmemory_test.go
+++ b/internal/leafmemory/leafmemory_test.go
@@ -31,7 +31,7 @@
 }
 
 func record(id string, state leafset.State) leafset.Record {
-	return leafset.Record{ID: id, Service: "s", Address: "127.0.0.1:1", State: state}
+	return leafset.Record{Name: id, Service: "s", Address: "127.0.0.1:1", State: state}
 }
 
 func TestLostLeafsAreALastResortForAWhile(t *testing.T) {
--- a/internal/leafmemory/writer.go
+++ b/internal/leafmemory/writer.go
@@ -81,7 +81,7 @@
 	w.isWritten = slices.Equal(w.wanted, records(view.Remembered))
 }
 
-// records gives the ready leafs in order of id, without what changes from one of their writes to the next.
+// records gives the ready leafs in order of name, without what changes from one of their writes to the next.
 func records(set *leafset.Set) []leafset.Record {
 	var ready []leafset.Record
 	for _, id := range set.IDs() {
@@ -93,7 +93,7 @@
 		record.WarmupMillis, record.Sequence = 0, 0
 		ready = append(ready, record)
 	}
-	slices.SortFunc(ready, func(a, b leafset.Record) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(ready, func(a, b leafset.Record) int { return strings.Compare(a.Name, b.Name) })
 	return ready
 }
 
--- a/internal/leafset/editor.go
+++ b/internal/leafset/editor.go
@@ -22,6 +22,8 @@
 	ownsLost           bool
 	// replaced is the set that a whole new one takes the place of; nil for changes of a set.
 	replaced *Set
+	// disowned are names under which no leaf is told of.
+	disowned map[string]bool
 	clock    boottime.Clock
 }
 
@@ -39,45 +41,62 @@
 // Edit starts a copy.
 func (s *Set) Edit() *Editor {
 	copied := &Set{
-		byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byID: maps.Clone(s.byID), evacuated: s.evacuated,
+		byService: maps.Clone(s.byService), ready: maps.Clone(s.ready), byName: maps.Clone(s.byName), evacuated: s.evacuated,
 		rules: s.rules, first: s.first, trial: s.trial, lost: s.lost,
 	}
 	return &Editor{set: copied, owned: map[string]bool{}, ruled: map[string]bool{}}
 }
 
-// Put adds a leaf or replaces the one of its id.
+// Put adds a leaf or replaces the one of its name. One of another life is gone with its process: it isn't lost, as one that
+// may only be unlisted for a while.
 func (e *Editor) Put(leaf *Leaf) {
-	known := e.drop(leaf.ID)
+	known := e.drop(leaf.Name)
 	switch {
-	case leaf.State == Ready:
-		e.forgetLoss(leaf.ID)
+	case leaf.State == Ready, e.isOtherLifeLost(leaf), known != nil && known.ID != leaf.ID:
+		e.forgetLoss(leaf.Name)
 	case known != nil && known.State == Ready:
 		e.lose(known)
 	}
-	e.set.byID[leaf.ID] = leaf
+	e.set.byName[leaf.Name] = leaf
 	leafs := e.own(leaf.Service)
-	at, _ := slices.BinarySearchFunc(leafs, leaf.ID, func(known *Leaf, id string) int { return strings.Compare(known.ID, id) })
+	at, _ := slices.BinarySearchFunc(leafs, leaf.Name, func(known *Leaf, name string) int { return strings.Compare(known.Name, name) })
 	e.set.byService[leaf.Service] = slices.Insert(leafs, at, leaf)
 }
 
-// Remove drops the leaf of an id, if there is one.
-func (e *Editor) Remove(id string) {
-	if known := e.drop(id); known != nil && known.State == Ready {
+// Remove drops the leaf of a name, if there is one.
+func (e *Editor) Remove(name string) {
+	if known := e.drop(name); known != nil && known.State == Ready {
 		e.lose(known)
 	}
 }
 
+// Disown drops the leaf of a name without a memory of it: what is kept under its name tells of no leaf.
+func (e *Editor) Disown(name string) {
+	e.drop(name)
+	e.forgetLoss(name)
+	if e.disowned == nil {
+		e.disowned = map[string]bool{}
+	}
+	e.disowned[name] = true
+}
+
+// isOtherLifeLost reports whether a life of a leaf other than a given one is remembered as lost.
+func (e *Editor) isOtherLifeLost(leaf *Leaf) bool {
+	one, wasLost := e.set.lost[leaf.Name]
+	return wasLost && one.leaf.ID != leaf.ID
+}
+
 // lose remembers a leaf that was ready until now.
 func (e *Editor) lose(known *Leaf) {
 	e.ownLost()
-	e.set.lost[known.ID] = lost{leaf: known, at: e.clock.Now()}
+	e.set.lost[known.Name] = lost{leaf: known, at: e.clock.Now()}
 }
 
 // forgetLoss forgets that a leaf was lost, since it is ready again.
-func (e *Editor) forgetLoss(id string) {
-	if _, wasLost := e.set.lost[id]; wasLost {
+func (e *Editor) forgetLoss(name string) {
+	if _, wasLost := e.set.lost[name]; wasLost {
 		e.ownLost()
-		delete(e.set.lost, id)
+		delete(e.set.lost, name)
 	}
 }
 
@@ -92,14 +111,14 @@
 	maps.DeleteFunc(e.set.lost, func(_ string, one lost) bool { return one.at.Before(oldest) })
 }
 
-// drop takes the leaf of an id out and gives it; nil when there is none.
-func (e *Editor) drop(id string) *Leaf {
-	known, found := e.set.byID[id]
+// drop takes the leaf of a name out and gives it; nil when there is none.
+func (e *Editor) drop(name string) *Leaf {
+	known, found := e.set.byName[name]
 	if !found {
 		return nil
 	}
-	delete(e.set.byID, id)
-	leafs := slices.DeleteFunc(e.own(known.Service), func(leaf *Leaf) bool { return leaf.ID == id })
+	delete(e.set.byName, name)
+	leafs := slices.DeleteFunc(e.own(known.Service), func(leaf *Leaf) bool { return leaf.Name == name })
 	if len(leafs) == 0 {
 		delete(e.set.byService, known.Service)
 		return known
@@ -143,9 +162,12 @@
 
 // loseReplaced remembers the ready leafs of the replaced set that are not ready in the new one.
 func (e *Editor) loseReplaced() {
-	for id, before := range e.replaced.byID {
-		now, found := e.set.byID[id]
-		if before.State == Ready && (!found || now.State != Ready) {
+	for name, before := range e.replaced.byName {
+		now, found := e.set.byName[name]
+		switch {
+		case found && now.ID != before.ID, e.disowned[name]:
+			e.forgetLoss(name)
+		case before.State == Ready && (!found || now.State != Ready):
 			e.lose(before)
 		}
 	}
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -1,13 +1,16 @@
 // Package leafset holds which leafs there are, as the platform's discovery tells it.
 //
-// A leaf is one incarnation of a back end. A new start mostly has a new id, even at an old address; one that keeps its id
-// begins another life of the leaf, which knows nothing of the one before.
+// A leaf is one life of a back end: one process of it. A new start mostly has a new name, even at an old address; one that
+// keeps its name knows nothing of the life before, and is another leaf. Whatever is kept of a leaf is kept by its id, which
+// holds name and life, so that nothing of an earlier life is taken for the later one's.
 package leafset
 
 import (
 	"cmp"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	json "github.com/goccy/go-json"
@@ -28,8 +31,8 @@
 
 // Record is what discovery tells of one leaf.
 type Record struct {
-	// ID names the incarnation.
-	ID      string `json:"id"`
+	// Name is what the leaf calls itself and its record is kept under. Requests to it name it.
+	Name    string `json:"id"`
 	Service string `json:"service"`
 	// Address is an IP number and port.
 	Address string `json:"address"`
@@ -42,19 +45,19 @@
 	// WarmupMillis is how much longer the leaf was slow when the record was written.
 	WarmupMillis int64 `json:"warmup_millis,omitempty"`
 	// Born is when the leaf's process started, in Unix milliseconds by its time of day: it orders the lives of leafs that
-	// keep their id. 0 where it is not told.
+	// keep their name. 0 where it is not told.
 	Born int64 `json:"born,omitempty"`
 	// Sequence orders the records of one life; 0 where it is not told.
 	Sequence int64 `json:"sequence,omitempty"`
 }
 
-// IsOfEarlierLife reports whether a record was written by a process that another one of the same id came after.
+// IsOfEarlierLife reports whether a record was written by a process that another one of the same name came after.
 func (r Record) IsOfEarlierLife(other Record) bool { return r.Born > 0 && r.Born < other.Born }
 
-// IsSameLife reports whether two records of an id were written by the same process, as far as they tell.
+// IsSameLife reports whether two records of a name were written by the same process, as far as they tell.
 func (r Record) IsSameLife(other Record) bool { return r.Born == other.Born }
 
-// Compare orders two records of an id by what they say themselves; it is not told where they don't.
+// Compare orders two records of a name by what they say themselves; it is not told where they don't.
 func Compare(a, b Record) (order int, isTold bool) {
 	if a.IsSameLife(b) {
 		return cmp.Compare(a.Sequence, b.Sequence), a.Sequence != b.Sequence
@@ -64,6 +67,8 @@
 
 // Leaf is a record with when and how this node learned of it; immutable.
 type Leaf struct {
+	// ID names one life of the leaf, as LifeID does.
+	ID string
 	Record
 	// Revision is the store's revision that wrote the record.
 	Revision int64
@@ -72,16 +77,36 @@
 	ColdUntil time.Time
 }
 
+// lifeMark is between the name and the start of a leaf in its id.
+const lifeMark = "@"
+
+// LifeID gives the id of the life of a leaf of a name that was born at a time in Unix milliseconds: the name alone where that
+// is 0, for leafs that have a new name at each start.
+func LifeID(name string, born int64) string {
+	if born == 0 {
+		return name
+	}
+	return name + lifeMark + strconv.FormatInt(born, 10)
+}
+
+// nameOf gives the name in the id of a life that was born at a known time; the id itself where it has none.
+func nameOf(id string) string {
+	if at := strings.LastIndex(id, lifeMark); at > 0 {
+		return id[:at]
+	}
+	return id
+}
+
 // NewLeaf makes a leaf from a record that this node learned of at a time.
 func NewLeaf(record Record, at int64, learned time.Time) *Leaf {
-	leaf := &Leaf{Record: record, Revision: at}
+	leaf := &Leaf{ID: LifeID(record.Name, record.Born), Record: record, Revision: at}
 	if record.WarmupMillis > 0 {
 		leaf.ColdUntil = learned.Add(time.Duration(record.WarmupMillis) * time.Millisecond)
 	}
 	return leaf
 }
 
-// Learn makes a leaf from a record that takes the place of what is known of its id, nil where nothing is. What is read once
+// Learn makes a leaf from a record that takes the place of what is known of its name, nil where nothing is. What is read once
 // more after a restore of the store, the same write of another epoch, tells nothing new of how cold the leaf is.
 func Learn(known *Leaf, record Record, at int64, learned time.Time) *Leaf {
 	leaf := NewLeaf(record, at, learned)
@@ -104,7 +129,8 @@
 	}
 	editor := Empty().Edit()
 	for _, record := range list.Leafs {
-		editor.Put(&Leaf{Record: record, Revision: at})
+		record.WarmupMillis = 0 // how cold it is was true when the list was written
+		editor.Put(NewLeaf(record, at, time.Time{}))
 	}
 	return editor.Done(), nil
 }
@@ -116,17 +142,19 @@
 		return Record{}, failure.Invalid("leaf", "not a leaf record: %v", err)
 	}
 	var checks failure.Checks
-	checks.Refuse(record.ID == "", "id", "must not be empty")
+	checks.Refuse(record.Name == "", "id", "must not be empty")
 	checks.Refuse(record.Service == "", "service", "must not be empty")
 	checks.Refuse(record.Address == "", "address", "must not be empty")
+	checks.Refuse(record.State != Ready && record.State != Draining, "state", "%q; must be %s or %s", record.State, Ready, Draining)
+	checks.Refuse(record.Born < 0, "born", "must not be negative")
 	return record, checks.Err()
 }
 
 // Set is the leafs of all services at one revision; immutable.
 type Set struct {
-	byService map[string][]*Leaf // each sorted by id
+	byService map[string][]*Leaf // each sorted by name
 	ready     map[string][]*Leaf // of byService, those that take work; services with all of them left out
-	byID      map[string]*Leaf
+	byName    map[string]*Leaf
 	evacuated map[string]bool // zones whose leafs must get nothing
 	// rules say which versions of a service may get requests; services without a rule are left out.
 	rules map[string]rollout.Rule
@@ -134,7 +162,7 @@
 	first map[string]string
 	// trial is of byService, those that take work and are of the version on trial.
 	trial map[string][]*Leaf
-	lost  map[string]lost // by id; leafs that were ready until a moment ago
+	lost  map[string]lost // by name; leafs that were ready until a moment ago
 }
 
 // lost is a leaf that was ready until a moment ago, and since when it is not.
@@ -149,7 +177,7 @@
 // Empty gives a set without leafs.
 func Empty() *Set {
 	return &Set{
-		byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byID: map[string]*Leaf{}, evacuated: map[string]bool{},
+		byService: map[string][]*Leaf{}, ready: map[string][]*Leaf{}, byName: map[string]*Leaf{}, evacuated: map[string]bool{},
 		rules: map[string]rollout.Rule{}, first: map[string]string{}, trial: map[string][]*Leaf{}, lost: map[string]lost{},
 	}
 }
@@ -187,7 +215,10 @@
 // LostByID gives a leaf that ceased to be ready at a time or later.
 func (s *Set) LostByID(id string, since time.Time) (*Leaf, bool) {
 	one, found := s.lost[id]
-	if !found || one.at.Before(since) {
+	if !found {
+		one, found = s.lost[nameOf(id)]
+	}
+	if !found || one.leaf.ID != id || one.at.Before(since) {
 		return nil, false
 	}
 	return one.leaf, true
@@ -196,28 +227,40 @@
 // LostIDs gives the ids of all leafs that ceased to be ready at a time or later, in no order.
 func (s *Set) LostIDs(since time.Time) []string {
 	var ids []string
-	for id, one := range s.lost {
+	for _, one := range s.lost {
 		if !one.at.Before(since) {
-			ids = append(ids, id)
+			ids = append(ids, one.leaf.ID)
 		}
 	}
 	return ids
 }
 
-// ByID gives a leaf; false when discovery knows none of that id.
+// ByID gives a leaf; false when discovery knows none of that id, or another life of it.
 func (s *Set) ByID(id string) (*Leaf, bool) {
-	leaf, found := s.byID[id]
+	leaf, found := s.byName[id]
+	if !found {
+		leaf, found = s.byName[nameOf(id)]
+	}
+	if !found || leaf.ID != id {
+		return nil, false
+	}
+	return leaf, true
+}
+
+// ByName gives the leaf in force of a name, whichever life it is of.
+func (s *Set) ByName(name string) (*Leaf, bool) {
+	leaf, found := s.byName[name]
 	return leaf, found
 }
 
 // Len gives the number of leafs.
-func (s *Set) Len() int { return len(s.byID) }
+func (s *Set) Len() int { return len(s.byName) }
 
 // IDs gives the ids of all leafs, in no order.
 func (s *Set) IDs() []string {
-	ids := make([]string, 0, len(s.byID))
-	for id := range s.byID {
-		ids = append(ids, id)
+	ids := make([]string, 0, len(s.byName))
+	for _, leaf := range s.byName {
+		ids = append(ids, leaf.ID)
 	}
 	return ids
 }
--- a/internal/leafset/leafset_test.go
+++ b/internal/leafset/leafset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -22,7 +23,7 @@
 				editor.Remove(id)
 				delete(wanted, id)
 			} else {
-				editor.Put(&Leaf{Record: Record{ID: id, Service: service}})
+				editor.Put(NewLeaf(Record{Name: id, Service: service}, 0, time.Time{}))
 				wanted[id] = service
 			}
 			set = editor.Done()
@@ -58,12 +59,12 @@
 func TestEvacuatedLeafsTakeNothing(t *testing.T) {
 	is := is.New(t)
 	editor := Empty().Edit()
-	editor.Put(&Leaf{Record: Record{ID: "1", Service: "s", Zone: "a", State: Ready}})
-	editor.Put(&Leaf{Record: Record{ID: "2", Service: "s", Zone: "b", State: Ready}})
+	editor.Put(NewLeaf(Record{Name: "1", Service: "s", Zone: "a", State: Ready}, 0, time.Time{}))
+	editor.Put(NewLeaf(Record{Name: "2", Service: "s", Zone: "b", State: Ready}, 0, time.Time{}))
 	before := editor.Done()
 	editor = before.Edit()
 	editor.SetEvacuated("a", true)
-	editor.Put(&Leaf{Record: Record{ID: "3", Service: "t", Zone: "a", State: Ready}})
+	editor.Put(NewLeaf(Record{Name: "3", Service: "t", Zone: "a", State: Ready}, 0, time.Time{}))
 	during := editor.Done()
 	is.Equal(len(before.Ready("s")), 2)
 	is.Equal(len(during.Ready("s")), 1)
--- /dev/null
+++ b/internal/leafset/lives_test.go
@@ -0,0 +1,90 @@
+package leafset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// life is the record of a leaf that was born at a time.
+func life(born int64, state State) *Leaf {
+	record := Record{Name: "a", Service: "s", Address: "127.0.0.1:1", State: state, Born: born}
+	return NewLeaf(record, born+1, time.Time{})
+}
+
+// A leaf that starts again under its name is another one: nothing is found under the id of the life before, which is not
+// asked as one that is only unlisted either.
+func TestEachLifeHasItsID(t *testing.T) {
+	cases := map[string]func(first *Set) *Set{
+		"registers over the first": func(first *Set) *Set { return put(first, life(20, Ready)) },
+		"drains at once":           func(first *Set) *Set { return put(first, life(20, Draining)) },
+		"after the first went": func(first *Set) *Set {
+			editor := first.Edit()
+			editor.Remove("a")
+			return put(editor.Done(), life(20, Draining))
+		},
+		"in a whole state": func(first *Set) *Set {
+			editor := Replace(first)
+			editor.Put(life(20, Draining))
+			return editor.Done()
+		},
+	}
+	for name, begin := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			first := put(Empty(), life(10, Ready))
+			_, found := first.ByID("a@10")
+			is.True(found)
+			second := begin(first)
+			is.Equal(second.IDs(), []string{"a@20"})
+			_, found = second.ByID("a@10")
+			is.True(!found)
+			_, isLost := second.LostByID("a@10", time.Time{})
+			is.True(!isLost)
+			is.Equal(second.LostIDs(time.Time{}), nil)
+			known, _ := second.ByName("a")
+			is.Equal(known.Born, int64(20))
+			is.Equal(len(second.Of("s")), 1)
+		})
+	}
+}
+
+// A life that is only unlisted for a while is remembered by its id, and found by it once more.
+func TestLifeThatIsUnlisted(t *testing.T) {
+	is := is.New(t)
+	editor := put(Empty(), life(10, Ready)).Edit()
+	editor.Remove("a")
+	without := editor.Done()
+	is.Equal(without.LostIDs(time.Time{}), []string{"a@10"})
+	_, isLost := without.LostByID("a@10", time.Time{})
+	is.True(isLost)
+	_, isLost = without.LostByID("a@9", time.Time{})
+	is.True(!isLost)
+	_, found := put(without, life(10, Ready)).ByID("a@10")
+	is.True(found)
+}
+
+// Leafs that tell of no start have their name as id, whatever it holds.
+func TestNamesWithoutLives(t *testing.T) {
+	is := is.New(t)
+	set := put(Empty(), NewLeaf(Record{Name: "a@10", Service: "s", State: Ready}, 1, time.Time{}))
+	known, found := set.ByID("a@10")
+	is.True(found)
+	is.Equal(known.Name, "a@10")
+	is.Equal(set.IDs(), []string{"a@10"})
+}
+
+// A list that was written down names lives: one that started again since is not taken for the one on it.
+func TestListsNameLives(t *testing.T) {
+	is := is.New(t)
+	set, err := ParseList([]byte(`{"leafs":[{"id":"a","service":"s","address":"127.0.0.1:1","state":"ready","born":10}]}`), 3)
+	is.NoErr(err)
+	is.Equal(set.IDs(), []string{"a@10"})
+}
+
+func put(set *Set, leaf *Leaf) *Set {
+	editor := set.Edit()
+	editor.Put(leaf)
+	return editor.Done()
+}
--- a/internal/leafset/versions_test.go
+++ b/internal/leafset/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -9,7 +10,7 @@
 )
 
 func leafOf(id, version string, state State) *Leaf {
-	return &Leaf{Record: Record{ID: id, Service: "s", Version: version, State: state}}
+	return NewLeaf(Record{Name: id, Service: "s", Version: version, State: state}, 0, time.Time{})
 }
 
 // edited gives a set with some leafs put and some removed, where services are served by one version.
--- a/internal/node/beliefs.go
+++ b/internal/node/beliefs.go
@@ -182,7 +182,7 @@
 	event := leafsEvent{Time: time.Now(), Event: eventLeafsChanged, Revision: view.Revision, Evacuated: view.Leafs.EvacuatedZones()}
 	for _, id := range ids {
 		state := leafset.State("")
-		leaf, found := view.Leafs.ByID(id)
+		leaf, found := view.Leafs.ByName(id)
 		if found {
 			state = leaf.State
 		}
--- a/internal/node/provide.go
+++ b/internal/node/provide.go
@@ -86,10 +86,8 @@
 }
 
 func newCatalog(config settings.Settings, clock boottime.Clock, metrics *telemetry.Metrics, logger *zap.Logger) *catalog.Catalog {
-	known := catalog.New(func(key string, err error) {
-		metrics.ConfigRejected.Inc()
-		logger.Error("stored value can't be put into force", zap.String("key", key), zap.Error(err))
-	})
+	refused := &refusals{metrics: metrics, logger: logger}
+	known := catalog.New(refused.refuse)
 	known.SetClock(clock)
 	if config.Rollouts.Enabled {
 		known.EnableRollouts()
--- a/internal/rewriter/rewriter_test.go
+++ b/internal/rewriter/rewriter_test.go
@@ -133,7 +133,7 @@
 		is := is.New(t)
 		lost := []catalog.Entry{
 			entry(t, catalog.EvacuationKey("a"), struct{}{}, 90), entry(t, catalog.EvacuationKey("b"), struct{}{}, 91),
-			entry(t, catalog.LeafKey("l"), leafset.Record{ID: "l", Service: "s", Address: "127.0.0.1:1", State: leafset.Ready}, 92),
+			entry(t, catalog.LeafKey("l"), leafset.Record{Name: "l", Service: "s", Address: "127.0.0.1:1", State: leafset.Ready}, 92),
 		}
 		kept := &memoryStore{entries: map[string]catalog.Entry{}, count: 50, foreign: catalog.LeafKey("")}
 		known := restored(t, lost, nil, 3)
--- a/internal/rolloutcontrol/fleet_test.go
+++ b/internal/rolloutcontrol/fleet_test.go
@@ -175,7 +175,7 @@
 func (f *fleet) addLeafs(service, version string, count int) {
 	for number := range count {
 		id := fmt.Sprintf("%s-%s-%d", service, version, number)
-		f.store.set(catalog.LeafKey(id), leafset.Record{ID: id, Service: service, Address: "127.0.0.1:1", Zone: "z0", Version: version, State: leafset.Ready})
+		f.store.set(catalog.LeafKey(id), leafset.Record{Name: id, Service: service, Address: "127.0.0.1:1", Zone: "z0", Version: version, State: leafset.Ready})
 	}
 }
 
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -175,7 +175,7 @@
 }
 
 func place(node catalog.NodeRecord, leaf *leafset.Leaf) rank {
-	return rank{elsewhere: node.Zone != leaf.Zone, hash: xxhash.Sum64String(leaf.ID + "\x00" + node.ID)}
+	return rank{elsewhere: node.Zone != leaf.Zone, hash: xxhash.Sum64String(leaf.Name + "\x00" + node.ID)}
 }
 
 func (r rank) isBefore(other rank) bool {
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -52,7 +52,7 @@
 func newCatalog(t fatal, perSecond float64, gathered bool) *catalog.Catalog {
 	known := catalog.New(nil)
 	put(t, known, catalog.LeafKey(testLeaf), leafset.Record{
-		ID: testLeaf, Service: testService, Zone: "east", Address: "127.0.0.1:1", State: leafset.Ready, WarmupMillis: time.Minute.Milliseconds(),
+		Name: testLeaf, Service: testService, Zone: "east", Address: "127.0.0.1:1", State: leafset.Ready, WarmupMillis: time.Minute.Milliseconds(),
 	})
 	route := routing.Route{Host: "h", Prefix: "/", Repeatability: routing.Repeatable, Service: testService}
 	if gathered {
