--- a/internal/lab/rollouts/release.go
+++ b/internal/lab/rollouts/release.go
@@ -145,6 +145,15 @@
 	return bad[badAnswers-1].Done, true
 }
 
+// ShowedNothing reports whether the version had given no bad answer by the time at which the operators were told that it
+// succeeded, which is final: whatever it does later, no answer could have kept it from that. Such is a version that fails some
+// seconds after its first request, and whose service got none in those seconds.
+func (r *Release) ShowedNothing() bool {
+	told, at := r.Outcome()
+	isSeen := func(visit Visit) bool { return visit.isBad() && !visit.Done.After(at) }
+	return told == Succeeded && len(selected(r.Target, isSeen)) == 0
+}
+
 // BadAnswers is how many bad answers the version gave.
 func (r *Release) BadAnswers() int { return len(selected(r.Target, Visit.isBad)) }
 
--- a/internal/lab/rollouts/release_test.go
+++ b/internal/lab/rollouts/release_test.go
@@ -49,6 +49,20 @@
 	is.Equal(len(sample(Fault{}, nil, append(after, Lateness, Lateness+time.Second)).Late(Always)), 0)
 }
 
+// A version that was found good before its first bad answer could not be found bad; one bad answer before that, and it could.
+func TestVersionThatShowedNothingInTime(t *testing.T) {
+	is := is.New(t)
+	r := sample(Fault{Failing: 1}, nil, []time.Duration{3 * time.Second, 4 * time.Second})
+	is.True(!r.ShowedNothing()) // nothing was told
+	r.tell(Succeeded, 6, 2*time.Second)
+	is.True(r.ShowedNothing())
+	r.tell(RolledBack, 7, 3*time.Second)
+	is.True(!r.ShowedNothing())
+	r = sample(Fault{Failing: 1}, nil, []time.Duration{time.Second, 4 * time.Second})
+	r.tell(Succeeded, 6, 2*time.Second)
+	is.True(!r.ShowedNothing())
+}
+
 func TestBarredVisits(t *testing.T) {
 	is := is.New(t)
 	r := sample(Fault{}, nil, []time.Duration{-time.Second, time.Second, 3*time.Second + Lateness})
