A signal to reload does not end a node that starts

SIGHUP ends a process that has not taken it over, and a node did so after its settings were read: on a busy machine 60 ms after its start.

A package that needs next to nothing takes it over as one of the first that are set up. Other commands end by it as before.

--- a/cmd/portgauge/node.go
+++ b/cmd/portgauge/node.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/portgauge/portgauge/internal/cli"
+	"github.com/portgauge/portgauge/internal/hangup"
 	"github.com/portgauge/portgauge/internal/node"
 	"github.com/portgauge/portgauge/internal/settings"
 )
@@ -25,12 +26,9 @@
 	if err != nil {
 		return err
 	}
-	// From here on a signal to reload must not end the process.
-	told := make(chan os.Signal, 1)
-	signal.Notify(told, syscall.SIGHUP)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	app := node.New(node.Start{Settings: config, SettingsPath: c.Settings, Load: load, Reload: told, Logs: os.Stdout, Dialects: dialects()})
+	app := node.New(node.Start{Settings: config, SettingsPath: c.Settings, Load: load, Reload: hangup.Signals(), Logs: os.Stdout, Dialects: dialects()})
 	if err := app.Err(); err != nil {
 		return err
 	}
