Two new tests hold on any schedule: looks are counted over ten seconds, and the store's figures read under its lock

TestNodeThatCountsNoEpochs wanted exactly one look at the store within a second of words from a node that counts no epochs: looks are 0.2 to 2 s apart, so that 26 of 300 plays saw none or two. What both hold nodes to is unchanged.

--- a/internal/configsync/restored_test.go
+++ b/internal/configsync/restored_test.go
@@ -142,11 +142,14 @@
 		is.Equal(len(answer.State.Changes)+len(answer.State.Snapshot), 0)
 		is.Equal(node.serviceCount(), 1)
 
+		// It looks at the store, and not at each word: looks that move nothing on are 0.2 to 2 s apart.
 		before := f.platform.listed()
-		for range 100 {
+		for range 1000 {
 			node.syncer.Heard("old", unaware, nil)
 			time.Sleep(10 * time.Millisecond)
 		}
-		is.Equal(f.platform.listed(), before+1)
+		looks := f.platform.listed() - before
+		is.True(looks >= 4)
+		is.True(looks <= 10)
 	})
 }
--- a/internal/quarantinesync/sync_test.go
+++ b/internal/quarantinesync/sync_test.go
@@ -302,7 +302,7 @@
 		f.set(func() { f.node("a").isCut = true })
 		f.node("a").endLeafs()
 		time.Sleep(contact)
-		is.Equal(f.writes, 1)
+		f.set(func() { is.Equal(f.writes, 1) })
 		f.set(func() {
 			delete(f.entries, key)
 			f.revision = revision.At(1, 1)
@@ -310,9 +310,11 @@
 		})
 		f.node("a").follow()
 		time.Sleep(contact)
-		is.Equal(f.writes, 2)
-		_, isKept := f.entries[key]
-		is.True(isKept)
+		f.set(func() {
+			_, isKept := f.entries[key]
+			is.Equal(f.writes, 2)
+			is.True(isKept)
+		})
 		is.True(f.allHold(quarantine.Quarantined))
 	})
 }
