What a restore keeps has one filter, one marker and one answer to who may write

Read once more, the change had written some things twice: which kept entries are in force (four loops; now KeptEntries), the entry that only moves the revision on (five places, two of them older; now Marker), how a document is read and parsed (the routes beside the leafs; now parsed), and whether the store lets nodes write a key (asked by the rewriter at each entry and kept by the catalog; now asked once). A question of the rewriter had a removal as its side effect: what is not in force and others write is let go with all else that is over, so that LetGo takes no keys.

All messages between nodes have the sum of what is kept.

No assertion changed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -238,60 +237,6 @@
 	return true
 }
 
-// entriesOf gives the entries of a whole state that are put into force. The lock must be held.
-func (c *Catalog) entriesOf(snapshot Snapshot, isFirst bool) []Entry {
-	switch {
-	case isFirst:
-		c.restored.kept = nil
-		for _, entry := range snapshot.Entries {
-			c.noteKept(entry, snapshot.Revision)
-		}
-	case revision.IsLater(snapshot.Revision, c.view.Load().Revision):
-		return c.reconcile(snapshot)
-	default:
-		return c.stillKept(snapshot)
-	}
-	return snapshot.Entries
-}
-
-// stillKept gives the entries of a later state of the same epoch, with those that are kept and not written again. The lock
-// must be held.
-func (c *Catalog) stillKept(snapshot Snapshot) []Entry {
-	entries := make([]Entry, 0, len(snapshot.Entries)+len(c.restored.kept))
-	isRead := make(map[string]bool, len(snapshot.Entries))
-	for _, read := range snapshot.Entries {
-		isRead[read.Key] = true
-		kept, isKept := c.restored.kept[read.Key]
-		if isKept && !kept.IsLost && c.isNewer(kept.Entry, read, snapshot.Revision) {
-			entries = append(entries, kept.Entry)
-			continue
-		}
-		if known, isKnown := c.entries[read.Key]; isKnown && strings.HasPrefix(read.Key, leafPrefix) && isOfEarlierLife(read, known) {
-			entries = append(entries, known)
-			continue
-		}
-		delete(c.restored.kept, read.Key)
-		c.noteKept(read, snapshot.Revision)
-		entries = append(entries, read)
-	}
-	for key, kept := range c.restored.kept {
-		if !isRead[key] && !kept.IsLost {
-			entries = append(entries, kept.Entry)
-		}
-	}
-	return entries
-}
-
-// noteReplaced remembers what an entry of a whole state takes the place of.
-func (c *Catalog) noteReplaced(known map[string]Entry, entry Entry) {
-	before, isKnown := known[entry.Key]
-	if !isKnown {
-		c.restored.note(entry, nil, c.clock.Now())
-		return
-	}
-	c.restored.note(entry, &before, c.clock.Now())
-}
-
 // rememberReplaced keeps what a whole state changed, unless there was nothing before it, it is too large, or the store was
 // restored; then earlier changes don't reach the revision in force any more.
 func (c *Catalog) rememberReplaced(before int64, difference Change) {
@@ -304,7 +249,7 @@
 
 // difference gives what a newer whole state changes, as one change.
 func difference(known map[string]Entry, before int64, newer Snapshot) Change {
-	change := Change{Entry: Entry{Key: MarkerKey, Revision: newer.Revision, Deleted: true}, Previous: before}
+	change := Change{Entry: Marker(newer.Revision), Previous: before}
 	present := make(map[string]bool, len(newer.Entries))
 	for _, entry := range newer.Entries {
 		present[entry.Key] = true
--- a/internal/catalog/draft.go
+++ b/internal/catalog/draft.go
@@ -105,11 +105,7 @@
 	if entry.Deleted {
 		return nil
 	}
-	document, err := DecodeDocument(entry)
-	if err != nil {
-		return err
-	}
-	configuration, err := routing.Parse(document)
+	configuration, err := parsed(entry, routing.Parse)
 	if err != nil {
 		return err
 	}
--- a/internal/catalog/entry.go
+++ b/internal/catalog/entry.go
@@ -114,6 +114,9 @@
 	Refused string `json:"refused,omitempty"`
 }
 
+// Marker gives the entry of a change that only moves the revision on, to the given one.
+func Marker(at int64) Entry { return Entry{Key: MarkerKey, Revision: at, Deleted: true} }
+
 // NewRefusal gives the value of an entry that can't be read, with the reason.
 func NewRefusal(reason error) []byte {
 	value, err := json.Marshal(Envelope{Refused: reason.Error()})
--- a/internal/configsync/pull.go
+++ b/internal/configsync/pull.go
@@ -190,7 +190,7 @@
 func (s *Syncer) HandlePull(from string, pull peer.Pull) peer.State {
 	state := peer.State{Initialised: s.initialised.Load(), Revision: s.catalog.Revision()}
 	if pull.Kept {
-		state.Kept = s.keptEntries()
+		state.Kept = s.catalog.KeptEntries()
 	}
 	changes, kept := s.catalog.Since(pull.After)
 	if kept || !state.Initialised {
--- a/internal/configsync/restored.go
+++ b/internal/configsync/restored.go
@@ -18,7 +18,7 @@
 // epochChange gives the change that tells other nodes of a new epoch. It has nothing in it: they find that they can't apply
 // it, and ask for the whole state.
 func epochChange(before, now int64) catalog.Change {
-	return catalog.Change{Entry: catalog.Entry{Key: catalog.MarkerKey, Revision: now, Deleted: true}, Previous: before}
+	return catalog.Change{Entry: catalog.Marker(now), Previous: before}
 }
 
 // cameToEpoch logs that the node came to a new epoch, and gives whether it did.
@@ -27,16 +27,9 @@
 	if before == 0 || !revision.IsLater(now, before) {
 		return false
 	}
-	kept, lost := 0, 0
-	for _, one := range s.catalog.Kept() {
-		if one.IsLost {
-			lost++
-		} else {
-			kept++
-		}
-	}
+	kept, all := len(s.catalog.KeptEntries()), len(s.catalog.Kept())
 	s.logger.Warn("the store was restored", zap.Int64("revision", now), zap.Int64("before", before),
-		zap.Int("kept", kept), zap.Int("leafs_lost", lost))
+		zap.Int("kept", kept), zap.Int("leafs_lost", all-kept))
 	return true
 }
 
@@ -70,17 +63,6 @@
 	}
 }
 
-// keptEntries gives the entries that this node keeps in force.
-func (s *Syncer) keptEntries() []catalog.Entry {
-	var entries []catalog.Entry
-	for _, one := range s.catalog.Kept() {
-		if !one.IsLost {
-			entries = append(entries, one.Entry)
-		}
-	}
-	return entries
-}
-
 // isForeign reports whether a digest is of a node that does not count epochs, as the version before this one, while the
 // store was restored at some time: its revisions can't be told from those of another epoch.
 func (s *Syncer) isForeign(digest peer.Digest) bool {
--- a/internal/rewriter/rewriter.go
+++ b/internal/rewriter/rewriter.go
@@ -40,16 +40,20 @@
 	store   store.Store
 	self    string
 	journal Journal
+	// mayWrite reports whether the store lets nodes write a key; the others write what is theirs again themselves.
+	mayWrite func(key string) bool
 	// tried is when this node last wrote a key, by key.
 	tried map[string]time.Time
 }
 
 // New makes a writer for the node of an id. The catalog is told which keys the store lets nodes write.
 func New(known *catalog.Catalog, kept store.Store, self string, journal Journal) *Writer {
+	mayWrite := func(string) bool { return true }
 	if owned, isOwned := kept.(store.Owned); isOwned {
-		known.SetOwners(owned.MayWrite)
+		mayWrite = owned.MayWrite
 	}
-	return &Writer{catalog: known, store: kept, self: self, journal: journal, tried: map[string]time.Time{}}
+	known.SetOwners(mayWrite)
+	return &Writer{catalog: known, store: kept, self: self, journal: journal, mayWrite: mayWrite, tried: map[string]time.Time{}}
 }
 
 // Run writes again what is lost until the context ends.
@@ -73,7 +77,7 @@
 		if writes >= mostWrites || ctx.Err() != nil {
 			return
 		}
-		if !w.mayWrite(one) || !w.isDue(one.Entry.Key, time.Now()) {
+		if !w.mayWrite(one.Entry.Key) || !w.isDue(one.Entry.Key, time.Now()) {
 			continue
 		}
 		value, isReady := w.catalog.Renewed(one.Entry)
@@ -86,18 +90,6 @@
 	}
 }
 
-// mayWrite reports whether nodes may write an entry. A leaf that writes its own record is left to that.
-func (w *Writer) mayWrite(one catalog.Kept) bool {
-	owned, isOwned := w.store.(store.Owned)
-	if !isOwned || owned.MayWrite(one.Entry.Key) {
-		return true
-	}
-	if one.IsLost {
-		w.catalog.LetGo(one.Entry.Key)
-	}
-	return false
-}
-
 // isDue reports whether it is this node's turn to write a key.
 func (w *Writer) isDue(key string, now time.Time) bool {
 	view := w.catalog.View()
