A leaf's id is looked up in one place

ByID and LostByID each tried an id as a name and then the name in it; ofName does so for both. IsSameLife, of one use, stands where it was used. Behaviour is as before.

--- a/internal/leafset/editor.go
+++ b/internal/leafset/editor.go
@@ -92,7 +92,7 @@
 	e.set.lost[known.Name] = lost{leaf: known, at: e.clock.Now()}
 }
 
-// forgetLoss forgets that a leaf was lost, since it is ready again.
+// forgetLoss forgets that a leaf was lost: it is ready again, or its process is over.
 func (e *Editor) forgetLoss(name string) {
 	if _, wasLost := e.set.lost[name]; wasLost {
 		e.ownLost()
--- a/internal/leafset/leafset.go
+++ b/internal/leafset/leafset.go
@@ -54,12 +54,9 @@
 // IsOfEarlierLife reports whether a record was written by a process that another one of the same name came after.
 func (r Record) IsOfEarlierLife(other Record) bool { return r.Born > 0 && r.Born < other.Born }
 
-// IsSameLife reports whether two records of a name were written by the same process, as far as they tell.
-func (r Record) IsSameLife(other Record) bool { return r.Born == other.Born }
-
 // Compare orders two records of a name by what they say themselves; it is not told where they don't.
 func Compare(a, b Record) (order int, isTold bool) {
-	if a.IsSameLife(b) {
+	if a.Born == b.Born { // the same process, as far as they tell
 		return cmp.Compare(a.Sequence, b.Sequence), a.Sequence != b.Sequence
 	}
 	return cmp.Compare(a.Born, b.Born), a.Born > 0 && b.Born > 0
@@ -89,12 +86,18 @@
 	return name + lifeMark + strconv.FormatInt(born, 10)
 }
 
-// nameOf gives the name in the id of a life that was born at a known time; the id itself where it has none.
-func nameOf(id string) string {
-	if at := strings.LastIndex(id, lifeMark); at > 0 {
-		return id[:at]
+// ofName gives what is kept under the name in an id, whichever life it is of: an id without a time is the name, which may
+// have the mark in it.
+func ofName[V any](byName map[string]V, id string) (value V, found bool) {
+	if value, found = byName[id]; found {
+		return value, true
+	}
+	at := strings.LastIndex(id, lifeMark)
+	if at <= 0 {
+		return value, false
 	}
-	return id
+	value, found = byName[id[:at]]
+	return value, found
 }
 
 // NewLeaf makes a leaf from a record that this node learned of at a time.
@@ -214,10 +217,7 @@
 
 // LostByID gives a leaf that ceased to be ready at a time or later.
 func (s *Set) LostByID(id string, since time.Time) (*Leaf, bool) {
-	one, found := s.lost[id]
-	if !found {
-		one, found = s.lost[nameOf(id)]
-	}
+	one, found := ofName(s.lost, id)
 	if !found || one.leaf.ID != id || one.at.Before(since) {
 		return nil, false
 	}
@@ -237,10 +237,7 @@
 
 // ByID gives a leaf; false when discovery knows none of that id, or another life of it.
 func (s *Set) ByID(id string) (*Leaf, bool) {
-	leaf, found := s.byName[id]
-	if !found {
-		leaf, found = s.byName[nameOf(id)]
-	}
+	leaf, found := ofName(s.byName, id)
 	if !found || leaf.ID != id {
 		return nil, false
 	}
