--- a/internal/quarantinesync/sync_test.go
+++ b/internal/quarantinesync/sync_test.go
@@ -16,7 +16,6 @@
 	"github.com/portgauge/portgauge/internal/fingerprint"
 	"github.com/portgauge/portgauge/internal/peer"
 	"github.com/portgauge/portgauge/internal/quarantine"
-	"github.com/portgauge/portgauge/internal/revision"
 	"github.com/portgauge/portgauge/internal/store"
 )
 
@@ -292,33 +291,6 @@
 	}
 }
 
-// A record that the store took and lost again before it was in force at any node is saved once more by the node that found
-// it, also if there is no other that takes over: the store was restored from a copy in between.
-func TestRecordThatARestoreLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := newFleet(t, "a")
-		key := catalog.QuarantineKey(subject.Content.String())
-		f.set(func() { f.node("a").isCut = true })
-		f.node("a").endLeafs()
-		time.Sleep(contact)
-		f.set(func() { is.Equal(f.writes, 1) })
-		f.set(func() {
-			delete(f.entries, key)
-			f.revision = revision.At(1, 1)
-			f.node("a").isCut = false
-		})
-		f.node("a").follow()
-		time.Sleep(contact)
-		f.set(func() {
-			_, isKept := f.entries[key]
-			is.Equal(f.writes, 2)
-			is.True(isKept)
-		})
-		is.True(f.allHold(quarantine.Quarantined))
-	})
-}
-
 // What a large fleet is told while the store is down stays within its bound.
 func TestTellingIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/registry/left_test.go
+++ b/internal/registry/left_test.go
@@ -30,9 +30,9 @@
 	known.Apply(catalog.Change{Entry: catalog.Entry{Key: catalog.NodeKey(left.ID), Value: value, Revision: revision + 1}, Previous: revision})
 }
 
-// runResuming runs the registry of a node that had a record left for it, in virtual time, and gives what it
-// called for in some seconds.
-func runResuming(t *testing.T, lessor *memoryLessor, known *catalog.Catalog, ready chan struct{}, seconds int) (granted, kept int) {
+// startResuming runs the registry of a node that had a record left for it, in virtual time, and gives what stops it and
+// waits for its end.
+func startResuming(t *testing.T, lessor *memoryLessor, known *catalog.Catalog, ready chan struct{}) (stop func()) {
 	t.Helper()
 	record := New(DefaultConfig(), lessor, resuming, zap.NewNop())
 	record.ResumeFrom(known, ready)
@@ -42,13 +42,29 @@
 		record.Run(ctx)
 		close(ended)
 	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// runResuming runs such a registry and gives what it called for in some seconds.
+func runResuming(t *testing.T, lessor *memoryLessor, known *catalog.Catalog, ready chan struct{}, seconds int) (granted, kept int) {
+	t.Helper()
+	stop := startResuming(t, lessor, known, ready)
+	defer stop()
 	time.Sleep(time.Duration(seconds) * time.Second)
 	granted, kept, _, _ = lessor.calls(catalog.NodeKey("n"))
-	cancel()
-	<-ended
 	return granted, kept
 }
 
+// closed gives a channel that is closed: the configuration is there.
+func closed() chan struct{} {
+	ready := make(chan struct{})
+	close(ready)
+	return ready
+}
+
 // A node that starts again before its record is gone renews the lease of that in place of registering, unless
 // the record says something else, or its lease is over.
 func TestRecordOfAnEarlierProcessIsResumed(t *testing.T) {
@@ -69,10 +85,8 @@
 				is := is.New(t)
 				known := catalog.New(nil)
 				leave(t, known, one.left)
-				ready := make(chan struct{})
-				close(ready)
 				lessor := &memoryLessor{put: map[string]int64{}, lost: one.lost}
-				granted, kept := runResuming(t, lessor, known, ready, 25)
+				granted, kept := runResuming(t, lessor, known, closed(), 25)
 				is.Equal(granted, one.granted)
 				is.Equal(kept, 3-one.granted)
 			})
@@ -96,14 +110,12 @@
 		is := is.New(t)
 		known := catalog.New(nil)
 		leave(t, known, leasedRecord{NodeRecord: resuming, Lease: 7})
-		ready := make(chan struct{})
-		close(ready)
 		lessor := &memoryLessor{put: map[string]int64{}}
 		go func() {
 			time.Sleep(5 * time.Second)
 			leave(t, known, leasedRecord{NodeRecord: resuming, Lease: 8})
 		}()
-		granted, kept := runResuming(t, lessor, known, ready, 25)
+		granted, kept := runResuming(t, lessor, known, closed(), 25)
 		is.Equal(granted, 0)
 		is.Equal(kept, 3)
 		is.Equal(lessor.keptLast, int64(8))
--- a/internal/registry/restored_test.go
+++ b/internal/registry/restored_test.go
@@ -1,13 +1,11 @@
 package registry
 
 import (
-	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 
 	"github.com/portgauge/portgauge/internal/catalog"
 	"github.com/portgauge/portgauge/internal/revision"
@@ -22,17 +20,8 @@
 				is := is.New(t)
 				known := catalog.New(nil)
 				leave(t, known, leasedRecord{NodeRecord: resuming, Lease: 7})
-				ready := make(chan struct{})
-				close(ready)
 				lessor := &memoryLessor{put: map[string]int64{}}
-				record := New(DefaultConfig(), lessor, resuming, zap.NewNop())
-				record.ResumeFrom(known, ready)
-				ctx, cancel := context.WithCancel(t.Context())
-				ended := make(chan struct{})
-				go func() {
-					record.Run(ctx)
-					close(ended)
-				}()
+				stop := startResuming(t, lessor, known, closed())
 				time.Sleep(time.Second)
 				_, kept, _, _ := lessor.calls(catalog.NodeKey("n"))
 				is.Equal(kept, 1)
@@ -50,8 +39,7 @@
 				is.Equal(granted == 1, isLost)
 				is.Equal(kept == 2, !isLost)
 				is.Equal(lost, 0)
-				cancel()
-				<-ended
+				stop()
 			})
 		})
 	}
@@ -63,22 +51,12 @@
 		is := is.New(t)
 		known := catalog.New(nil)
 		leave(t, known, leasedRecord{NodeRecord: catalog.NodeRecord{ID: "other"}})
-		ready := make(chan struct{})
-		close(ready)
 		lessor := &memoryLessor{put: map[string]int64{}}
-		record := New(DefaultConfig(), lessor, resuming, zap.NewNop())
-		record.ResumeFrom(known, ready)
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := make(chan struct{})
-		go func() {
-			record.Run(ctx)
-			close(ended)
-		}()
+		stop := startResuming(t, lessor, known, closed())
 		time.Sleep(500 * time.Millisecond)
 		is.True(known.Replace(catalog.Snapshot{Revision: revision.At(1, 1)}))
-		cancel()
-		<-ended
-		_, _, endedLeases, _ := lessor.calls(catalog.NodeKey("n"))
-		is.Equal(endedLeases, 0)
+		stop()
+		_, _, ended, _ := lessor.calls(catalog.NodeKey("n"))
+		is.Equal(ended, 0)
 	})
 }
--- a/internal/search/engine.go
+++ b/internal/search/engine.go
@@ -237,14 +237,6 @@
 	}
 }
 
-// failedAfter gives a failure to start over, with what is known of the plans before it: that nothing runs now says nothing
-// of them.
-func failedAfter(err error, execution failure.ExecutionState) error {
-	failed := *failure.From(err)
-	failed.Execution = execution
-	return &failed
-}
-
 // mayReplan says whether a query can start over on a newer snapshot than the given one.
 func (e *Engine) mayReplan(query *query, pinned *catalog.Service, replans int, ran bool) bool {
 	if replans >= e.config.ReplanLimit || (query.atMostOnce && ran) {
@@ -257,16 +249,6 @@
 	return found && newest.Manifest != nil && newest.SnapshotRevision > pinned.SnapshotRevision
 }
 
-func executionOf(ran, maybeRan bool) failure.ExecutionState {
-	if ran {
-		return failure.Ran
-	}
-	if maybeRan {
-		return failure.Unknown
-	}
-	return failure.NotRun
-}
-
 // failureOf turns an answer that its caller can't use into a typed failure: incomplete when
 // full coverage was demanded, or nothing covered at all.
 func (e *Engine) failureOf(ctx context.Context, query *query, merged *page, response *searchv1.SearchResponse, execution failure.ExecutionState) error {
