The soak starts its streams of faults in one place, and makes its folder of logs once

Three blocks drew a stream's numbers and ran an injector; inject does, with the same streams, so that seeds play as they did. keepRun made the folder that keepLogs makes.

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -117,17 +117,18 @@
 	beside.Go(func() {
 		(&fataler{load: callers, random: rand.New(rand.NewPCG(cfg.Seed, fatalStream)), tell: tell}).run(faulty)
 	})
+	inject := func(kinds []fault, stream uint64) {
+		drawn := &injector{world: w, kinds: kinds, random: rand.New(rand.NewPCG(cfg.Seed, stream)), tell: tell}
+		beside.Go(func() { drawn.run(faulty) })
+	}
 	for stream := range cfg.Streams {
-		random := rand.New(rand.NewPCG(cfg.Seed, streamOf(stream)))
-		beside.Go(func() { (&injector{world: w, kinds: faults(), random: random, tell: tell}).run(faulty) })
+		inject(faults(), streamOf(stream))
 	}
 	if cfg.Seed >= firstWithSeries {
-		random := rand.New(rand.NewPCG(cfg.Seed, seriesStream))
-		beside.Go(func() { (&injector{world: w, kinds: series(), random: random, tell: tell}).run(faulty) })
+		inject(series(), seriesStream)
 	}
 	if isRestored(cfg.Seed) {
-		random := rand.New(rand.NewPCG(cfg.Seed, restoreStream))
-		beside.Go(func() { (&injector{world: w, kinds: restores(), random: random, tell: tell}).run(faulty) })
+		inject(restores(), restoreStream)
 	}
 	beside.Wait()
 	cancel()
--- a/internal/lab/soak/world.go
+++ b/internal/lab/soak/world.go
@@ -171,7 +171,7 @@
 // keepRun writes to a folder what was brought about, each request as its caller saw it, with its times since the soak began,
 // and the newest output of each node.
 func (w *world) keepRun(folder, story string, began time.Time, seen []outcome) error {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
+	if err := w.keepLogs(folder); err != nil {
 		return err
 	}
 	var requests bytes.Buffer
@@ -188,10 +188,10 @@
 			return err
 		}
 	}
-	return w.keepLogs(folder)
+	return nil
 }
 
-// keepLogs writes the newest output of each node to a folder, if there is one.
+// keepLogs writes the newest output of each node to a folder, which is made; to none if it is empty.
 func (w *world) keepLogs(folder string) error {
 	if folder == "" {
 		return nil
