The last look at a version lasts until the end of its order's time

Traced with the logs that the soak keeps: a version that fails 0.6 above 4 requests a second was found good 7.5 s into an order of 9.6 s by 20 answers, all well; its requests had moved at about 8.5 s; and the look at all requests, of 1.2 s, was cut at 8.6 s, since from there on a version that was never found good is rolled back. It was told to have succeeded with two failures of eight known; ten had happened.

A version that was found good has that time: success may be told after the order's end already, where nodes are slow to settle. The look is cut by the end of the time only. TestLastLookLastsUntilTheEndOfTheOrder failed before.

--- a/internal/rolloutcontrol/settling_test.go
+++ b/internal/rolloutcontrol/settling_test.go
@@ -46,3 +46,18 @@
 		is.Equal(f.store.phases("s"), []rollout.Phase{rollout.Canary, rollout.Switching, rollout.RolledBack})
 	})
 }
+
+// A version that was found good late is looked at with all requests until its order's time is over, not only until a version
+// that was never found good would be rolled back. Seen: of an order of 9.6 s the look began 0.1 s before that, and the version,
+// which failed two of the eight answers told of so far and then six in ten, was told to have succeeded.
+func TestLastLookLastsUntilTheEndOfTheOrder(t *testing.T) {
+	is := is.New(t)
+	cfg, duration := DefaultConfig(), 9564*time.Millisecond
+	began := time.Now()
+	order := &trial{order: rollout.Order{DurationMillis: duration.Milliseconds()}, learned: began}
+	margin := duration - cfg.marginOf(duration)
+	is.True(!order.isLookOver(began.Add(margin-100*time.Millisecond), cfg))
+	is.True(!order.isLookOver(began.Add(margin), cfg))
+	is.True(!order.isLookOver(began.Add(duration-time.Millisecond), cfg))
+	is.True(order.isLookOver(began.Add(duration), cfg))
+}
--- a/internal/rolloutcontrol/trial.go
+++ b/internal/rolloutcontrol/trial.go
@@ -174,7 +174,7 @@
 		t.settledSince = now
 	}
 	duration := t.order.Duration()
-	return now.Sub(t.settledSince) >= cfg.lastLookOf(duration) || t.elapsed(now) >= duration-cfg.marginOf(duration)
+	return now.Sub(t.settledSince) >= cfg.lastLookOf(duration) || t.elapsed(now) >= duration
 }
 
 // written gives the state to write for a phase.
