Log leaving leafs and the source of the notice in the decision log

Cause: a node excludes a leaving leaf because the leaf itself, the machine list or another node reports it. Neither the log nor a metric showed which, so two causes of late attempts at a leaf that had announced its leaving could not be distinguished: the node was never notified, or it was notified and sent the attempts anyway.

Change: add the event leaf_leaving with the leaf and the source: leaf, machine_list, gossip or push. It is written once for each leaf, not for renewals and not again before the notice expires, at the rate of ordinary lines.

--- a/internal/config/configsync/configsync.go
+++ b/internal/config/configsync/configsync.go
@@ -66,6 +66,8 @@
 	// StateDropped is called for each whole state of the store that is dropped because it is older than the
 	// configuration in force. It may be nil.
 	StateDropped func()
+	// LeafLeaving is called for each new notice that a leaf is leaving, but not for renewals. It may be nil.
+	LeafLeaving func(leafID string, source NoticeSource)
 	// Settled returns the revision up to which the node is settled: it sends no requests under older rules and has
 	// none in flight. If it is nil, the node is settled up to the revision in force.
 	Settled func() int64
@@ -83,6 +85,7 @@
 	seeds     []string // guarded by mu
 	relayed   func(kind string)
 	dropped   func()
+	onLeaving func(leafID string, source NoticeSource)
 	settledAt func() int64
 	members   *membership.Membership
 
@@ -128,6 +131,9 @@
 	if d.StateDropped == nil {
 		d.StateDropped = func() {}
 	}
+	if d.LeafLeaving == nil {
+		d.LeafLeaving = func(string, NoticeSource) {}
+	}
 	if d.Settled == nil {
 		d.Settled = d.Catalog.Revision
 	}
@@ -148,6 +154,7 @@
 		seeds:      deps.Seeds,
 		relayed:    deps.MessageSent,
 		dropped:    deps.StateDropped,
+		onLeaving:  deps.LeafLeaving,
 		settledAt:  deps.Settled,
 		startedAt:  time.Now(),
 		ready:      make(chan struct{}),
--- a/internal/config/configsync/leaving.go
+++ b/internal/config/configsync/leaving.go
@@ -18,6 +18,17 @@
 	noticeTransmissions = 8
 )
 
+// NoticeSource is the source from which a node learned that a leaf is leaving.
+type NoticeSource string
+
+// Sources of notices, as written to the decision log.
+const (
+	SourceLeaf        NoticeSource = "leaf"         // announced to this node by the leaf
+	SourceMachineList NoticeSource = "machine_list" // read from the machine list by this node
+	SourceGossip      NoticeSource = "gossip"       // received in a datagram from another node
+	SourcePush        NoticeSource = "push"         // received in a push from another node
+)
+
 // notice says that a leaf is leaving and must get no new requests.
 type notice struct {
 	until         time.Time // when the notice expires
@@ -48,28 +59,40 @@
 	return chosen
 }
 
-// handleNotices records the notices received from another node.
-func (s *Syncer) handleNotices(notices []peer.LeafNotice) {
+// handleNotices records the notices received in a datagram from another node.
+func (s *Syncer) handleNotices(notices []peer.LeafNotice) { s.recordNotices(notices, SourceGossip) }
+
+// recordNotices records the notices received from another node.
+func (s *Syncer) recordNotices(notices []peer.LeafNotice, source NoticeSource) {
 	now := time.Now()
 	for _, received := range notices {
 		ttl := min(time.Duration(received.Millis)*time.Millisecond, s.cfg.LeavingTTL)
-		s.recordNotice(received.LeafID, now.Add(ttl))
+		s.recordNotice(received.LeafID, now.Add(ttl), source)
 	}
 }
 
-// recordNotice records that a leaf is leaving. A renewal is gossiped like a new notice.
-func (s *Syncer) recordNotice(leafID string, until time.Time) {
+// recordNotice records that a leaf is leaving, and calls onLeaving if the notice is new. A renewal is gossiped like a
+// new notice.
+func (s *Syncer) recordNotice(leafID string, until time.Time, source NoticeSource) {
 	s.leafs.SetLeaving(leafID, until)
+	if s.storeNotice(leafID, until) {
+		s.onLeaving(leafID, source)
+	}
+}
+
+// storeNotice stores or renews the notice of a leaf, and reports whether it is new.
+func (s *Syncer) storeNotice(leafID string, until time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, found := s.notices[leafID]
 	if !found {
 		s.notices[leafID] = &notice{until: until}
-		return
+		return true
 	}
 	if s.isRenewal(until, known.until) {
 		known.until, known.transmissions = until, 0
 	}
+	return false
 }
 
 // isRenewal reports whether a notice expires so much later than the known one that it must be distributed again.
@@ -91,7 +114,7 @@
 
 // LeafAnnouncedLeaving records that a leaf announced that it is leaving. The notice is gossiped in the zone.
 func (s *Syncer) LeafAnnouncedLeaving(leafID string) {
-	s.recordNotice(leafID, time.Now().Add(s.cfg.LeavingTTL))
+	s.recordNotice(leafID, time.Now().Add(s.cfg.LeavingTTL), SourceLeaf)
 }
 
 // machineLoop makes watchers read the zone's leafs from the machine list and push notices of the leaving ones.
@@ -147,7 +170,7 @@
 	isFirst := s.rank() == 0
 	var unpushed []peer.LeafNotice
 	for _, leafID := range leaving {
-		s.recordNotice(leafID, until)
+		s.recordNotice(leafID, until, SourceMachineList)
 		if isFirst && s.claimNoticePush(leafID, until) {
 			unpushed = append(unpushed, peer.LeafNotice{LeafID: leafID, Millis: s.cfg.LeavingTTL.Milliseconds()})
 		}
--- a/internal/config/configsync/push.go
+++ b/internal/config/configsync/push.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		s.logger.Warn("a push can't be decoded; pulling from its sender", zap.String("peer", from), zap.Error(err))
 	}
-	s.handleNotices(push.Notices)
+	s.recordNotices(push.Notices, SourcePush)
 	if err == nil && s.leadToNewEpoch(changes) {
 		go s.followToEpoch(from, push)
 		return peer.State{Initialized: s.initialized.Load(), Revision: s.catalog.Revision()}
--- a/internal/node/provide_config.go
+++ b/internal/node/provide_config.go
@@ -39,6 +39,7 @@
 	Balancer  *balancer.Balancer
 	Canary    *canary.Splitter // nil if rollouts are disabled
 	Metrics   *telemetry.Metrics
+	Events    *stateEvents
 	Logger    *zap.Logger
 }
 
@@ -52,6 +53,7 @@
 		Leafs: deps.Balancer, Logger: deps.Logger, Seeds: deps.Config.Seeds,
 		MessageSent:  func(kind string) { deps.Metrics.ConfigRelayed.WithLabelValues(kind).Inc() },
 		StateDropped: deps.Metrics.StatesDropped.Inc,
+		LeafLeaving:  deps.Events.leafLeaving,
 		Settled:      settled,
 	})
 	deps.Balancer.OnDraining(syncer.LeafAnnouncedLeaving)
--- a/internal/node/state_events.go
+++ b/internal/node/state_events.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/portgauge/portgauge/internal/config/catalog"
+	"github.com/portgauge/portgauge/internal/config/configsync"
 	"github.com/portgauge/portgauge/internal/fleet/reachability"
 	"github.com/portgauge/portgauge/internal/leaf/balancer"
 	"github.com/portgauge/portgauge/internal/leaf/leafset"
@@ -27,6 +28,7 @@
 	eventLeafEjected  = "leaf_ejected"
 	eventLeafReturned = "leaf_returned"
 	eventLeafAssessed = "leaf_judged"
+	eventLeafLeaving  = "leaf_leaving"
 	eventZoneLost     = "zone_lost"
 	eventZoneFound    = "zone_found"
 )
@@ -60,6 +62,14 @@
 	FromPeer      bool               `json:"told"`
 }
 
+// leafLeavingEvent reports that the node learned that a leaf is leaving, and from which source.
+type leafLeavingEvent struct {
+	Time   time.Time               `json:"time"`
+	Event  string                  `json:"event"`
+	Leaf   string                  `json:"leaf"`
+	Source configsync.NoticeSource `json:"source"`
+}
+
 // zoneEvent reports that a zone became unreachable, or reachable again.
 type zoneEvent struct {
 	Time  time.Time `json:"time"`
@@ -225,6 +235,11 @@
 	})
 }
 
+// leafLeaving logs that the node learned that a leaf is leaving, and from which source.
+func (e *stateEvents) leafLeaving(leafID string, source configsync.NoticeSource) {
+	e.log.Write(decisionlog.Ordinary, leafLeavingEvent{Time: time.Now(), Event: eventLeafLeaving, Leaf: leafID, Source: source})
+}
+
 // zoneChanged logs that a zone became unreachable, or reachable again.
 func (e *stateEvents) zoneChanged(change reachability.Change) {
 	event := zoneEvent{Time: time.Now(), Event: eventZoneFound, Zone: change.Zone}
