Distribute notices announced by leaving leafs to all zones

Cause: notices were distributed in two ways. The first watcher pushed notices from the machine list to all zones, but a notice that a leaf announced to a node was only gossiped, and gossip stays within the zone. A node of another zone learned of it only from its own attempts, and not from hedges that it canceled before it had read the answer.

Change: all notices are distributed in the same way. - A node to which a leaf announced that it is leaving sends the notice to the watchers of its zone by datagram until a push arrives. - The first watcher pushes each notice that has not yet been delivered by push, regardless of its source, to its own zone and to one node of each other zone. A standby does so if no push arrived. - Notices that a zone did not accept stay in an outbox for that zone and are resent until they expire. - A zone that already has a notice does not push it again. - Expired notices are also removed on a node that is alone in its zone.

Rationale: until a notice has been pushed, some node is responsible for it: the node that was told repeats it, a watcher pushes it, and a standby takes over if necessary. The loop is idle while there are no notices.

--- a/internal/config/configsync/configsync.go
+++ b/internal/config/configsync/configsync.go
@@ -16,7 +16,8 @@
 //
 // A starting node (startup) gets its first state from its seeds or the store. Meanwhile it joins its zone (join) and
 // collects contacts in other zones (contacts). After a restore of the store, restored brings a node to the new epoch.
-// leaving distributes the notice that a leaf is leaving, and status counts the nodes that have a revision in force.
+// leaving records notices that a leaf is leaving, leaving_push distributes them to all zones, and status counts the nodes
+// that have a revision in force.
 //
 // The package owns the loops that Syncer.Run starts and the state of the distribution. The configuration itself belongs
 // to the catalog, which applies changes in revision order and never goes back. The package uses the store, the machine
@@ -107,16 +108,18 @@
 	pullingRetained  atomic.Bool
 	readingForLegacy atomic.Bool
 
+	newNotices chan struct{} // signals unpushed notices to noticeLoop
 	pushes     chan catalog.Change
 	lastPushAt atomic.Int64 // when the last push arrived, in Unix nanoseconds
 	snapshots  snapshotServer
 	reorder    reorderBuffer
 
 	mu           sync.Mutex
-	contacts     map[string][]string // peer addresses of other zones
-	notices      map[string]*notice  // by leaf ID
-	newestPushed int64               // newest revision received or sent by push
-	lastRead     boottime.Instant    // when a datagram was last read
+	contacts     map[string][]string    // peer addresses of other zones
+	notices      map[string]*notice     // by leaf ID
+	outboxes     map[string]*zoneOutbox // by destination zone
+	newestPushed int64                  // newest revision received or sent by push
+	lastRead     boottime.Instant       // when a datagram was last read
 	// suspendedFor is the length of the last suspension of the machine. Until suspendedUntil, datagrams from before it
 	// may still be read.
 	suspendedFor   time.Duration
@@ -159,8 +162,10 @@
 		startedAt:  time.Now(),
 		ready:      make(chan struct{}),
 		pushes:     make(chan catalog.Change, pushBacklog),
+		newNotices: make(chan struct{}, 1),
 		contacts:   map[string][]string{},
 		notices:    map[string]*notice{},
+		outboxes:   map[string]*zoneOutbox{},
 		droppedLog: rate.Sometimes{First: 1, Interval: droppedLogInterval},
 	}
 }
@@ -181,7 +186,7 @@
 // Run distributes configuration until the context is done.
 func (s *Syncer) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){s.joinLoop, s.watchLoop, s.pushLoop, s.machineLoop, s.contactLoop, s.crossZoneLoop} {
+	for _, loop := range []func(context.Context){s.joinLoop, s.watchLoop, s.pushLoop, s.machineLoop, s.noticeLoop, s.contactLoop, s.crossZoneLoop} {
 		loops.Go(func() { loop(ctx) })
 	}
 	loops.Wait()
--- a/internal/config/configsync/fleet_test.go
+++ b/internal/config/configsync/fleet_test.go
@@ -252,6 +252,8 @@
 	platform *memoryPlatform
 	network  *peertest.Network
 	nodes    map[string]*testNode
+	// pushes counts the pushes sent by all nodes, including relayed ones.
+	pushes atomic.Int64
 }
 
 func newFleet(t *testing.T, zones, perZone int) *fleet {
@@ -278,7 +280,7 @@
 	node := &testNode{id: id, catalog: catalog.New(nil), leafs: &leafNotices{leaving: map[string]time.Time{}}}
 	node.syncer = New(Deps{
 		Config: f.cfg, Catalog: node.catalog, Store: view, Machines: view, Transport: transport, Leafs: node.leafs, Logger: zap.NewNop(), Seeds: seeds,
-		Settled: node.settledRevision,
+		Settled: node.settledRevision, MessageSent: f.countPush,
 	})
 	self := peer.Member{ID: id, Address: id, Zone: zone, Incarnation: time.Now().UnixMilli()}
 	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, 1)
@@ -291,6 +293,13 @@
 	f.nodes[id] = node
 }
 
+// countPush counts a sent message if it is a push.
+func (f *fleet) countPush(kind string) {
+	if kind == "push" {
+		f.pushes.Add(1)
+	}
+}
+
 func (f *fleet) stopAll() {
 	for _, node := range f.nodes {
 		node.stop()
--- a/internal/config/configsync/leaving.go
+++ b/internal/config/configsync/leaving.go
@@ -33,8 +33,9 @@
 type notice struct {
 	until         time.Time // when the notice expires
 	transmissions int       // how many datagrams have carried it
-	// pushedUntil is the expiry time of the notice that this node last pushed as a watcher, zero if it pushed none.
-	// A notice that was received by gossip still has to be pushed to other zones.
+	recordedAt    time.Time // when the notice was recorded or last renewed
+	isAnnounced   bool      // the leaf announced it to this node
+	// pushedUntil is the expiry time of the notice that was last pushed to this node's zone, or zero if none was.
 	pushedUntil time.Time
 }
 
@@ -43,56 +44,88 @@
 func (s *Syncer) Notices() []peer.LeafNotice {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var chosen []peer.LeafNotice
 	now := time.Now()
+	s.dropExpiredNotices(now)
+	var chosen []peer.LeafNotice
 	for leafID, known := range s.notices {
-		if now.After(known.until) {
-			delete(s.notices, leafID)
-			continue
-		}
 		if known.transmissions >= noticeTransmissions || len(chosen) >= noticesPerMessage {
 			continue
 		}
 		known.transmissions++
-		chosen = append(chosen, peer.LeafNotice{LeafID: leafID, Millis: known.until.Sub(now).Milliseconds()})
+		chosen = append(chosen, encodeNotice(leafID, known.until, now))
 	}
 	return chosen
 }
 
+// encodeNotice returns a notice as sent to other nodes, with the remaining lifetime instead of the expiry time.
+func encodeNotice(leafID string, until, now time.Time) peer.LeafNotice {
+	return peer.LeafNotice{LeafID: leafID, Millis: until.Sub(now).Milliseconds()}
+}
+
+// dropExpiredNotices removes expired notices. s.mu must be held.
+func (s *Syncer) dropExpiredNotices(now time.Time) {
+	for leafID, known := range s.notices {
+		if now.After(known.until) {
+			delete(s.notices, leafID)
+		}
+	}
+}
+
 // handleNotices records the notices received in a datagram from another node.
 func (s *Syncer) handleNotices(notices []peer.LeafNotice) { s.recordNotices(notices, SourceGossip) }
 
-// recordNotices records the notices received from another node.
-func (s *Syncer) recordNotices(notices []peer.LeafNotice, source NoticeSource) {
+// recordNotices records the notices received from another node. It reports whether any of them has not yet been
+// pushed to this node's zone.
+func (s *Syncer) recordNotices(notices []peer.LeafNotice, source NoticeSource) bool {
 	now := time.Now()
+	anyUnpushed := false
 	for _, received := range notices {
 		ttl := min(time.Duration(received.Millis)*time.Millisecond, s.cfg.LeavingTTL)
-		s.recordNotice(received.LeafID, now.Add(ttl), source)
+		if s.recordNotice(received.LeafID, now.Add(ttl), source) {
+			anyUnpushed = true
+		}
 	}
+	return anyUnpushed
 }
 
-// recordNotice records that a leaf is leaving, and calls onLeaving if the notice is new. A renewal is gossiped like a
-// new notice.
-func (s *Syncer) recordNotice(leafID string, until time.Time, source NoticeSource) {
+// recordNotice records that a leaf is leaving, and calls onLeaving if the notice is new. A renewal is distributed like a
+// new notice. It reports whether the notice has not yet been pushed to this node's zone.
+func (s *Syncer) recordNotice(leafID string, until time.Time, source NoticeSource) bool {
 	s.leafs.SetLeaving(leafID, until)
-	if s.storeNotice(leafID, until) {
+	isNew, isUnpushed := s.storeNotice(leafID, until, source)
+	if isNew {
 		s.onLeaving(leafID, source)
 	}
+	if isUnpushed && source != SourcePush {
+		s.wakeNoticeLoop()
+	}
+	return isUnpushed
 }
 
-// storeNotice stores or renews the notice of a leaf, and reports whether it is new.
-func (s *Syncer) storeNotice(leafID string, until time.Time) bool {
+// storeNotice stores or renews the notice of a leaf. It reports whether the notice is new, and whether it has not yet
+// been pushed to this node's zone.
+func (s *Syncer) storeNotice(leafID string, until time.Time, source NoticeSource) (isNew, isUnpushed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	known, found := s.notices[leafID]
-	if !found {
-		s.notices[leafID] = &notice{until: until}
-		return true
+	isNew = !found || now.After(known.until)
+	switch {
+	case isNew:
+		s.dropExpiredNotices(now)
+		known = &notice{until: until, recordedAt: now}
+		s.notices[leafID] = known
+	case s.isRenewal(until, known.until):
+		known.until, known.recordedAt, known.transmissions = until, now, 0
 	}
-	if s.isRenewal(until, known.until) {
-		known.until, known.transmissions = until, 0
+	isUnpushed = s.isUnpushed(known)
+	switch source {
+	case SourceLeaf:
+		known.isAnnounced = true
+	case SourcePush:
+		s.markPushed(leafID, known, until)
 	}
-	return false
+	return isNew, isUnpushed
 }
 
 // isRenewal reports whether a notice expires so much later than the known one that it must be distributed again.
@@ -100,24 +133,16 @@
 	return until.Sub(known) >= s.cfg.LeavingTTL/renewalDivisor
 }
 
-// claimNoticePush reports whether this watcher must push a notice. If so, it marks the notice as pushed.
-func (s *Syncer) claimNoticePush(leafID string, until time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known, found := s.notices[leafID]
-	if !found || !s.isRenewal(until, known.pushedUntil) {
-		return false
-	}
-	known.pushedUntil = until
-	return true
-}
+// isUnpushed reports whether a notice or its last renewal has not yet been pushed to this node's zone. s.mu must be
+// held.
+func (s *Syncer) isUnpushed(known *notice) bool { return s.isRenewal(known.until, known.pushedUntil) }
 
-// LeafAnnouncedLeaving records that a leaf announced that it is leaving. The notice is gossiped in the zone.
+// LeafAnnouncedLeaving records that a leaf announced that it is leaving. The notice is distributed to all zones.
 func (s *Syncer) LeafAnnouncedLeaving(leafID string) {
 	s.recordNotice(leafID, time.Now().Add(s.cfg.LeavingTTL), SourceLeaf)
 }
 
-// machineLoop makes watchers read the zone's leafs from the machine list and push notices of the leaving ones.
+// machineLoop makes watchers read the zone's leafs from the machine list and record notices of the leaving ones.
 func (s *Syncer) machineLoop(ctx context.Context) {
 	version := uint64(0)
 	var leaving []string
@@ -134,7 +159,10 @@
 			version = list.Version
 			leaving = leavingLeafs(list)
 		}
-		s.pushLeaving(ctx, s.leafIDs(leaving))
+		until := time.Now().Add(s.cfg.LeavingTTL)
+		for _, leafID := range s.leafIDs(leaving) {
+			s.recordNotice(leafID, until, SourceMachineList)
+		}
 	}
 }
 
@@ -162,33 +190,3 @@
 	}
 	return ids
 }
-
-// pushLeaving records notices of leaving leafs. The first watcher pushes new and renewed ones to its own zone, and to
-// one node of each other zone, which pushes them there.
-func (s *Syncer) pushLeaving(ctx context.Context, leaving []string) {
-	until := time.Now().Add(s.cfg.LeavingTTL)
-	isFirst := s.rank() == 0
-	var unpushed []peer.LeafNotice
-	for _, leafID := range leaving {
-		s.recordNotice(leafID, until, SourceMachineList)
-		if isFirst && s.claimNoticePush(leafID, until) {
-			unpushed = append(unpushed, peer.LeafNotice{LeafID: leafID, Millis: s.cfg.LeavingTTL.Milliseconds()})
-		}
-	}
-	if len(unpushed) == 0 {
-		return
-	}
-	s.pushToZone(ctx, peer.Push{Notices: unpushed})
-	for _, addresses := range s.contactsByZone() {
-		go s.pushToOtherZone(ctx, addresses, peer.Push{Notices: unpushed, WholeZone: true})
-	}
-}
-
-// pushToOtherZone sends a push to the first contact that accepts it.
-func (s *Syncer) pushToOtherZone(ctx context.Context, addresses []string, push peer.Push) {
-	for _, address := range addresses {
-		if s.sendPush(ctx, address, push) {
-			return
-		}
-	}
-}
--- a/internal/config/configsync/push.go
+++ b/internal/config/configsync/push.go
@@ -117,7 +117,11 @@
 	if err != nil {
 		s.logger.Warn("a push can't be decoded; pulling from its sender", zap.String("peer", from), zap.Error(err))
 	}
-	s.recordNotices(push.Notices, SourcePush)
+	anyUnpushed := s.recordNotices(push.Notices, SourcePush)
+	if push.WholeZone && !anyUnpushed && err == nil && len(changes) == 0 {
+		// All notices have already been pushed to this zone, so forwarding them would only duplicate traffic.
+		return peer.State{Initialized: s.initialized.Load(), Revision: s.catalog.Revision()}
+	}
 	if err == nil && s.leadToNewEpoch(changes) {
 		go s.followToEpoch(from, push)
 		return peer.State{Initialized: s.initialized.Load(), Revision: s.catalog.Revision()}
