Report the result of a leaf check after its connection is counted

Symptom: a request whose connection was reset by a leaf with too many connections waits for a check of the leaf. The retry that follows immediately could not find the check's connection, which was not yet counted as established and not yet idle. It opened another connection to a leaf that resets new ones, which took the time of one more connection and, at the limit, was reset again.

Cause: Pool.warm reported the result as soon as the dial returned, and only then counted the connection as established and made it idle. Check reads the count, and reserve reads the idle connections.

Change: before it reports the result, warm counts the connection as established and makes it idle, or removes it from the count if the dial failed. A pending check keeps the state of a forgotten leaf, which the removal would otherwise drop. A successful result is reported concurrently with reading the connection, which may already be assigned to a waiting exchange.

Related fix: connection.begin reported that nothing was sent before it removed the stale connection, so a retry found that the connection still counted toward the limit. failUnsent removes the connection first. The other places (release, fail, endUnsent, exchange.open; sessions of the serving tree; the pool of gRPC connections) were reviewed: they count before they report. One is left: an answer that arrives before the writer has recorded the request as written is passed on before the connection is idle.

--- a/internal/leaf/leafhttp/check.go
+++ b/internal/leaf/leafhttp/check.go
@@ -65,6 +65,7 @@
 	leaf.hasExited = leaf.hasExited || exited
 	checks := leaf.checks
 	leaf.checks = nil
+	p.dropEmpty(leafID, leaf)
 	p.mu.Unlock()
 	for _, report := range checks {
 		report(exited)
--- a/internal/leaf/leafhttp/connection.go
+++ b/internal/leaf/leafhttp/connection.go
@@ -86,8 +86,7 @@
 		return
 	}
 	if e.request.AtMostOnce && !c.isOpenAndEmpty() {
-		e.end(nil, &NeverSentError{Cause: errStale})
-		c.fail(errStale)
+		c.failUnsent(e, errStale)
 		return
 	}
 	e.request.encode(&c.outgoing, c.pool.names, e.target.expectedName(), remaining)
@@ -98,8 +97,7 @@
 	written, err := c.socket.Write(c.outgoing.Bytes())
 	switch {
 	case err != nil && written == 0:
-		e.end(nil, &NeverSentError{Cause: err})
-		c.fail(err)
+		c.failUnsent(e, err)
 	case err != nil:
 		c.fail(err)
 	case isInline:
@@ -116,6 +114,18 @@
 	e.end(nil, &NeverSentError{Cause: cause})
 }
 
+// failUnsent closes the connection and ends its exchange, none of whose request was sent. It removes the connection
+// from the count before it ends the exchange, so that an immediate retry can open another.
+func (c *connection) failUnsent(e *exchange, cause error) {
+	c.pool.mu.Lock()
+	if c.current == e {
+		c.current = nil // keeps fail from ending e with a BrokenAnswerError
+	}
+	c.pool.mu.Unlock()
+	c.fail(cause)
+	e.end(nil, &NeverSentError{Cause: cause})
+}
+
 // assign gives the connection to an exchange and marks its request as being written. The pool's mu must be held.
 func (c *connection) assign(e *exchange) {
 	c.current, e.conn, c.writing = e, c, true
--- a/internal/leaf/leafhttp/leaf_connections.go
+++ b/internal/leaf/leafhttp/leaf_connections.go
@@ -126,10 +126,10 @@
 	p.dropEmpty(leafID, leaf)
 }
 
-// dropEmpty drops the state of a forgotten leaf if it has no connections and no exchange waits for one. p.mu must be
-// held.
+// dropEmpty drops the state of a forgotten leaf if it has no connections, no exchange waits for one, and no check is
+// pending. p.mu must be held.
 func (p *Pool) dropEmpty(leafID string, leaf *leafConnections) {
-	if leaf.forgotten && leaf.open == 0 && len(leaf.waiting) == 0 {
+	if leaf.forgotten && leaf.open == 0 && len(leaf.waiting) == 0 && len(leaf.checks) == 0 {
 		delete(p.leafs, leafID)
 	}
 }
--- a/internal/leaf/leafhttp/pool.go
+++ b/internal/leaf/leafhttp/pool.go
@@ -63,16 +63,18 @@
 	go p.warm(targets[0], func(error) {})
 }
 
-// warm opens a connection that is already counted, reports the result, and reads the connection until it ends.
+// warm opens a connection that is already counted as open, makes it idle, reports the result, and reads the connection
+// until it ends. It updates the pool's state before it calls report, since the callback may trigger a retry at once.
 func (p *Pool) warm(target Target, report func(err error)) {
 	conn, err := dial(context.Background(), p, target)
-	report(err)
 	if err != nil {
 		p.dialFailed(target.LeafID, err)
+		report(err)
 		return
 	}
 	p.dialed(target.LeafID)
 	conn.makeIdle(target)
+	go report(nil) // a slow callback must not delay reading
 	conn.read()
 }
 
