balancer: keep the later end time of leaving notices

A node that had been told that a leaf is leaving could send it new attempts again before the notice expired.

Cause: Balancer.SetLeaving stored the end time of the notice that arrived last. Notices are renewed while a leaf is listed as leaving, and older ones, with less time left, may arrive after the renewal: by gossip, or from the outbox of another zone that retries undelivered messages.

Evidence: TestOlderLeavingNoticeDoesNotShortenPeriod sends a notice for 10 s, then one for 1 s.

Change: SetLeaving keeps the later of the stored and the new time. No caller shortens the period on purpose.

--- a/internal/leaf/balancer/balancer.go
+++ b/internal/leaf/balancer/balancer.go
@@ -100,11 +100,13 @@
 }
 
 // SetLeaving excludes a leaf from new attempts until the given time, because the machine list or a peer says that it is
-// leaving.
+// leaving. A time before the stored one is ignored, because an older notice may arrive after its renewal.
 func (b *Balancer) SetLeaving(leafID string, until time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.leaving[leafID] = until
+	if until.After(b.leaving[leafID]) {
+		b.leaving[leafID] = until
+	}
 }
 
 // Forget drops the state of all leafs except the known ones.
--- a/internal/leaf/balancer/balancer_test.go
+++ b/internal/leaf/balancer/balancer_test.go
@@ -96,6 +96,20 @@
 	})
 }
 
+// Guards against choosing a leaving leaf too early when an older notice arrives after its renewal.
+func TestOlderLeavingNoticeDoesNotShortenPeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := New(DefaultConfig(), "z")
+		b.SetLeaving("a", time.Now().Add(10*time.Second))
+		b.SetLeaving("a", time.Now().Add(time.Second))
+		time.Sleep(2 * time.Second)
+		is.True(b.Choose(threeReplicas()[:1], nil).Leaf == nil)
+		time.Sleep(9 * time.Second)
+		is.Equal(b.Choose(threeReplicas()[:1], nil).Leaf.ID, "a")
+	})
+}
+
 func TestShedLowersInFlightLimit(t *testing.T) {
 	is := is.New(t)
 	b := New(DefaultConfig(), "z")
