Finish a leaf check when its connection is counted, not when it is reported

A leaf that exits in between is reported as alive to a check that starts after its exit, so that the request counts as not having crashed the leaf.

Evidence: in TestCheckDoesNotJoinFinishedCheck, the leaf exits while a waiting attempt takes the check's connection, and a second check starts then.

Change: the connection is counted, or removed from the count, and the check is finished in one critical section (finishDial). The callbacks are called with the result after that. After a failed dial, the state of a forgotten leaf no longer has to be kept for the pending check.

--- a/internal/leaf/leafhttp/check.go
+++ b/internal/leaf/leafhttp/check.go
@@ -54,21 +54,42 @@
 	if len(leaf.checks) == 1 {
 		leaf.open++
 		// If the connection can be opened, it replaces the lost one.
-		go p.warm(target, func(err error) { p.finishChecks(target.LeafID, IsNotListening(err)) })
+		go p.warm(target, true)
 	}
 }
 
-// finishChecks reports the result to all callers that joined the check.
-func (p *Pool) finishChecks(leafID string, exited bool) {
+// finishDial counts a connection dialed by warm as established, or removes it from the count if the dial failed. If
+// isCheck is true, it finishes the check in the same critical section, so that no later check joins it. The returned
+// function reports the result to the callers that joined the check.
+func (p *Pool) finishDial(leafID string, err error, isCheck bool) (report func()) {
+	if err == nil {
+		p.onOpened()
+	}
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	leaf := p.leaf(leafID)
-	leaf.hasExited = leaf.hasExited || exited
-	checks := leaf.checks
-	leaf.checks = nil
-	p.dropEmpty(leafID, leaf)
-	p.mu.Unlock()
-	for _, report := range checks {
-		report(exited)
+	report = func() {}
+	if isCheck {
+		report = leaf.finishCheck(IsNotListening(err))
+	}
+	if err != nil {
+		p.removeFailed(leafID, leaf, err)
+		return report
+	}
+	leaf.established++
+	return report
+}
+
+// finishCheck finishes the check in flight and returns a function that reports the result to the callers that joined
+// it. The pool's mu must be held.
+func (l *leafConnections) finishCheck(exited bool) (report func()) {
+	l.hasExited = l.hasExited || exited
+	checks := l.checks
+	l.checks = nil
+	return func() {
+		for _, report := range checks {
+			report(exited)
+		}
 	}
 }
 
--- a/internal/leaf/leafhttp/leaf_connections.go
+++ b/internal/leaf/leafhttp/leaf_connections.go
@@ -108,6 +108,12 @@
 	if !found {
 		return
 	}
+	p.removeFailed(leafID, leaf, err)
+}
+
+// removeFailed removes a connection that could not be opened from the count, and records the time if the leaf reset it.
+// p.mu must be held.
+func (p *Pool) removeFailed(leafID string, leaf *leafConnections, err error) {
 	if isReset(err) {
 		leaf.resetAt = time.Now()
 	}
@@ -126,10 +132,10 @@
 	p.dropEmpty(leafID, leaf)
 }
 
-// dropEmpty drops the state of a forgotten leaf if it has no connections, no exchange waits for one, and no check is
-// pending. p.mu must be held.
+// dropEmpty drops the state of a forgotten leaf if it has no connections and no exchange waits for one. p.mu must be
+// held.
 func (p *Pool) dropEmpty(leafID string, leaf *leafConnections) {
-	if leaf.forgotten && leaf.open == 0 && len(leaf.waiting) == 0 && len(leaf.checks) == 0 {
+	if leaf.forgotten && leaf.open == 0 && len(leaf.waiting) == 0 {
 		delete(p.leafs, leafID)
 	}
 }
--- a/internal/leaf/leafhttp/pool.go
+++ b/internal/leaf/leafhttp/pool.go
@@ -60,21 +60,21 @@
 		}
 	}
 	p.leaf(targets[0].LeafID).open++
-	go p.warm(targets[0], func(error) {})
+	go p.warm(targets[0], false)
 }
 
-// warm opens a connection that is already counted as open, makes it idle, reports the result, and reads the connection
-// until it ends. It updates the pool's state before it calls report, since the callback may trigger a retry at once.
-func (p *Pool) warm(target Target, report func(err error)) {
+// warm opens a connection that is already counted as open, makes it idle, and reads it until it ends. If isCheck is
+// true, the dial finishes the leaf's check. warm updates the pool's state before it reports the result, since the
+// callbacks may trigger a retry at once.
+func (p *Pool) warm(target Target, isCheck bool) {
 	conn, err := dial(context.Background(), p, target)
+	report := p.finishDial(target.LeafID, err, isCheck)
 	if err != nil {
-		p.dialFailed(target.LeafID, err)
-		report(err)
+		report()
 		return
 	}
-	p.dialed(target.LeafID)
 	conn.makeIdle(target)
-	go report(nil) // a slow callback must not delay reading
+	go report() // a slow callback must not delay reading
 	conn.read()
 }
 
--- a/internal/leaf/leafhttp/report_order_test.go
+++ b/internal/leaf/leafhttp/report_order_test.go
@@ -42,6 +42,24 @@
 	is.Equal(opened, 1)
 }
 
+// A check must not join one that has already finished. Otherwise, a leaf that exited in between is reported as alive.
+func TestCheckDoesNotJoinFinishedCheck(t *testing.T) {
+	is := is.New(t)
+	f := newSlowOnOpenedFixture(t)
+	target := f.target()
+	target.Connections = 1
+	exited := make(chan bool, 1)
+	f.pool.SetMaySend(func(string) bool {
+		f.leaf.Stop()
+		f.pool.Check(target, false, func(hasExited bool) { exited <- hasExited })
+		return false
+	})
+	f.pool.Check(target, false, func(bool) {})
+	// The attempt waits for the check's connection and takes it before the check reports its result.
+	f.pool.Start(target, f.request(), time.Now().Add(5*time.Second), func(*Response, error) {})
+	is.True(<-exited)
+}
+
 // A check must be reported even if its leaf is forgotten before the connection fails.
 func TestCheckOfForgottenLeafIsReported(t *testing.T) {
 	is := is.New(t)
