Drain open connections before a planned stop closes them

Symptom: during a planned stop of a node, searches on open connections failed with "unexpected EOF", "server closed idle connection", a connection reset or a broken pipe. Such an error doesn't tell the caller whether the search ran, so the caller can't retry it safely.

Cause: http.Server.Shutdown closes idle connections immediately. If a request is read after that, net/http closes its connection without a response. Before the shutdown, the search engine refuses searches with DRAINING, but these refusals leave HTTP/1.1 connections open, so callers were still using them when Shutdown began.

Change: the new package httpdrain wraps an http.Server. The caller, operator and readiness listeners use it. On shutdown, it closes its listener, adds Connection: close to the responses to requests that arrive from then on, and waits until its connections are closed or no request has arrived for 200 ms, for at most 2 s. Only then does it call http.Server.Shutdown, which still waits for the requests in flight. A wrapper closes the listener only once, because http.Server.Shutdown closes it again.

Rationale: a caller that uses an open connection gets a response, or a refusal with Retry-After, and the connection is closed. The kernel refuses new connections, so no request was sent on them. Three cases remain: a connection that was unused for 200 ms and is used at the moment it is closed, a connection that is still in use after 2 s, and a connection that is in the listener's backlog when the listener is closed.

Tests: TestPlannedStopDropsNoSearch (HTTP/1.1 and HTTP/2, unary and streamed; quiet period 30 s), TestSearchDuringShutdownIsRefused and TestRequestDuringShutdownIsAnswered.

The front and the requests between nodes use servers of their own, which are unchanged.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 	"github.com/portgauge/portgauge/internal/fleet/peer"
 	"github.com/portgauge/portgauge/internal/fleet/reachability"
 	"github.com/portgauge/portgauge/internal/fleet/registry"
+	"github.com/portgauge/portgauge/internal/httpdrain"
 	"github.com/portgauge/portgauge/internal/leaf/leafgossip"
 	"github.com/portgauge/portgauge/internal/leaf/leafhttp"
 	"github.com/portgauge/portgauge/internal/leaf/leafmemory"
@@ -246,7 +246,7 @@
 }
 
 // serve runs a server from the start of the node to its stop.
-func serve(lifecycle fx.Lifecycle, address string, server *http.Server, logger *zap.Logger) {
+func serve(lifecycle fx.Lifecycle, address string, server *httpdrain.Server, logger *zap.Logger) {
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			listener, err := listen(ctx, address, logger)
--- a/internal/operator/api/api_test.go
+++ b/internal/operator/api/api_test.go
@@ -50,7 +50,8 @@
 	return response, nil
 }
 
-func serve(t *testing.T, ready bool) string {
+// newTestEngine returns an engine that searches the service "s", which has two shards on one leaf. It isn't ready yet.
+func newTestEngine(t *testing.T) *search.Engine {
 	t.Helper()
 	cat := catalog.New(nil)
 	apply(t, cat, catalog.ServiceKey("s"), &adminv1.ServiceSpec{
@@ -59,10 +60,15 @@
 	apply(t, cat, catalog.ManifestKey("s"), &adminv1.SnapshotManifest{Service: "s", SnapshotId: "v1", Shards: []*adminv1.Shard{
 		{Id: "1", KeyTo: "m", LeafIds: []string{"l"}}, {Id: "2", KeyFrom: "m", LeafIds: []string{"l"}},
 	}})
-	engine := search.New(search.Deps{
+	return search.New(search.Deps{
 		Config: search.DefaultConfig(), Hedging: hedging.DefaultConfig(), Catalog: cat, Balancer: balancer.New(balancer.DefaultConfig(), "z"),
 		Leafs: threeRows{}, Metrics: telemetry.NewMetrics(), Logger: zap.NewNop(),
 	})
+}
+
+func serve(t *testing.T, ready bool) string {
+	t.Helper()
+	engine := newTestEngine(t)
 	if ready {
 		engine.SetReady()
 	}
--- a/internal/operator/api/server.go
+++ b/internal/operator/api/server.go
@@ -5,7 +5,6 @@
 package api
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -22,6 +21,7 @@
 	"github.com/portgauge/portgauge/gen/portgauge/search/v1/searchv1connect"
 	"github.com/portgauge/portgauge/internal/config/catalog"
 	"github.com/portgauge/portgauge/internal/config/configsync"
+	"github.com/portgauge/portgauge/internal/httpdrain"
 	"github.com/portgauge/portgauge/internal/node/telemetry"
 	"github.com/portgauge/portgauge/internal/operator/admin"
 	"github.com/portgauge/portgauge/internal/request/search"
@@ -121,24 +121,27 @@
 }
 
 // NewServer returns a server for HTTP/1.1 and HTTP/2, both without TLS.
-func NewServer(handler http.Handler) *http.Server {
+func NewServer(handler http.Handler) *httpdrain.Server {
+	return newServer(handler, httpdrain.DefaultConfig())
+}
+
+func newServer(handler http.Handler, drainConfig httpdrain.Config) *httpdrain.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	return httpdrain.New(drainConfig, &http.Server{
 		Handler:           handler,
 		Protocols:         protocols,
 		MaxHeaderBytes:    maximumHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
-	}
+	})
 }
 
 // Serve serves until the server is shut down. If the server fails, it logs the error and returns.
-func Serve(server *http.Server, listener net.Listener, logger *zap.Logger) {
-	err := server.Serve(listener)
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+func Serve(server *httpdrain.Server, listener net.Listener, logger *zap.Logger) {
+	if err := server.Serve(listener); err != nil {
 		logger.Error("server failed; it accepts no more connections", zap.String("address", listener.Addr().String()), zap.Error(err))
 	}
 }
