--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 if [ ! -x target/review-standin ] || [ ! -x target/portgauge ]; then
   review/build.sh || exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec target/review-standin flood target/portgauge review/2/record.txt
+TROUBLE="${TROUBLE:-1}" exec target/review-standin flood target/portgauge review/3/record.txt
--- a/review/standin/flood.go
+++ b/review/standin/flood.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -50,7 +49,7 @@
 }
 
 // runFlood sends requests of a safe route to sound leafs on kept connections, and a few of an unsafe route to a service
-// of which one leaf is in disruption: it answers with bytes that are no answer, a line without an end.
+// of which one leaf is in disruption: it answers some of them with bytes that are no answer.
 func runFlood(r *run) (bool, error) {
 	sound := &ledger{runs: map[string]int{}, statuses: map[string]int{}}
 	other := &ledger{runs: map[string]int{}, statuses: map[string]int{}}
@@ -179,17 +178,21 @@
 	return pages * int64(os.Getpagesize())
 }
 
-// sendNoAnswer sends bytes that are no answer, a line without an end, until the caller closes the connection. It returns
-// how many it sent.
+// sendNoAnswer sends bytes that are no answer, a status line and then short lines without an end, until the caller closes
+// the connection. It returns how many it sent.
 func (l *link) sendNoAnswer(conn net.Conn) int64 {
-	junk := bytes.Repeat([]byte("."), linkBytesPerTick)
-	for sent := int64(0); ; {
+	junk := []byte("HTTP/1.1 200 OK\r\n")
+	for sent, number := int64(0), 0; ; {
+		for ; len(junk) < linkBytesPerTick; number++ {
+			junk = fmt.Appendf(junk, "%d:\r\n", number)
+		}
 		l.wait()
 		written, err := conn.Write(junk)
 		sent += int64(written)
 		if err != nil {
 			return sent
 		}
+		junk = junk[:0]
 	}
 }
 
