--- a/review/standin/flood.go
+++ b/review/standin/flood.go
@@ -13,13 +13,13 @@
 
 // The size of the case and the machine's limits, as in the settings of a small deployment.
 const (
-	floodNodes   = 2
+	floodNodes   = 4
 	soundLeafs   = 2
 	soundSlots   = 8
 	soundWork    = 90 * time.Millisecond
-	soundClients = 12
+	soundClients = 16
 	floodLength  = 48 * time.Second
-	otherClients = 8
+	otherClients = 12
 	// junkShare is the share of answers that are spoiled; the sites' largest dose is 0.05.
 	junkShare        = 0.1
 	memoryBytes      = 284 * 1000 * 1000
@@ -78,8 +78,10 @@
 	lost := r.playFlood(sound, other)
 	platform.stop()
 	broken := false
-	for name, count := range lost {
-		r.record("%s closed %d kept connections without an answer, whose request a sound leaf had; it was over its memory %d times", name, count, platform.kills[name])
+	for _, watched := range r.nodes {
+		count := lost[watched.name]
+		r.record("%s closed %d kept connections without an answer, whose request a sound leaf had; it was over its memory %d times",
+			watched.name, count, platform.kills[watched.name])
 		broken = broken || count > lostLimit
 	}
 	return broken, nil
