A starting node checks the store until its zone has watchers

Cause: only watchers follow the store, and a node has no rank as a watcher before it has joined its zone: after 5 s and a round of join calls if it reaches no other node, after up to 15 s if the members keep changing. Until then it served by its first state, which nobody confirmed.

Evidence: from its first read at 11.62 s on, config_age_millis of its lines grows by the time that passes; "joined the zone" with one member at 17.39 s; the change in force at 17.66 s. No "the store can't be followed", and the store accepted its registration at 11.65 s, so it isn't a failed read. The existing lines suffice to tell the two apart.

Fix: in the first 15 s after its start a node that isn't a watcher checks the store when neither a peer nor a check confirmed its configuration for 1.75 to 2.25 s. By the end of that time every node that started with it counts as joined, so the zone has watchers. Of the nodes that haven't joined, those that would be watchers by the members they know push what they find.

The same cause elsewhere: in a zone that restarts one node after the other nobody follows the store until its first watcher has joined, though the nodes reach each other. Found by TestRestartingZoneFollowsStore. Still open: a zone that loses all its watchers at once.

No connections to leafs, no messages between nodes, 8 bytes.

--- a/internal/config/configsync/configsync.go
+++ b/internal/config/configsync/configsync.go
@@ -100,6 +100,9 @@
 
 	// hasReadAsStandby says that the node has checked the store since it became a standby. Only the watch loop uses it.
 	hasReadAsStandby bool
+	// unrankedCheckAfter is how long the configuration in force may be unconfirmed before the node, while it has no rank
+	// and has started recently, checks the store.
+	unrankedCheckAfter time.Duration
 
 	// The flags below are set while a task runs that must run only once at a time.
 	checkingPush     atomic.Bool
@@ -167,6 +170,8 @@
 		notices:    map[string]*notice{},
 		outboxes:   map[string]*zoneOutbox{},
 		droppedLog: rate.Sometimes{First: 1, Interval: droppedLogInterval},
+
+		unrankedCheckAfter: drawUnrankedCheckAfter(deps.Config),
 	}
 }
 
--- a/internal/config/configsync/standby.go
+++ b/internal/config/configsync/standby.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/config/catalog"
@@ -29,7 +30,7 @@
 	}
 	if !s.hasReadAsStandby || !s.confirmedWithin(s.checkAfter(rank)) {
 		s.hasReadAsStandby = true
-		return s.checkStore(ctx)
+		return s.checkStoreAndPush(ctx)
 	}
 	s.clearStoreDown()
 	return nil
@@ -52,6 +53,13 @@
 	return s.cfg.CheckStoreAfter + time.Duration(rank-1)*s.cfg.BackupDelay
 }
 
+// drawUnrankedCheckAfter returns how long the configuration in force may be unconfirmed before a node without a rank checks
+// the store. It is random between the delays of the first two standbys, so that nodes that start together don't check
+// together.
+func drawUnrankedCheckAfter(cfg Config) time.Duration {
+	return cfg.CheckStoreAfter + time.Duration(rand.Float64()*float64(cfg.BackupDelay))
+}
+
 // confirmedWithin reports whether the configuration in force was confirmed as the newest within the last span.
 func (s *Syncer) confirmedWithin(span time.Duration) bool {
 	return s.catalog.Age() < span
@@ -73,17 +81,23 @@
 	return s.pullFrom(ctx, address)
 }
 
-// checkStore applies the changes in the store and queues their push without Config.BackupDelay: the higher-ranked
+// checkStoreAndPush applies the changes in the store and queues their push without Config.BackupDelay: the higher-ranked
 // watchers already had time to push them.
+func (s *Syncer) checkStoreAndPush(ctx context.Context) error {
+	before := s.catalog.Revision()
+	err := s.checkStore(ctx)
+	s.queueUnpushed(before)
+	return err
+}
+
+// checkStore applies the changes in the store, or its whole state if it no longer keeps them.
 func (s *Syncer) checkStore(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WatchSilence)
 	defer cancel()
-	before := s.catalog.Revision()
 	err := s.catchUp(ctx)
 	if errors.Is(err, store.ErrHistoryGone) {
-		err = s.reread(ctx)
+		return s.reread(ctx)
 	}
-	s.queueUnpushed(before)
 	return err
 }
 
--- a/internal/config/configsync/standby_test.go
+++ b/internal/config/configsync/standby_test.go
@@ -78,7 +78,7 @@
 
 // firstWatcherFailures are failures that keep the first watcher of a zone from pushing changes.
 var firstWatcherFailures = map[string]func(f *fleet, id string){
-	"crashes":               func(f *fleet, id string) { f.nodes[id].stop(); f.network.Remove(id); delete(f.nodes, id) },
+	"crashes":               func(f *fleet, id string) { f.crash(id) },
 	"can't reach the store": func(f *fleet, id string) { f.platform.setCutOff(id, true) },
 	"has a silent watch": func(f *fleet, id string) {
 		f.platform.mu.Lock()
--- a/internal/config/configsync/watch.go
+++ b/internal/config/configsync/watch.go
@@ -22,24 +22,17 @@
 // errCaughtUp ends the watch with which a node catches up with the store.
 var errCaughtUp = merry.New("the state is up to date")
 
-// watchLoop loads the first state, whatever the node's rank, and then follows the store while the node is a watcher.
-// After an error it retries with exponential backoff between Config.RetryPause and Config.MaxRetryPause. The backoff
-// is reset after a watch that lasted longer than Config.WatchSilence.
+// watchLoop loads the first state, whatever the node's rank, and then follows the store as the rank demands. After an
+// error it retries with exponential backoff between Config.RetryPause and Config.MaxRetryPause. The backoff is reset
+// after a watch that lasted longer than Config.WatchSilence.
 func (s *Syncer) watchLoop(ctx context.Context) {
 	if !s.loadFirstState(ctx) {
 		return
 	}
 	retryAfter := s.cfg.RetryPause
 	for {
-		rank := s.rank()
-		if rank == notAWatcher {
-			if !s.pauseUnranked(ctx) {
-				return
-			}
-			continue
-		}
 		opened := time.Now()
-		err := s.follow(ctx, rank)
+		err := s.follow(ctx, s.rank())
 		if ctx.Err() != nil {
 			return
 		}
@@ -66,23 +59,46 @@
 	}
 }
 
-// pauseUnranked waits before the rank of a node that isn't a watcher is checked again. It returns false if the context is
-// done.
-func (s *Syncer) pauseUnranked(ctx context.Context) bool {
-	s.hasReadAsStandby = false
-	s.clearStoreDown()
-	return pause(ctx, s.cfg.RetryPause)
-}
-
-// follow follows the store until the watch ends if the node is the first watcher; a standby runs one step.
+// follow follows the store until the watch ends if the node is the first watcher. A standby, and a node that is not a
+// watcher, run one step.
 func (s *Syncer) follow(ctx context.Context, rank int) error {
 	if rank > 0 {
 		return s.standByOnce(ctx, rank)
 	}
 	s.hasReadAsStandby = false
+	if rank == notAWatcher {
+		return s.waitUnranked(ctx)
+	}
 	return s.watchOnce(ctx)
 }
 
+// waitUnranked runs one step of a node that is not a watcher: a pause before its rank is determined again. The node relies
+// on the watchers of its zone, but not before unstableTimeout after its start: until then the watchers may not know this
+// node, or not count as joined themselves, so that it must check the store.
+func (s *Syncer) waitUnranked(ctx context.Context) error {
+	s.clearStoreDown()
+	if !pause(ctx, s.cfg.RetryPause) || time.Since(s.startedAt) > unstableTimeout {
+		return nil
+	}
+	return s.checkUnranked(ctx)
+}
+
+// checkUnranked checks the store if neither a peer nor an earlier check confirmed the configuration in force for
+// unrankedCheckAfter. A node that would be a watcher by the members known so far checks it after Config.CheckStoreAfter,
+// and pushes what it finds; not every node does, since all nodes of a zone that restarts find the same.
+func (s *Syncer) checkUnranked(ctx context.Context) error {
+	if s.rankAmongKnown() == notAWatcher {
+		if s.confirmedWithin(s.unrankedCheckAfter) {
+			return nil
+		}
+		return s.checkStore(ctx)
+	}
+	if s.confirmedWithin(s.cfg.CheckStoreAfter) {
+		return nil
+	}
+	return s.checkStoreAndPush(ctx)
+}
+
 // watchOnce reads the whole state if the node has none, then applies the store's changes until the watch ends.
 func (s *Syncer) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/config/configsync/watchers.go
+++ b/internal/config/configsync/watchers.go
@@ -19,6 +19,11 @@
 	if !s.joined.Load() {
 		return notAWatcher
 	}
+	return s.rankAmongKnown()
+}
+
+// rankAmongKnown returns the rank that this node has by the members that it knows, whether or not it has joined its zone.
+func (s *Syncer) rankAmongKnown() int {
 	self := s.members.Self().ID
 	members := s.members.Members()
 	own := xxhash.Sum64String(self)
