A connection to a leaf carries the same request only once

Cause: an answer is matched by the ID of the request on the connection. A retry at a leaf that had refused the request took the connection used last, the one of the refusal. The leaf's late copy of the refusal then counted as the answer to the retry, while the leaf ran it; the node sent it a third time, or refused it.

No retry without an answer that said "not executed".

Fix: a request keeps the connections that were assigned to its attempts, and the pool assigns none of them again, neither an idle one nor one that is released while the retry waits. At the limit the retry gets a new connection in place of an idle one. An ID then names one exchange of a connection, and a copy is skipped as an answer to another request. The check for unread bytes before a send can't catch a copy that arrives after it.

Memory: 8 bytes per attempt until the request ends.

--- a/internal/lab/httpleaf/httpleaf.go
+++ b/internal/lab/httpleaf/httpleaf.go
@@ -62,6 +62,8 @@
 	Deadline    time.Duration
 	// At is the time at which the request was read.
 	At time.Time
+	// Connection is the number of the connection that it was read from, counted from 1.
+	Connection int
 }
 
 // Leaf is one incarnation of a leaf. It is safe for concurrent use.
@@ -74,6 +76,7 @@
 	mu       sync.Mutex
 	requests []Request
 	conns    map[net.Conn]bool
+	accepted int
 }
 
 // Start starts a leaf on a free loopback address. It calls answer concurrently, once per request.
@@ -125,12 +128,14 @@
 		}
 		l.mu.Lock()
 		l.conns[conn] = true
+		l.accepted++
+		number := l.accepted
 		l.mu.Unlock()
-		go l.serve(conn)
+		go l.serve(conn, number)
 	}
 }
 
-func (l *Leaf) serve(conn net.Conn) {
+func (l *Leaf) serve(conn net.Conn, number int) {
 	defer func() {
 		_ = conn.Close()
 		l.mu.Lock()
@@ -139,14 +144,14 @@
 	}()
 	reader := bufio.NewReader(conn)
 	for {
-		request, err := l.read(reader)
+		request, err := l.read(reader, number)
 		if err != nil || !l.reply(conn, reader, request) {
 			return
 		}
 	}
 }
 
-func (l *Leaf) read(reader *bufio.Reader) (Request, error) {
+func (l *Leaf) read(reader *bufio.Reader, connection int) (Request, error) {
 	read, err := http.ReadRequest(reader)
 	if err != nil {
 		return Request{}, err
@@ -159,7 +164,7 @@
 	request := Request{
 		ID: read.Header.Get(l.names.RequestID), Method: read.Method, Target: read.RequestURI, Host: read.Host,
 		Incarnation: read.Header.Get(l.names.ExpectedIncarnation), Header: read.Header, Body: body,
-		Deadline: time.Duration(millis) * time.Millisecond, At: time.Now(),
+		Deadline: time.Duration(millis) * time.Millisecond, At: time.Now(), Connection: connection,
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/leaf/leafhttp/connection.go
+++ b/internal/leaf/leafhttp/connection.go
@@ -126,9 +126,11 @@
 	e.end(nil, &NeverSentError{Cause: cause})
 }
 
-// assign gives the connection to an exchange and marks its request as being written. The pool's mu must be held.
+// assign gives the connection to an exchange and marks its request as being written. The request is not given this
+// connection again. The pool's mu must be held.
 func (c *connection) assign(e *exchange) {
 	c.current, e.conn, c.writing = e, c, true
+	e.request.carriers = append(e.request.carriers, c)
 	c.hasLongBody = len(e.request.Body) > inlineBodyBytes
 }
 
@@ -219,7 +221,7 @@
 	c.current, e.conn, e.finished, c.answered = nil, nil, true, true
 	leaf := p.leafs[c.leafID]
 	// A leaf that answered before the whole long body was written could read the rest as another request.
-	reusable = reusable && !(c.writing && c.hasLongBody) && !p.closed && !leaf.forgotten
+	reusable = reusable && !(c.writing && c.hasLongBody) && !p.closed && !leaf.forgotten && !leaf.mustReplace(c)
 	if e.lingering {
 		reusable = c.socket.SetReadDeadline(time.Time{}) == nil && reusable
 	}
@@ -252,7 +254,7 @@
 		return
 	}
 	leaf := p.leafs[c.leafID]
-	if p.closed || leaf.forgotten {
+	if p.closed || leaf.forgotten || leaf.mustReplace(c) {
 		p.mu.Unlock()
 		c.fail(errClosed)
 		return
@@ -264,10 +266,10 @@
 	}
 }
 
-// nextOrIdle assigns the connection to a waiting exchange and returns the exchange, or makes the connection idle and
-// returns nil. The pool's mu must be held.
+// nextOrIdle assigns the connection to a waiting exchange that may use it and returns the exchange, or makes the
+// connection idle and returns nil. The pool's mu must be held.
 func (c *connection) nextOrIdle(leaf *leafConnections, target Target) *exchange {
-	if next := leaf.next(); next != nil {
+	if next := leaf.nextFor(c); next != nil {
 		c.assign(next)
 		return next
 	}
--- a/internal/leaf/leafhttp/errors.go
+++ b/internal/leaf/leafhttp/errors.go
@@ -96,5 +96,5 @@
 // errStale means that a connection was closed or received bytes while it was idle.
 var errStale = errors.New("the connection was closed or received bytes while it was idle")
 
-// errClosed means that the pool is closed or the leaf is no longer known.
-var errClosed = errors.New("the connection pool is closed or the leaf is no longer known")
+// errClosed means that the pool is closed, the leaf is no longer known, or a new connection replaces this one.
+var errClosed = errors.New("the connection pool is closed, the leaf is no longer known, or the connection is replaced")
--- a/internal/leaf/leafhttp/leaf_connections.go
+++ b/internal/leaf/leafhttp/leaf_connections.go
@@ -40,12 +40,39 @@
 	return first
 }
 
+// nextFor removes and returns the exchange that has waited the longest of those that may use a connection, or nil if there
+// is none. The pool's mu must be held.
+func (l *leafConnections) nextFor(c *connection) *exchange {
+	index := slices.IndexFunc(l.waiting, func(e *exchange) bool { return !e.request.wasCarriedBy(c) })
+	if index < 0 {
+		return nil
+	}
+	next := l.waiting[index]
+	l.waiting = slices.Delete(l.waiting, index, index+1)
+	return next
+}
+
+// mustReplace reports whether exchanges wait for a connection, but none of them may use this one. The pool's mu must be
+// held.
+func (l *leafConnections) mustReplace(c *connection) bool {
+	return len(l.waiting) > 0 && !slices.ContainsFunc(l.waiting, func(e *exchange) bool { return !e.request.wasCarriedBy(c) })
+}
+
 // drop marks a connection as no longer counted. The pool's mu must be held.
 func (l *leafConnections) drop(c *connection) {
 	c.removed = true
 	l.established--
 }
 
+// closeIdle closes the idle connection with the given index. The pool's mu must be held.
+func (l *leafConnections) closeIdle(index int) {
+	conn := l.idle[index]
+	l.idle = slices.Delete(l.idle, index, index+1)
+	l.drop(conn)
+	conn.close()
+	l.open--
+}
+
 // leaf returns the connections to a leaf, creating the entry if necessary. p.mu must be held.
 func (p *Pool) leaf(leafID string) *leafConnections {
 	leaf, found := p.leafs[leafID]
@@ -56,25 +83,29 @@
 	return leaf
 }
 
-// reserve selects a connection for an exchange: the most recently used idle one that has not been idle for too long. If
-// there is none and the limit allows it, it counts a new connection, which the caller must open. Otherwise, the
-// exchange waits for the next connection that is released. p.mu must be held.
+// reserve selects a connection for an exchange: the most recently used idle one that has not been idle for too long and
+// has not carried the request. If there is none and the limit allows it, it counts a new connection, which the caller must
+// open. At the limit, the new connection replaces idle ones. If none is idle, the exchange waits for the next connection
+// that is released. p.mu must be held.
 func (p *Pool) reserve(e *exchange) (conn *connection, mayOpen bool) {
 	leaf := p.leaf(e.target.LeafID)
 	now := time.Now()
-	for len(leaf.idle) > 0 {
-		last := len(leaf.idle) - 1
-		conn := leaf.idle[last]
-		leaf.idle = leaf.idle[:last]
-		if !conn.idleExpired(now) {
+	for index := len(leaf.idle) - 1; index >= 0; index-- {
+		conn := leaf.idle[index]
+		switch {
+		case conn.idleExpired(now):
+			leaf.closeIdle(index)
+		case !e.request.wasCarriedBy(conn):
+			leaf.idle = slices.Delete(leaf.idle, index, index+1)
 			conn.assign(e)
 			return conn, false
 		}
-		leaf.drop(conn)
-		conn.close()
-		leaf.open--
 	}
-	if leaf.open < leaf.limit(e.target, p.cfg.ExtraPause, now) {
+	limit := leaf.limit(e.target, p.cfg.ExtraPause, now)
+	for len(leaf.idle) > 0 && leaf.open >= limit {
+		leaf.closeIdle(0)
+	}
+	if leaf.open < limit {
 		leaf.open++
 		return nil, true
 	}
--- a/internal/leaf/leafhttp/leafhttp.go
+++ b/internal/leaf/leafhttp/leafhttp.go
@@ -1,8 +1,8 @@
 // Package leafhttp sends requests to leafs over HTTP/1.1, on connections that it owns.
 //
-// Each connection carries one request at a time. An answer is accepted only if it is complete and carries the ID of the
-// request. A connection is reused only if no bytes follow the answer. The package never retries: its typed errors tell
-// the caller whether the leaf may have run the request.
+// Each connection carries one request at a time, and the same request only once. An answer is accepted only if it is
+// complete and carries the ID of the request. A connection is reused only if no bytes follow the answer. The package never
+// retries: its typed errors tell the caller whether the leaf may have run the request.
 //
 // A Pool owns a node's connections, one reading goroutine per connection, and the checks that determine whether a
 // leaf's process has exited. Package connshare determines the maximum number of connections, which is passed in each
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 )
 
 // Target is the leaf to which an attempt is sent.
@@ -32,7 +33,7 @@
 // expectedName returns the name under which the leaf accepts requests.
 func (t Target) expectedName() string { return cmp.Or(t.Name, t.LeafID) }
 
-// Request is a request to a leaf. It is shared by all attempts and must not be modified.
+// Request is a request to a leaf. It is shared by all attempts, through the same pointer, and must not be modified.
 type Request struct {
 	// ID is the request ID assigned by the caller.
 	ID     string
@@ -47,8 +48,16 @@
 	HasBody bool
 	// AtMostOnce says that the request must not run twice.
 	AtMostOnce bool
+
+	// carriers are the connections that were assigned to an attempt. It is guarded by the pool's mu.
+	carriers []*connection
 }
 
+// wasCarriedBy reports whether a connection was assigned to an attempt of the request. The request isn't sent on such a
+// connection again: a leaf may send an answer once more, late, and only the ID tells which request it answers. The pool's
+// mu must be held.
+func (r *Request) wasCarriedBy(c *connection) bool { return slices.Contains(r.carriers, c) }
+
 // Response is a complete answer of a leaf.
 type Response struct {
 	Status int
