Three members after a zone's watchers check the store if these fail

Cause: the same as of a node that has just started: it serves by a state that nobody follows for it. Three nodes of a zone are watchers; any other relies on them, and takes over only when the membership has declared those ahead of it dead.

Fix: the next three members are reserves. A reserve checks the store when its configuration hasn't been confirmed for longer than the watchers, and the reserves ahead of it, may take, and pushes what it finds. Suspected members don't count, so more members become reserves as more fail. This, and the check of nodes that have just started, is in a file of its own; a check that failed is repeated after the time of the check, not after the pause of the watchers, so that a store outage costs a bounded number of calls, and it no longer clears the mark that the store is down, by which the node pulls from other zones.

Test: TestChangeIsInForceInTimeAfterAllWatchersFail failed before the fix, "22 != 0", and passed 60 times after it. The fixture gives each node's membership its own seed, as nodes do: with one seed for all, they probed the same member at the same time.

No connections to leafs, no messages; 24 bytes.

--- a/internal/config/configsync/configsync.go
+++ b/internal/config/configsync/configsync.go
@@ -7,6 +7,7 @@
 //   - watch: the first watcher follows the store; storestate reads the whole state if single changes don't suffice.
 //   - standby: the other watchers rely on those of higher rank, and check the store if no peer confirms the
 //     configuration in force.
+//   - unranked: other nodes check the store soon after their start, and as reserves if all watchers fail.
 //   - push: changes are relayed down a tree of the zone's nodes, which is random per push to spread the load;
 //     push_check verifies that the push of a standby reached all members.
 //   - reorder: changes of pushes that overtake each other are sorted.
@@ -100,9 +101,11 @@
 
 	// hasReadAsStandby says that the node has checked the store since it became a standby. Only the watch loop uses it.
 	hasReadAsStandby bool
-	// unrankedCheckAfter is how long the configuration in force may be unconfirmed before the node, while it has no rank
-	// and has started recently, checks the store.
+	// unrankedCheckAfter is how long the configuration in force may be unconfirmed before the node, if it has no rank and
+	// has just started, checks the store.
 	unrankedCheckAfter time.Duration
+	// unrankedCheckAt is when the node, without a rank, last checked the store. Only the watch loop uses it.
+	unrankedCheckAt time.Time
 
 	// The flags below are set while a task runs that must run only once at a time.
 	checkingPush     atomic.Bool
--- a/internal/config/configsync/fleet_test.go
+++ b/internal/config/configsync/fleet_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	adminv1 "github.com/portgauge/portgauge/gen/portgauge/admin/v1"
@@ -283,7 +284,7 @@
 		Settled: node.settledRevision, MessageSent: f.countPush,
 	})
 	self := peer.Member{ID: id, Address: id, Zone: zone, Incarnation: time.Now().UnixMilli()}
-	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, 1)
+	members := membership.New(membership.DefaultConfig(), self, transport, node.syncer, xxhash.Sum64String(id))
 	node.syncer.SetMembership(members)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	node.stop = cancel
--- a/internal/config/configsync/standby.go
+++ b/internal/config/configsync/standby.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/portgauge/portgauge/internal/config/catalog"
@@ -53,13 +52,6 @@
 	return s.cfg.CheckStoreAfter + time.Duration(rank-1)*s.cfg.BackupDelay
 }
 
-// drawUnrankedCheckAfter returns how long the configuration in force may be unconfirmed before a node without a rank checks
-// the store. It is random between the delays of the first two standbys, so that nodes that start together don't check
-// together.
-func drawUnrankedCheckAfter(cfg Config) time.Duration {
-	return cfg.CheckStoreAfter + time.Duration(rand.Float64()*float64(cfg.BackupDelay))
-}
-
 // confirmedWithin reports whether the configuration in force was confirmed as the newest within the last span.
 func (s *Syncer) confirmedWithin(span time.Duration) bool {
 	return s.catalog.Age() < span
--- a/internal/config/configsync/standby_test.go
+++ b/internal/config/configsync/standby_test.go
@@ -116,3 +116,24 @@
 		})
 	}
 }
+
+// A change is in force in the whole zone within 4 s, even if all of its watchers failed just before. Guards against a zone
+// that had nobody who followed the store until the membership declared its watchers dead, 10 s later and more.
+func TestChangeIsInForceInTimeAfterAllWatchersFail(t *testing.T) {
+	const bound = 4 * time.Second
+	for late := time.Duration(0); late < 2*time.Second; late += 230 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 24)
+			defer f.stopAll()
+			f.platform.write(t, "a", 1)
+			time.Sleep(20*time.Second + late)
+			for _, watcher := range f.nodes[f.firstWatcher("z0")].syncer.watchers() {
+				f.crash(watcher.ID)
+			}
+			revision := f.platform.write(t, "a", 2)
+			time.Sleep(bound)
+			is.Equal(len(f.lagging(revision)), 0)
+		})
+	}
+}
--- a/internal/config/configsync/watch.go
+++ b/internal/config/configsync/watch.go
@@ -72,33 +72,6 @@
 	return s.watchOnce(ctx)
 }
 
-// waitUnranked runs one step of a node that is not a watcher: a pause before its rank is determined again. The node relies
-// on the watchers of its zone, but not before unstableTimeout after its start: until then the watchers may not know this
-// node, or not count as joined themselves, so that it must check the store.
-func (s *Syncer) waitUnranked(ctx context.Context) error {
-	s.clearStoreDown()
-	if !pause(ctx, s.cfg.RetryPause) || time.Since(s.startedAt) > unstableTimeout {
-		return nil
-	}
-	return s.checkUnranked(ctx)
-}
-
-// checkUnranked checks the store if neither a peer nor an earlier check confirmed the configuration in force for
-// unrankedCheckAfter. A node that would be a watcher by the members known so far checks it after Config.CheckStoreAfter,
-// and pushes what it finds; not every node does, since all nodes of a zone that restarts find the same.
-func (s *Syncer) checkUnranked(ctx context.Context) error {
-	if s.rankAmongKnown() == notAWatcher {
-		if s.confirmedWithin(s.unrankedCheckAfter) {
-			return nil
-		}
-		return s.checkStore(ctx)
-	}
-	if s.confirmedWithin(s.cfg.CheckStoreAfter) {
-		return nil
-	}
-	return s.checkStoreAndPush(ctx)
-}
-
 // watchOnce reads the whole state if the node has none, then applies the store's changes until the watch ends.
 func (s *Syncer) watchOnce(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/config/configsync/watchers.go
+++ b/internal/config/configsync/watchers.go
@@ -19,29 +19,44 @@
 	if !s.joined.Load() {
 		return notAWatcher
 	}
-	return s.rankAmongKnown()
+	return s.order().rank(s.cfg.WatchersPerZone)
 }
 
-// rankAmongKnown returns the rank that this node has by the members that it knows, whether or not it has joined its zone.
-func (s *Syncer) rankAmongKnown() int {
+// memberOrder is this node's place in the order in which members become watchers.
+type memberOrder struct {
+	// isMember is false if this node is not a live member.
+	isMember bool
+	// ahead counts the members ahead of this node, and aliveAhead those of them that are not suspected.
+	ahead, aliveAhead int
+}
+
+// rank returns the rank that follows from the order, or notAWatcher.
+func (o memberOrder) rank(watchers int) int {
+	if !o.isMember || o.ahead >= watchers {
+		return notAWatcher
+	}
+	return o.ahead
+}
+
+// order returns this node's place among the members that it knows, whether or not it has joined its zone.
+func (s *Syncer) order() memberOrder {
+	var order memberOrder
 	self := s.members.Self().ID
-	members := s.members.Members()
 	own := xxhash.Sum64String(self)
-	ahead := 0
-	present := false
-	for _, member := range members {
+	for _, member := range s.members.Members() {
 		if member.ID == self {
-			present = true
+			order.isMember = true
 			continue
 		}
-		if xxhash.Sum64String(member.ID) > own {
-			ahead++
+		if xxhash.Sum64String(member.ID) <= own {
+			continue
+		}
+		order.ahead++
+		if member.State == peer.Alive {
+			order.aliveAhead++
 		}
 	}
-	if !present || ahead >= s.cfg.WatchersPerZone {
-		return notAWatcher
-	}
-	return ahead
+	return order
 }
 
 // watchers returns the zone's watchers in rank order.
