Number the probes of a process from a random start

Cause: probes and pings are numbered from 1 in each process, and an answer names only the number. A node that was frozen answers, when it wakes, the probes of a process that has since been restarted at the same address; with the numbers of the new one, they count as answers to its probes, so that a silent member or zone is believed for a round longer.

Fix: the first number is random. An older build echoes the number whatever it is, so both builds answer each other's probes.

--- a/internal/fleet/peer/pending.go
+++ b/internal/fleet/peer/pending.go
@@ -1,7 +1,10 @@
 package peer
 
+import "math/rand/v2"
+
 // Pending tracks numbered datagram requests that wait for an answer. The zero value is ready for use. The owner's lock
-// guards it.
+// guards it. The first number is random: an answer names only the number, and a late one may be meant for a process that
+// had the same address before.
 type Pending struct {
 	last     uint64
 	answered map[uint64]chan struct{} // by request number
@@ -14,6 +17,7 @@
 func (p *Pending) Open() (number uint64, answered <-chan struct{}) {
 	if p.answered == nil {
 		p.answered = map[uint64]chan struct{}{}
+		p.last = uint64(rand.Uint32())
 	}
 	p.last++
 	channel := make(chan struct{})
