--- a/internal/leaf/leafmemory/config.go
+++ b/internal/leaf/leafmemory/config.go
@@ -19,6 +19,7 @@
 	MaximumLeafs int `yaml:"maximum_leafs"`
 }
 
+// DefaultConfig returns settings that keep lost leafs usable for two seconds.
 func DefaultConfig() Config {
 	return Config{Retention: 2 * time.Second, StoredListAfterStart: 2500 * time.Millisecond, WriteDelay: 2 * time.Second, MaximumLeafs: 2000}
 }
--- a/internal/request/gateway/zones.go
+++ b/internal/request/gateway/zones.go
@@ -9,7 +9,8 @@
 )
 
 // minimumUnanswered is how long an attempt must stay unanswered to indicate that its leaf's zone is unreachable: longer
-// than a round trip between near zones plus the run time of a fast leaf.
+// than a round trip between near zones plus the run time of a fast leaf. A shorter time would only cause needless pings of
+// the zone.
 const minimumUnanswered = 20 * time.Millisecond
 
 // inReachableZones removes the candidates in unreachable zones.
