Check the nodes of a restarting zone on the test's own goroutine

A fault of the test, not of the product.

Change: each revision is checked by the loop that starts the nodes, at the same virtual time as before, with the same bound.

--- a/internal/config/configsync/unranked_test.go
+++ b/internal/config/configsync/unranked_test.go
@@ -39,8 +39,9 @@
 func TestRestartingZoneFollowsStore(t *testing.T) {
 	const (
 		bound    = 3 * time.Second
-		zoneSize = 24
 		interval = 200 * time.Millisecond
+		dueSteps = int(bound / interval)
+		zoneSize = 24
 	)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -52,13 +53,19 @@
 			f.crash(fmt.Sprintf("z0-n%d", number))
 		}
 		f.cfg.FirstReadDelay = 60 * time.Millisecond
-		for number := range zoneSize {
-			f.start(fmt.Sprintf("z0-n%d", number), "z0", "dark-seed")
+		var revisions []int64
+		for step := range zoneSize + dueSteps {
+			if step < zoneSize {
+				f.start(fmt.Sprintf("z0-n%d", step), "z0", "dark-seed")
+			}
 			time.Sleep(interval)
-			revision := f.platform.write(t, "a", uint32(number))
-			time.AfterFunc(bound, func() { is.Equal(len(f.startedLagging(revision)), 0) })
+			if step < zoneSize {
+				revisions = append(revisions, f.platform.write(t, "a", uint32(step)))
+			}
+			if due := step - dueSteps; due >= 0 {
+				is.Equal(len(f.startedLagging(revisions[due])), 0)
+			}
 		}
-		time.Sleep(bound)
 	})
 }
 
