Reserves check the store later than standbys

TestNodeRefusedByStoreSyncsFromPeers: a node that joins as a watcher during the pause of a node without a rank cleared the mark that the store is down, so the line that it can be followed again never came.

Change: a reserve checks two ranks later than a standby in its place would; a node that has become a watcher ends the step after the pause.

The bound of 4 s of TestChangeIsInForceInTimeAfterAllWatchersFail holds.

--- a/internal/config/configsync/unranked.go
+++ b/internal/config/configsync/unranked.go
@@ -9,6 +9,10 @@
 // reservesPerZone is the number of members after the watchers that check the store if the watchers fail.
 const reservesPerZone = 3
 
+// reserveMargin is how many ranks later than a standby in its place a reserve checks the store, so that it rarely does
+// while a standby checks it.
+const reserveMargin = 2
+
 // unrankedCheck says when a node that is not a watcher checks the store itself.
 type unrankedCheck struct {
 	// after is how long the configuration in force may be unconfirmed before the check.
@@ -21,8 +25,8 @@
 // the store if the node must check it and neither a peer nor an earlier check confirmed the configuration in force. A check
 // that failed is repeated after the same time, since the watchers of the zone retry sooner.
 func (s *Syncer) waitUnranked(ctx context.Context) error {
-	if !pause(ctx, s.cfg.RetryPause) {
-		return nil
+	if !pause(ctx, s.cfg.RetryPause) || s.rank() != notAWatcher {
+		return nil // in the second case the node has joined as a watcher meanwhile
 	}
 	check, mustCheck := s.unrankedCheck()
 	if !mustCheck || s.confirmedWithin(check.after) {
@@ -56,7 +60,8 @@
 	case isStarting:
 		return unrankedCheck{after: s.unrankedCheckAfter}, true
 	case order.isMember && order.aliveAhead < s.cfg.WatchersPerZone+reservesPerZone:
-		return unrankedCheck{after: s.checkAfter(max(s.cfg.WatchersPerZone, order.aliveAhead)), isPushed: true}, true
+		place := max(s.cfg.WatchersPerZone, order.aliveAhead)
+		return unrankedCheck{after: s.checkAfter(place + reserveMargin), isPushed: true}, true
 	}
 	return unrankedCheck{}, false
 }
