Limit the header of a leaf's answer

Cause: http.ReadResponse reads the status line, the header and the informational answers before it without any limit, and short lines of different names take 15 times their bytes once parsed (64 KB: 986 KB live, 1.7 MB allocated). leaf_http.maximum_answer_bytes limited the body only.

Chunk sizes, extensions and trailers were bounded by the read buffer of 2 KB.

Change: a reader below the read buffer limits what is read for one head, informational answers included (leaf_http.maximum_header_bytes, 64 KiB). Over it the attempt ends with an AnswerTooLargeError, the connection is closed, the leaf counts as failed, and the request may have run. Its reason is ANSWER_TOO_LARGE, so that logs and front_attempt_failures_total tell it from a connection that broke.

--- a/internal/leaf/leafhttp/answer.go
+++ b/internal/leaf/leafhttp/answer.go
@@ -40,12 +40,15 @@
 	}
 }
 
-// readHead reads the status line and headers of a final answer, skipping informational (1xx) answers.
+// readHead reads the status line and headers of a final answer, skipping informational (1xx) answers. All of them together
+// may have MaximumHeaderBytes.
 func (c *connection) readHead(method string) (*http.Response, error) {
+	c.heads.begin(c.reader.Buffered(), c.pool.cfg.MaximumHeaderBytes)
+	defer c.heads.end()
 	for {
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, c.heads.exceeded(err)
 		}
 		switch {
 		case raw.StatusCode == http.StatusSwitchingProtocols:
@@ -58,7 +61,7 @@
 
 func readBody(raw *http.Response, limit int64) ([]byte, error) {
 	if raw.ContentLength > limit {
-		return nil, &AnswerTooLargeError{Limit: limit}
+		return nil, &AnswerTooLargeError{Part: bodyPart, Limit: limit}
 	}
 	if raw.ContentLength > 0 && raw.Body != http.NoBody {
 		body := make([]byte, raw.ContentLength)
@@ -70,7 +73,7 @@
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, &AnswerTooLargeError{Limit: limit}
+		return nil, &AnswerTooLargeError{Part: bodyPart, Limit: limit}
 	}
 	return body, nil
 }
--- a/internal/leaf/leafhttp/config.go
+++ b/internal/leaf/leafhttp/config.go
@@ -21,6 +21,9 @@
 	LingerTimeout time.Duration `yaml:"linger_timeout"`
 	// ExtraPause is how long no extra connections to a leaf are opened after the leaf reset a new one.
 	ExtraPause time.Duration `yaml:"spare_pause"`
+	// MaximumHeaderBytes is the maximum size of an answer's status line and header, together with the informational
+	// answers before it.
+	MaximumHeaderBytes int64 `yaml:"maximum_header_bytes"`
 	// MaximumAnswerBytes is the maximum size of an answer's body.
 	MaximumAnswerBytes int64 `yaml:"maximum_answer_bytes"`
 }
@@ -34,6 +37,7 @@
 		IdleReserve:        500 * time.Millisecond,
 		LingerTimeout:      25 * time.Millisecond,
 		ExtraPause:         5 * time.Second,
+		MaximumHeaderBytes: 64 << 10,
 		MaximumAnswerBytes: 16 << 20,
 	}
 }
@@ -47,6 +51,7 @@
 	checks.Refuse(c.IdleReserve < 0, "idle_reserve", "must not be negative")
 	checks.Refuse(c.LingerTimeout < 0, "linger_timeout", "must not be negative")
 	checks.Refuse(c.ExtraPause < 0, "spare_pause", "must not be negative")
+	checks.Refuse(c.MaximumHeaderBytes < readBufferBytes, "maximum_header_bytes", "must be at least %d", readBufferBytes)
 	checks.Refuse(c.MaximumAnswerBytes < 1024, "maximum_answer_bytes", "must be at least 1024")
 	return checks.Err()
 }
--- a/internal/leaf/leafhttp/connection.go
+++ b/internal/leaf/leafhttp/connection.go
@@ -28,6 +28,8 @@
 	pool   *Pool
 	leafID string
 	socket *net.TCPConn
+	// heads reads the socket and limits the header of an answer; reader buffers it.
+	heads  *headReader
 	reader *bufio.Reader
 	// outgoing holds the head of the current request. It is used only by the goroutine that begins the exchange.
 	outgoing bytes.Buffer
--- a/internal/leaf/leafhttp/dial.go
+++ b/internal/leaf/leafhttp/dial.go
@@ -25,9 +25,10 @@
 		return nil, err
 	}
 	socket := opened.(*net.TCPConn)
+	heads := &headReader{source: socket}
 	return &connection{
-		pool: p, leafID: target.LeafID, socket: socket,
-		reader: bufio.NewReaderSize(socket, readBufferBytes), idleLimit: p.cfg.IdleTimeout,
+		pool: p, leafID: target.LeafID, socket: socket, heads: heads,
+		reader: bufio.NewReaderSize(heads, readBufferBytes), idleLimit: p.cfg.IdleTimeout,
 	}, nil
 }
 
--- a/internal/leaf/leafhttp/leafhttp_test.go
+++ b/internal/leaf/leafhttp/leafhttp_test.go
@@ -52,6 +52,9 @@
 	return &Request{ID: id, Method: http.MethodGet, Target: "/x/1?q=a%20b", Host: "h.example", Header: http.Header{"X-Other": {"1"}}}
 }
 
+// deadline returns a deadline that no attempt reaches, even on a busy machine.
+func (f *fixture) deadline() time.Time { return time.Now().Add(time.Minute) }
+
 func (f *fixture) do(ctx context.Context, request *Request) (*Response, error) {
 	return f.runAttempt(ctx, f.target(), request, time.Now().Add(5*time.Second))
 }
@@ -260,7 +263,7 @@
 func TestValidateNamesEveryInvalidField(t *testing.T) {
 	is := is.New(t)
 	is.NoErr(DefaultConfig().Validate())
-	is.Equal(len(failure.Faults(Config{IdleReserve: -1, LingerTimeout: -1}.Validate())), 6)
+	is.Equal(len(failure.Faults(Config{IdleReserve: -1, LingerTimeout: -1}.Validate())), 7)
 }
 
 func FuzzParseLoad(f *testing.F) {
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -20,6 +20,8 @@
 	reasonNotSent scatter.Reason = "NOT_SENT"
 	// reasonBroken means that the connection ended before the complete answer arrived.
 	reasonBroken scatter.Reason = "BROKEN_ANSWER"
+	// reasonTooLarge means that a part of the answer exceeded its limit.
+	reasonTooLarge scatter.Reason = "ANSWER_TOO_LARGE"
 	// reasonConnectionReset means that the leaf reset a new connection, as it does above its connection limit.
 	reasonConnectionReset scatter.Reason = "REFUSED_CONNECTION"
 	// reasonLeafError means that the leaf ran the request and failed.
@@ -149,7 +151,12 @@
 	if errors.As(err, &connectionReset) {
 		return attemptResult{Reason: reasonConnectionReset, Execution: scatter.Unknown, Outcome: outcome, NeverArrived: true}
 	}
-	return attemptResult{Reason: reasonBroken, Execution: scatter.Unknown, Outcome: outcome}
+	reason := reasonBroken
+	var tooLarge *leafhttp.AnswerTooLargeError
+	if errors.As(err, &tooLarge) {
+		reason = reasonTooLarge
+	}
+	return attemptResult{Reason: reason, Execution: scatter.Unknown, Outcome: outcome}
 }
 
 // AttemptStarted implements scatter.Observer.
