A shared budget for what callers and leafs make a node hold

Cause: each read has its own limit, and nothing bounds their sum.

Change: package memorybudget. A read reserves its bytes before it allocates them, from a budget that all connections share (memory.request_bytes, 64 MiB, at most a third of the machine's memory). What doesn't fit is refused at once with an ExceededError. An account, one per leaf and one per caller's address, holds at most as much as it leaves free, so that one leaf takes half at most and the largest answer of another still fits. Parsed headers count with 128 bytes a line. The reservation of an answer lasts until its request has been answered. An attempt that is refused has the reason MEMORY_EXCEEDED and may have run; it doesn't count against the leaf, since other leafs may hold the memory. Bodies and heads of callers take the same budget: a body that doesn't fit gets 503 with Retry-After, a head closes the connection unread. The runtime's soft memory limit is set to 90% of the machine's memory, so that garbage is collected in time. Metrics memory_refused_total and memory_held_bytes.

Evidence: TestManyLargeAnswersStayWithinBudget and TestAnswersOfOneLeafLeaveRoomForOthers fail without the budget (all 24 answers are held, resp. the loop of the bad leaf never ends); drawn cases for bodies, lines, heads and reservations.

--- a/internal/leaf/leafhttp/answer.go
+++ b/internal/leaf/leafhttp/answer.go
@@ -1,12 +1,12 @@
 package leafhttp
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/httpnames"
 )
 
@@ -14,15 +14,18 @@
 const maximumForeignAnswers = 2
 
 // receive reads the answer to the request and reports whether the connection is reusable. It skips answers to other
-// requests, after which the connection is not reusable.
+// requests, after which the connection is not reusable. The memory of the answer is kept by the request.
 func (c *connection) receive(request *Request) (*Response, bool, error) {
 	names := c.pool.names
+	reservation := c.account.Reserve()
+	defer reservation.Release()
 	for foreign := 0; ; foreign++ {
-		raw, err := c.readHead(request.Method)
+		reservation.Release()
+		raw, err := c.readHead(request.Method, &reservation)
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := readBody(raw, c.pool.cfg.MaximumAnswerBytes)
+		body, err := readBody(raw, c.pool.cfg.MaximumAnswerBytes, &reservation)
 		if err != nil {
 			return nil, false, err
 		}
@@ -36,19 +39,26 @@
 		}
 		c.sendsRequestIDs = c.sendsRequestIDs || id != ""
 		c.idleLimit = parseIdleLimit(raw.Header, c.pool.cfg.IdleTimeout)
+		request.Memory.Keep(&reservation)
 		return newResponse(names, raw, body), foreign == 0 && !raw.Close, nil
 	}
 }
 
 // readHead reads the status line and headers of a final answer, skipping informational (1xx) answers. All of them together
 // may have MaximumHeaderBytes.
-func (c *connection) readHead(method string) (*http.Response, error) {
-	c.heads.begin(c.reader.Buffered(), c.pool.cfg.MaximumHeaderBytes)
-	defer c.heads.end()
+func (c *connection) readHead(method string, reservation *memorybudget.Reservation) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.heads.Begin(buffered, c.pool.cfg.MaximumHeaderBytes, reservation); err != nil {
+		return nil, err
+	}
+	defer c.heads.End()
 	for {
 		raw, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, c.heads.exceeded(err)
+			return nil, c.heads.Exceeded(err)
 		}
 		switch {
 		case raw.StatusCode == http.StatusSwitchingProtocols:
@@ -59,23 +69,11 @@
 	}
 }
 
-func readBody(raw *http.Response, limit int64) ([]byte, error) {
-	if raw.ContentLength > limit {
-		return nil, &AnswerTooLargeError{Part: bodyPart, Limit: limit}
-	}
-	if raw.ContentLength > 0 && raw.Body != http.NoBody {
-		body := make([]byte, raw.ContentLength)
-		_, err := io.ReadFull(raw.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(raw.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, &AnswerTooLargeError{Part: bodyPart, Limit: limit}
+func readBody(raw *http.Response, limit int64, reservation *memorybudget.Reservation) ([]byte, error) {
+	if raw.Body == http.NoBody { // the length may be that of another answer, as with HEAD
+		return nil, nil
 	}
-	return body, nil
+	return memorybudget.ReadBody(raw.Body, raw.ContentLength, limit, reservation)
 }
 
 func newResponse(names httpnames.Names, raw *http.Response, body []byte) *Response {
--- a/internal/leaf/leafhttp/connection.go
+++ b/internal/leaf/leafhttp/connection.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -27,9 +29,11 @@
 type connection struct {
 	pool   *Pool
 	leafID string
-	socket *net.TCPConn
+	// account holds the memory of the leaf's answers.
+	account *memorybudget.Account
+	socket  *net.TCPConn
 	// heads reads the socket and limits the header of an answer; reader buffers it.
-	heads  *headReader
+	heads  *memorybudget.HeadReader
 	reader *bufio.Reader
 	// outgoing holds the head of the current request. It is used only by the goroutine that begins the exchange.
 	outgoing bytes.Buffer
--- a/internal/leaf/leafhttp/dial.go
+++ b/internal/leaf/leafhttp/dial.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // dial opens a connection to the target's address, which must be an IPv4 address and port.
@@ -25,9 +27,9 @@
 		return nil, err
 	}
 	socket := opened.(*net.TCPConn)
-	heads := &headReader{source: socket}
+	heads := memorybudget.NewHeadReader(socket)
 	return &connection{
-		pool: p, leafID: target.LeafID, socket: socket, heads: heads,
+		pool: p, leafID: target.LeafID, account: p.account(target.LeafID), socket: socket, heads: heads,
 		reader: bufio.NewReaderSize(heads, readBufferBytes), idleLimit: p.cfg.IdleTimeout,
 	}, nil
 }
--- a/internal/leaf/leafhttp/endless_answer_test.go
+++ b/internal/leaf/leafhttp/endless_answer_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // endlessAnswer is an answer that repeats one part until the node closes the connection or maximumSent bytes are sent.
@@ -82,9 +84,9 @@
 	target.LeafID, target.Address = "endless", address
 	var err error
 	allocated := allocatedBy(func() { _, err = f.runAttempt(t.Context(), target, f.request(), f.deadline()) })
-	var tooLarge *AnswerTooLargeError
+	var tooLarge *memorybudget.TooLargeError
 	is.True(errors.As(err, &tooLarge))
-	is.Equal(tooLarge.Part, headerPart)
+	is.Equal(tooLarge.Part, memorybudget.Header)
 	var broken *BrokenAnswerError
 	is.True(errors.As(err, &broken)) // the leaf may have run the request
 	is.True(allocated < maximumAllocated)
@@ -145,15 +147,15 @@
 		head := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + lines + "\r\n"
 		buffered := rapid.IntRange(0, min(len(head), readBufferBytes)).Draw(t, "buffered")
 		reads := rapid.IntRange(1, 3000).Draw(t, "bytes per read")
-		heads := &headReader{source: io.MultiReader(strings.NewReader(head[:buffered]), &shortReader{strings.NewReader(head[buffered:]), reads})}
+		heads := memorybudget.NewHeadReader(io.MultiReader(strings.NewReader(head[:buffered]), &shortReader{strings.NewReader(head[buffered:]), reads}))
 		reader := bufio.NewReaderSize(heads, readBufferBytes)
 		if buffered > 0 {
 			_, err := reader.Peek(buffered)
 			is.NoErr(err)
 		}
 		f.pool.cfg.MaximumHeaderBytes = limit
-		_, err := (&connection{pool: f.pool, heads: heads, reader: reader}).readHead("GET")
-		var tooLarge *AnswerTooLargeError
+		_, err := (&connection{pool: f.pool, heads: heads, reader: reader}).readHead("GET", &memorybudget.Reservation{})
+		var tooLarge *memorybudget.TooLargeError
 		is.Equal(errors.As(err, &tooLarge), int64(len(head)) > limit)
 	})
 }
--- a/internal/leaf/leafhttp/errors.go
+++ b/internal/leaf/leafhttp/errors.go
@@ -61,25 +61,6 @@
 	return fmt.Sprintf("the answer carries the request ID %q instead of the ID that was sent", e.RequestID)
 }
 
-// AnswerPart is a part of an answer whose size is limited.
-type AnswerPart string
-
-// The parts of an answer. The header includes the status line and the informational answers before it.
-const (
-	headerPart AnswerPart = "header"
-	bodyPart   AnswerPart = "body"
-)
-
-// AnswerTooLargeError means that a part of an answer exceeds its limit, in bytes.
-type AnswerTooLargeError struct {
-	Part  AnswerPart
-	Limit int64
-}
-
-func (e *AnswerTooLargeError) Error() string {
-	return fmt.Sprintf("the %s of the answer exceeds %d bytes", e.Part, e.Limit)
-}
-
 // UnexpectedStatusError means that an answer has a status that is not valid for any request.
 type UnexpectedStatusError struct {
 	Status int
--- a/internal/leaf/leafhttp/leaf_connections.go
+++ b/internal/leaf/leafhttp/leaf_connections.go
@@ -3,10 +3,14 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // leafConnections holds the connections to one leaf. It is guarded by the pool's mu.
 type leafConnections struct {
+	// account holds the memory of the leaf's answers; it is closed with the entry.
+	account     *memorybudget.Account
 	idle        []*connection // most recently used last
 	open        int           // idle, in use and being opened
 	established int           // idle and in use
@@ -77,7 +81,7 @@
 func (p *Pool) leaf(leafID string) *leafConnections {
 	leaf, found := p.leafs[leafID]
 	if !found {
-		leaf = &leafConnections{}
+		leaf = &leafConnections{account: p.memory.Open(memorybudget.Leaf, leafID)}
 		p.leafs[leafID] = leaf
 	}
 	return leaf
@@ -167,10 +171,18 @@
 // held.
 func (p *Pool) dropEmpty(leafID string, leaf *leafConnections) {
 	if leaf.forgotten && leaf.open == 0 && len(leaf.waiting) == 0 {
+		leaf.account.Close()
 		delete(p.leafs, leafID)
 	}
 }
 
+// account returns the account of a leaf to which a connection is counted.
+func (p *Pool) account(leafID string) *memorybudget.Account {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaf(leafID).account
+}
+
 // closeIdle closes the connections to a leaf that have been idle for too long, or all idle connections if all is true.
 // p.mu must be held.
 func (p *Pool) closeIdle(leaf *leafConnections, now time.Time, all bool) {
--- a/internal/leaf/leafhttp/leafhttp.go
+++ b/internal/leaf/leafhttp/leafhttp.go
@@ -14,6 +14,8 @@
 	"cmp"
 	"net/http"
 	"slices"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Target is the leaf to which an attempt is sent.
@@ -48,6 +50,9 @@
 	HasBody bool
 	// AtMostOnce says that the request must not run twice.
 	AtMostOnce bool
+	// Memory keeps the memory of the answers until the request ends; if it is nil, an answer's memory is accounted for
+	// only while the answer is read.
+	Memory *memorybudget.Hold
 
 	// carriers are the connections that were assigned to an attempt. It is guarded by the pool's mu.
 	carriers []*connection
--- a/internal/leaf/leafhttp/leafhttp_test.go
+++ b/internal/leaf/leafhttp/leafhttp_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/lab/httpleaf"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/httpnames"
 )
 
@@ -237,7 +238,7 @@
 	cfg.MaximumAnswerBytes = 1024
 	f := newFixture(t, cfg, ok(string(bytes.Repeat([]byte("x"), 2000))))
 	_, err := f.do(t.Context(), f.request())
-	var tooLarge *AnswerTooLargeError
+	var tooLarge *memorybudget.TooLargeError
 	is.True(errors.As(err, &tooLarge))
 }
 
--- a/internal/leaf/leafhttp/pool.go
+++ b/internal/leaf/leafhttp/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/httpnames"
 )
 
@@ -16,6 +17,8 @@
 	onOpened func()
 	// maySend reports whether requests may be sent to a leaf; nil allows all.
 	maySend func(leafID string) bool
+	// memory bounds what leafs together make the node hold; nil if it is unlimited.
+	memory *memorybudget.Budget
 
 	mu     sync.Mutex
 	leafs  map[string]*leafConnections // by ID
@@ -34,6 +37,9 @@
 // not sent to a leaf that has been disallowed since. It must be called before the pool is used.
 func (p *Pool) SetMaySend(maySend func(leafID string) bool) { p.maySend = maySend }
 
+// SetMemory sets the budget for the answers of leafs. It must be called before the pool is used.
+func (p *Pool) SetMemory(memory *memorybudget.Budget) { p.memory = memory }
+
 // isDisallowed reports whether a leaf must get no requests.
 func (p *Pool) isDisallowed(leafID string) bool { return p.maySend != nil && !p.maySend(leafID) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 			newLevel,
 			func(level zap.AtomicLevel) *zap.Logger { return telemetry.NewLogger(start.Logs, level) },
 			telemetry.NewMetrics,
+			newMemoryBudgets,
 			newStoreEvents,
 			newPlatform,
 			newLister,
--- a/internal/node/provide_leaf.go
+++ b/internal/node/provide_leaf.go
@@ -63,11 +63,13 @@
 	Warmup    *warmup.Limiter
 	Canary    *canary.Splitter // nil if rollouts are disabled
 	Metrics   *telemetry.Metrics
+	Budgets   memoryBudgets
 	Lifecycle fx.Lifecycle
 }
 
 func newHTTPPool(deps httpPoolDeps) *leafhttp.Pool {
 	pool := leafhttp.New(deps.Config.LeafHTTP, deps.Names, deps.Metrics.LeafConnections.Inc)
+	pool.SetMemory(deps.Budgets.Requests)
 	pool.SetMaySend(func(incarnation string) bool {
 		isAllowed := deps.Memory.MaySend(incarnation) && (deps.Canary == nil || deps.Canary.MaySend(incarnation))
 		return isAllowed && deps.Warmup.Take(incarnation) // last, so that disallowed leafs don't use up this node's share
--- a/internal/node/provide_request.go
+++ b/internal/node/provide_request.go
@@ -77,8 +77,10 @@
 	return servingtree.NewServer(cfg.ServingTree, handler)
 }
 
-func newFront(backend *gateway.Gateway, names httpnames.Names, logger *zap.Logger) *front.Server {
-	return front.NewServer(backend, names, logger)
+func newFront(backend *gateway.Gateway, names httpnames.Names, budgets memoryBudgets, logger *zap.Logger) *front.Server {
+	server := front.NewServer(backend, names, logger)
+	server.SetMemory(budgets.Requests)
+	return server
 }
 
 type engineDeps struct {
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -29,6 +29,7 @@
 	"github.com/portgauge/portgauge/internal/leaf/leafhttp"
 	"github.com/portgauge/portgauge/internal/leaf/leafmemory"
 	"github.com/portgauge/portgauge/internal/leaf/warmup"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/node/decisionlog"
 	"github.com/portgauge/portgauge/internal/quarantine"
 	"github.com/portgauge/portgauge/internal/quarantine/quarantinesync"
@@ -131,6 +132,7 @@
 	Reachability    reachability.Config `yaml:"reachability"`
 	Warmup          warmup.Config       `yaml:"warmup"`
 	ServingTree     servingtree.Config  `yaml:"serving_tree"`
+	Memory          memorybudget.Config `yaml:"memory"`
 	DecisionLog     decisionlog.Config  `yaml:"decision_log"`
 
 	// Quarantine has the limits for quarantining requests that crash leafs.
@@ -173,6 +175,7 @@
 		Reachability:    reachability.DefaultConfig(),
 		Warmup:          warmup.DefaultConfig(),
 		ServingTree:     servingtree.DefaultConfig(),
+		Memory:          memorybudget.DefaultConfig(),
 		DecisionLog:     decisionlog.DefaultConfig(),
 		Quarantine:      quarantine.DefaultConfig(),
 		QuarantineSync:  quarantinesync.DefaultConfig(),
@@ -230,6 +233,7 @@
 	checks.Add("config_writer", s.ConfigWriter.Validate())
 	checks.Add("gateway", s.Gateway.Validate())
 	checks.Add("serving_tree", s.ServingTree.Validate())
+	checks.Add("memory", s.Memory.Validate())
 	checks.Add("leaf_http", s.LeafHTTP.Validate())
 	checks.Add("leaf_memory", s.LeafMemory.Validate())
 	checks.Add("connection_share", s.ConnectionShare.Validate())
--- a/internal/node/telemetry/metrics.go
+++ b/internal/node/telemetry/metrics.go
@@ -6,6 +6,8 @@
 package telemetry
 
 import (
+	"errors"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 )
@@ -73,6 +75,8 @@
 	StatesDropped prometheus.Counter
 	// LogLinesDropped counts dropped lines of the decision log.
 	LogLinesDropped prometheus.Counter
+	// MemoryRefused counts reads that ended because they didn't fit into a memory budget, by kind of peer.
+	MemoryRefused *prometheus.CounterVec
 	// Members is the number of nodes in the member list of the zone, by state.
 	Members *prometheus.GaugeVec
 }
@@ -109,6 +113,7 @@
 		Retained:             prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "config_kept_entries", Help: "Entries that stay in force because the restored store lacks them or has an older value."}),
 		StatesDropped:        newCounter("config_states_dropped_total", "Whole states read from the store that were dropped because they were older than the one in force."),
 		LogLinesDropped:      newCounter("log_lines_left_out_total", "Lines of the decision log that were dropped because the rate was exceeded or the queue was full."),
+		MemoryRefused:        newCounterVec("memory_refused_total", "Reads that ended because their bytes didn't fit into a memory budget, by kind of peer.", "peer"),
 		Members:              prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: "members", Help: "Nodes in the member list of the zone by state."}, []string{"state"}),
 	}
 	metrics.Registry.MustRegister(
@@ -117,12 +122,24 @@
 		metrics.ConfigRejected, metrics.ConfigRelayed, metrics.ControlBytes, metrics.Members,
 		metrics.FrontRequests, metrics.FrontLatency, metrics.FrontAttempts, metrics.FrontAttemptFailures,
 		metrics.FrontMissingParts, metrics.TreeGroupsPassed, metrics.TreeLatency, metrics.TreeGathered, metrics.LeafsLost, metrics.Quarantined, metrics.LeafConnections, metrics.StoreCalls, metrics.LogLinesDropped,
-		metrics.StoreRevision, metrics.StoreEpoch, metrics.StatesDropped, metrics.Retained,
+		metrics.StoreRevision, metrics.StoreEpoch, metrics.StatesDropped, metrics.Retained, metrics.MemoryRefused,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return metrics
 }
 
+// RegisterMemory registers gauges of what is held of the memory budgets for requests and for control messages, in bytes.
+func (m *Metrics) RegisterMemory(requests, control func() int64) error {
+	return errors.Join(m.Registry.Register(newHeldGauge("requests", requests)), m.Registry.Register(newHeldGauge("control", control)))
+}
+
+func newHeldGauge(budget string, held func() int64) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "memory_held_bytes", Help: "Bytes that peers make the node hold, by memory budget.",
+		ConstLabels: prometheus.Labels{"budget": budget},
+	}, func() float64 { return float64(held()) })
+}
+
 func newHistogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
 }
--- a/internal/request/front/connection.go
+++ b/internal/request/front/connection.go
@@ -6,12 +6,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/roundtrip"
 )
 
 // roundTrip returns a high estimate of a connection's round-trip time, since an underestimate makes answers late; 0 if
 // it is unknown.
-func roundTrip(connection net.Conn) time.Duration { return roundtrip.Of(connection).High() }
+func roundTrip(connection net.Conn) time.Duration {
+	if socket, isSocket := connection.(*callerSocket); isSocket {
+		connection = socket.TCPConn
+	}
+	return roundtrip.Of(connection).High()
+}
 
 // callerConnection is a connection that a caller opened.
 type callerConnection struct {
@@ -29,6 +35,16 @@
 	return context.WithValue(ctx, connectionKey{}, &callerConnection{conn: connection, openedAt: time.Now()})
 }
 
+// beginRequest ends the head of a request and returns an empty reservation for the rest of it.
+func (c *callerConnection) beginRequest() memorybudget.Reservation {
+	socket, isSocket := c.conn.(*callerSocket)
+	if !isSocket {
+		return memorybudget.Reservation{}
+	}
+	socket.heads.End()
+	return socket.account.Reserve()
+}
+
 // networkTimes returns the round-trip time to the caller and the connect time that this request cost it. The connect
 // time is one round trip if the request is the first on the connection and arrived within a round trip of its opening,
 // 0 otherwise.
--- a/internal/request/front/front.go
+++ b/internal/request/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/gin-gonic/gin"
 	"go.uber.org/zap"
 
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/gateway"
 	"github.com/portgauge/portgauge/internal/request/httpnames"
 	"github.com/portgauge/portgauge/internal/request/routing"
@@ -42,7 +43,9 @@
 	names    httpnames.Names
 	logger   *zap.Logger
 	timeouts *connectionTimeouts
-	http     *http.Server
+	// memory bounds what callers make the node hold; nil if it is unlimited.
+	memory *memorybudget.Budget
+	http   *http.Server
 	// cancelRequests cancels the requests in flight, so that they are answered with a failure.
 	cancelRequests context.CancelFunc
 	// isStopping is set when a planned stop begins.
@@ -61,7 +64,7 @@
 		BaseContext:                  func(net.Listener) context.Context { return requests },
 		Handler:                      router,
 		MaxHeaderBytes:               hardHeaderLimit,
-		ConnState:                    server.timeouts.stateChanged,
+		ConnState:                    server.connectionChanged,
 		ConnContext:                  withConnection,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     log.New(io.Discard, "", 0),
@@ -69,6 +72,25 @@
 	return server
 }
 
+// SetMemory sets the budget for the requests of callers. It must be called before Serve.
+func (s *Server) SetMemory(memory *memorybudget.Budget) { s.memory = memory }
+
+// connectionChanged is the ConnState hook of the HTTP server.
+func (s *Server) connectionChanged(connection net.Conn, state http.ConnState) {
+	s.timeouts.stateChanged(connection, state)
+	socket, isSocket := connection.(*callerSocket)
+	if !isSocket {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		socket.awaitRequest()
+	case http.StateClosed, http.StateHijacked:
+		socket.ended()
+	case http.StateNew, http.StateActive:
+	}
+}
+
 // newRouter returns a router that doesn't write to standard output, which is reserved for the logs.
 func newRouter() *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
@@ -93,7 +115,7 @@
 
 // Serve accepts and serves connections until the server is shut down.
 func (s *Server) Serve(listener net.Listener) {
-	err := s.http.Serve(listener)
+	err := s.http.Serve(&callerListener{Listener: listener, memory: s.memory})
 	if err != nil && !errors.Is(err, http.ErrServerClosed) {
 		s.logger.Error("the HTTP server for callers failed; it accepts no more connections", zap.Error(err))
 	}
--- a/internal/request/front/handler.go
+++ b/internal/request/front/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,6 +12,7 @@
 
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leaf/leafhttp"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/gateway"
 )
 
@@ -26,10 +26,15 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	connection, isKnown := r.Context().Value(connectionKey{}).(*callerConnection)
+	var reservation memorybudget.Reservation
 	if isKnown {
 		s.timeouts.stopHeaderTimer(connection.conn)
+		reservation = connection.beginRequest()
 	}
-	request, err := s.read(w, r, arrived)
+	held := &memorybudget.Hold{}
+	defer held.Release()
+	defer held.Keep(&reservation)
+	request, err := s.read(w, r, arrived, &reservation)
 	if err != nil {
 		s.writeFailure(w, err)
 		return
@@ -37,6 +42,7 @@
 	if isKnown {
 		request.RoundTrip, request.ConnectTime = connection.networkTimes(arrived)
 	}
+	request.Leaf.Memory = held
 	answer, err := s.backend.Serve(r.Context(), request)
 	if err != nil {
 		s.writeFailure(w, err)
@@ -51,8 +57,11 @@
 //	INVALID_FIELD       if the deadline header is not a number of milliseconds
 //	DEADLINE_TOO_SHORT  if the caller has no time left
 //	TOO_LARGE           if the body exceeds MaximumBodyBytes
+//	OVERLOADED          if the body doesn't fit into the memory for requests
 //	INVALID_FIELD       if the body can't be read
-func (s *Server) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (*gateway.Request, error) {
+//
+// The memory of the body is added to the reservation.
+func (s *Server) read(w http.ResponseWriter, r *http.Request, arrived time.Time, reservation *memorybudget.Reservation) (*gateway.Request, error) {
 	limits := s.backend.Limits()
 	if size := headerBytes(r); size > limits.HeaderBytes() {
 		return nil, tooLarge(headerField, int64(size), int64(limits.HeaderBytes()))
@@ -61,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, r, limits.BodyBytes())
+	body, err := readBody(w, r, limits.BodyBytes(), reservation)
 	if err != nil {
 		return nil, err
 	}
@@ -112,13 +121,22 @@
 	return time.Duration(millis) * time.Millisecond, nil
 }
 
-// readBody reads the body of a request. It fails if the body exceeds the limit, in bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var exceeded *http.MaxBytesError
+// memoryRetryAfter is the Retry-After of a request that didn't fit into the memory for requests.
+const memoryRetryAfter = 200 * time.Millisecond
+
+// readBody reads the body of a request. It fails if the body exceeds the limit, in bytes, or doesn't fit into memory.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, reservation *memorybudget.Reservation) ([]byte, error) {
+	body, err := memorybudget.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, reservation)
+	var tooLong *memorybudget.TooLargeError
+	var tooLongRead *http.MaxBytesError
+	var exceeded *memorybudget.ExceededError
 	switch {
+	case errors.As(err, &tooLong), errors.As(err, &tooLongRead):
+		w.Header().Set("Connection", "close") // the rest of the body isn't read
+		return nil, tooLarge(bodyField, max(limit+1, r.ContentLength), limit)
 	case errors.As(err, &exceeded):
-		return nil, tooLarge(bodyField, exceeded.Limit+1, exceeded.Limit)
+		w.Header().Set("Connection", "close")
+		return nil, failure.Wrap(err, failure.Overloaded, failure.NotRun, "no memory for the body").WithRetryAfter(memoryRetryAfter)
 	case err != nil:
 		return nil, failure.Invalid(bodyField, "can't be read: %v", err)
 	}
@@ -133,10 +151,12 @@
 }
 
 // callerAddress returns the caller's address without the port, which differs between connections.
-func callerAddress(r *http.Request) string {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
+func callerAddress(r *http.Request) string { return addressWithoutPort(r.RemoteAddr) }
+
+func addressWithoutPort(address string) string {
+	host, _, err := net.SplitHostPort(address)
 	if err != nil {
-		return r.RemoteAddr
+		return address
 	}
 	return host
 }
--- a/internal/request/gateway/attempt.go
+++ b/internal/request/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/portgauge/portgauge/internal/leaf/balancer"
 	"github.com/portgauge/portgauge/internal/leaf/leafhttp"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/scatter"
 )
 
@@ -22,6 +23,8 @@
 	reasonBroken scatter.Reason = "BROKEN_ANSWER"
 	// reasonTooLarge means that a part of the answer exceeded its limit.
 	reasonTooLarge scatter.Reason = "ANSWER_TOO_LARGE"
+	// reasonNoMemory means that the answer didn't fit into the memory that leafs together may use.
+	reasonNoMemory scatter.Reason = "MEMORY_EXCEEDED"
 	// reasonConnectionReset means that the leaf reset a new connection, as it does above its connection limit.
 	reasonConnectionReset scatter.Reason = "REFUSED_CONNECTION"
 	// reasonLeafError means that the leaf ran the request and failed.
@@ -151,12 +154,19 @@
 	if errors.As(err, &connectionReset) {
 		return attemptResult{Reason: reasonConnectionReset, Execution: scatter.Unknown, Outcome: outcome, NeverArrived: true}
 	}
-	reason := reasonBroken
-	var tooLarge *leafhttp.AnswerTooLargeError
-	if errors.As(err, &tooLarge) {
-		reason = reasonTooLarge
+	result := attemptResult{Reason: reasonBroken, Execution: scatter.Unknown, Outcome: outcome}
+	var tooLarge *memorybudget.TooLargeError
+	var exceeded *memorybudget.ExceededError
+	switch {
+	case errors.As(err, &tooLarge):
+		result.Reason = reasonTooLarge
+	case errors.As(err, &exceeded):
+		result.Reason = reasonNoMemory
+		if !isCancelled {
+			result.Outcome = balancer.Declined // other leafs may hold the memory
+		}
 	}
-	return attemptResult{Reason: reason, Execution: scatter.Unknown, Outcome: outcome}
+	return result
 }
 
 // AttemptStarted implements scatter.Observer.
--- a/internal/request/gateway/intermediate.go
+++ b/internal/request/gateway/intermediate.go
@@ -7,6 +7,7 @@
 
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/leaf/leafhttp"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/routing"
 	"github.com/portgauge/portgauge/internal/request/servingtree"
 )
@@ -29,6 +30,9 @@
 	if e == nil {
 		return servingtree.Reply{Decline: servingtree.OtherRoute}
 	}
+	held := &memorybudget.Hold{}
+	defer held.Release()
+	e.request.Leaf.Memory = held
 	e.partial = newPartBuffer(len(e.services))
 	ctx, release := e.track(ctx)
 	defer release()
