--- a/internal/request/front/caller_socket.go
+++ b/internal/request/front/caller_socket.go
@@ -26,8 +26,8 @@
 	return newCallerSocket(tcp, l.memory), nil
 }
 
-// callerSocket is a caller's connection. What it reads outside a handler belongs to the head of a request, whose memory it
-// reserves until the request has been answered. The server's goroutine for the connection uses it.
+// callerSocket is a caller's connection. What it reads until the server has a request belongs to the head, whose memory it
+// reserves until the request has been answered. The server uses it from one goroutine at a time.
 type callerSocket struct {
 	*net.TCPConn
 	account *memorybudget.Account
--- a/internal/request/front/connection.go
+++ b/internal/request/front/connection.go
@@ -35,14 +35,12 @@
 	return context.WithValue(ctx, connectionKey{}, &callerConnection{conn: connection, openedAt: time.Now()})
 }
 
-// beginRequest ends the head of a request and returns an empty reservation for the rest of it.
-func (c *callerConnection) beginRequest() memorybudget.Reservation {
-	socket, isSocket := c.conn.(*callerSocket)
-	if !isSocket {
-		return memorybudget.Reservation{}
+// reserve returns an empty reservation for a request.
+func (c *callerConnection) reserve() memorybudget.Reservation {
+	if socket, isSocket := c.conn.(*callerSocket); isSocket {
+		return socket.account.Reserve()
 	}
-	socket.heads.End()
-	return socket.account.Reserve()
+	return memorybudget.Reservation{}
 }
 
 // networkTimes returns the round-trip time to the caller and the connect time that this request cost it. The connect
--- a/internal/request/front/front.go
+++ b/internal/request/front/front.go
@@ -83,11 +83,13 @@
 		return
 	}
 	switch state {
+	case http.StateActive: // the head of a request has been read
+		socket.heads.End()
 	case http.StateIdle:
 		socket.awaitRequest()
 	case http.StateClosed, http.StateHijacked:
 		socket.ended()
-	case http.StateNew, http.StateActive:
+	case http.StateNew:
 	}
 }
 
--- a/internal/request/front/handler.go
+++ b/internal/request/front/handler.go
@@ -29,7 +29,7 @@
 	var reservation memorybudget.Reservation
 	if isKnown {
 		s.timeouts.stopHeaderTimer(connection.conn)
-		reservation = connection.beginRequest()
+		reservation = connection.reserve()
 	}
 	held := &memorybudget.Hold{}
 	defer held.Release()
