Lines of the serving tree take the budget for requests

Cause, as of the answers of leafs: a line is at most 4 MiB, but the sum over connections had no bound, a connection kept the buffer of its longest line as long as it lived, and short JSON elements take many times their bytes once decoded (a list of empty strings 5 times).

Change: lines are read by memorybudget.LineReader, which reserves them, and an upper estimate of what is decoded from them, in the account of the sending node. A request's part is held until its group has been gathered, a reply's until the request ends at the root. What doesn't fit ends the connection; its calls may have run.

--- a/internal/leaf/leafhttp/endless_answer_test.go
+++ b/internal/leaf/leafhttp/endless_answer_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
-	"runtime"
 	"strings"
 	"testing"
 
@@ -14,16 +12,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/portgauge/portgauge/internal/memorybudget"
+	"github.com/portgauge/portgauge/internal/memorybudget/memorytest"
 )
 
-// endlessAnswer is an answer that repeats one part until the node closes the connection or maximumSent bytes are sent.
+// endlessAnswer is an answer that repeats one part without an end.
 type endlessAnswer struct {
 	begin, repeated string
 }
 
-// maximumSent bounds an endless answer, so that a node without a limit fails the test and not the machine.
-const maximumSent = 64 << 20
-
 // startEndlessLeaf starts a leaf that answers each request on each connection with the answer, and returns its address.
 func startEndlessLeaf(t testing.TB, answer endlessAnswer) string {
 	t.Helper()
@@ -54,24 +50,7 @@
 			return
 		}
 	}
-	if _, err := io.WriteString(conn, a.begin); err != nil {
-		return
-	}
-	block := bytes.Repeat([]byte(a.repeated), max(1, (32<<10)/len(a.repeated)))
-	for sent := 0; sent < maximumSent; sent += len(block) {
-		if _, err := conn.Write(block); err != nil {
-			return
-		}
-	}
-}
-
-// allocatedBy returns how many bytes the process allocates while do runs.
-func allocatedBy(do func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	do()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
+	memorytest.Flood(conn, a.begin, a.repeated)
 }
 
 // TestHeaderWithoutEndEndsItsAttempt guards against a leaf's header without an end, which filled the memory of each node
@@ -83,7 +62,7 @@
 	target := f.target()
 	target.LeafID, target.Address = "endless", address
 	var err error
-	allocated := allocatedBy(func() { _, err = f.runAttempt(t.Context(), target, f.request(), f.deadline()) })
+	allocated := memorytest.AllocatedBy(func() { _, err = f.runAttempt(t.Context(), target, f.request(), f.deadline()) })
 	var tooLarge *memorybudget.TooLargeError
 	is.True(errors.As(err, &tooLarge))
 	is.Equal(tooLarge.Part, memorybudget.Header)
@@ -130,7 +109,7 @@
 			target := f.target()
 			target.LeafID, target.Address = "endless", startEndlessLeaf(t, answer)
 			var err error
-			allocated := allocatedBy(func() { _, err = f.runAttempt(t.Context(), target, f.request(), f.deadline()) })
+			allocated := memorytest.AllocatedBy(func() { _, err = f.runAttempt(t.Context(), target, f.request(), f.deadline()) })
 			is.True(err != nil)
 			is.True(allocated < maximumAllocated)
 		})
--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -10,7 +10,10 @@
 // package also has the bounded reads themselves: ReadBody, LineReader and HeadReader.
 package memorybudget
 
-import "sync"
+import (
+	"net"
+	"sync"
+)
 
 // Kind is a kind of peer.
 type Kind string
@@ -45,6 +48,15 @@
 	peer string
 }
 
+// Host returns the host of a peer's address, which names the peer: its ports differ between connections.
+func Host(address net.Addr) string {
+	host, _, err := net.SplitHostPort(address.String())
+	if err != nil {
+		return address.String()
+	}
+	return host
+}
+
 // Account is what one peer holds of a budget. A nil account is unlimited.
 type Account struct {
 	budget *Budget
--- a/internal/memorybudget/read_test.go
+++ b/internal/memorybudget/read_test.go
@@ -5,12 +5,13 @@
 	"bytes"
 	"errors"
 	"io"
-	"runtime"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"github.com/portgauge/portgauge/internal/memorybudget/memorytest"
 )
 
 // endless repeats bytes without an end.
@@ -27,15 +28,6 @@
 	return len(buffer), nil
 }
 
-// allocatedBy returns how many bytes the process allocates while do runs.
-func allocatedBy(do func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	do()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
-}
-
 // A body is returned whole if it is within its limit and the budget, whatever length is declared; otherwise the error says
 // which it exceeds. Its buffer is reserved.
 func TestReadBodyReturnsWholeBodyOrTypedError(t *testing.T) {
@@ -107,7 +99,7 @@
 				budget := &Budget{limit: budgetBytes}
 				reservation := budget.Open(Leaf, "a").Reserve()
 				var err error
-				allocated := allocatedBy(func() { err = read(&endless{repeated: "x"}, &reservation) })
+				allocated := memorytest.AllocatedBy(func() { err = read(&endless{repeated: "x"}, &reservation) })
 				is.True(errors.As(err, &tooLarge) || errors.As(err, &exceeded))
 				is.Equal(errors.As(err, &exceeded), budgetBytes < limit && name != "declared body")
 				is.True(allocated < 8*limit)
--- a/internal/node/provide_request.go
+++ b/internal/node/provide_request.go
@@ -67,14 +67,17 @@
 	})
 }
 
-func newIntermediates(cfg settings.Settings, lifecycle fx.Lifecycle) *servingtree.Client {
+func newIntermediates(cfg settings.Settings, budgets memoryBudgets, lifecycle fx.Lifecycle) *servingtree.Client {
 	client := servingtree.NewClient(cfg.ServingTree)
+	client.SetMemory(budgets.Requests)
 	lifecycle.Append(fx.StopHook(client.Close))
 	return client
 }
 
-func newTree(cfg settings.Settings, handler *gateway.Gateway) *servingtree.Server {
-	return servingtree.NewServer(cfg.ServingTree, handler)
+func newTree(cfg settings.Settings, budgets memoryBudgets, handler *gateway.Gateway) *servingtree.Server {
+	server := servingtree.NewServer(cfg.ServingTree, handler)
+	server.SetMemory(budgets.Requests)
+	return server
 }
 
 func newFront(backend *gateway.Gateway, names httpnames.Names, budgets memoryBudgets, logger *zap.Logger) *front.Server {
--- a/internal/request/front/caller_socket.go
+++ b/internal/request/front/caller_socket.go
@@ -36,7 +36,7 @@
 }
 
 func newCallerSocket(conn *net.TCPConn, memory *memorybudget.Budget) *callerSocket {
-	account := memory.Open(memorybudget.Caller, addressWithoutPort(conn.RemoteAddr().String()))
+	account := memory.Open(memorybudget.Caller, memorybudget.Host(conn.RemoteAddr()))
 	socket := &callerSocket{TCPConn: conn, account: account, heads: memorybudget.NewHeadReader(conn), head: account.Reserve()}
 	socket.awaitRequest()
 	return socket
--- a/internal/request/front/handler.go
+++ b/internal/request/front/handler.go
@@ -151,12 +151,10 @@
 }
 
 // callerAddress returns the caller's address without the port, which differs between connections.
-func callerAddress(r *http.Request) string { return addressWithoutPort(r.RemoteAddr) }
-
-func addressWithoutPort(address string) string {
-	host, _, err := net.SplitHostPort(address)
+func callerAddress(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
-		return address
+		return r.RemoteAddr
 	}
 	return host
 }
--- a/internal/request/gateway/group_call.go
+++ b/internal/request/gateway/group_call.go
@@ -148,6 +148,6 @@
 		Body: r.Leaf.Body, HasBody: r.Leaf.HasBody, Caller: r.Caller, Root: root.self.ID, GatherKey: r.route.GatherKey,
 		Shards: g.shards, Required: max(1, len(g.shards)-mayMiss), Spent: spent,
 		ObjectiveMicros: untilAnswer.Microseconds(), DeadlineMicros: time.Until(e.deadline()).Microseconds(),
-		RoundTrip: roundTrip,
+		RoundTrip: roundTrip, Memory: r.Leaf.Memory,
 	}
 }
--- a/internal/request/servingtree/client.go
+++ b/internal/request/servingtree/client.go
@@ -3,11 +3,14 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Client sends requests to intermediates over one connection to each. It is safe for concurrent use.
 type Client struct {
-	cfg Config
+	cfg    Config
+	memory *memorybudget.Budget // nil if it is unlimited
 
 	mu       sync.Mutex
 	sessions map[string]*session // by address
@@ -19,6 +22,9 @@
 	return &Client{cfg: cfg, sessions: map[string]*session{}}
 }
 
+// SetMemory sets the budget for the replies of intermediates. It must be called before the client is used.
+func (c *Client) SetMemory(memory *memorybudget.Budget) { c.memory = memory }
+
 // Start sends a request to the intermediate with the given address. It does not wait for the connection.
 func (c *Client) Start(address string, request Request) *Call {
 	call := newCall(request)
--- a/internal/request/servingtree/line_conn.go
+++ b/internal/request/servingtree/line_conn.go
@@ -1,30 +1,31 @@
 package servingtree
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
 
 	json "github.com/goccy/go-json"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // lineConn writes and reads the lines of one connection. Any number of goroutines may write, but only one may read.
 type lineConn struct {
 	cfg    Config
 	socket net.Conn
-	lines  *bufio.Scanner
+	lines  *memorybudget.LineReader
+	// account holds the memory of the lines that the other node sends.
+	account *memorybudget.Account
 
 	mu sync.Mutex // guards writing
 }
 
-// readBytes is the initial size of a connection's read buffer.
-const readBytes = 4 << 10
-
-func newLineConn(cfg Config, socket net.Conn) *lineConn {
-	lines := bufio.NewScanner(socket)
-	lines.Buffer(make([]byte, readBytes), cfg.MaximumLineBytes)
-	return &lineConn{cfg: cfg, socket: socket, lines: lines}
+func newLineConn(cfg Config, socket net.Conn, memory *memorybudget.Budget) *lineConn {
+	return &lineConn{
+		cfg: cfg, socket: socket, lines: memorybudget.NewLineReader(socket, int64(cfg.MaximumLineBytes)),
+		account: memory.Open(memorybudget.Node, memorybudget.Host(socket.RemoteAddr())),
+	}
 }
 
 // write writes a line. It closes the connection if the write fails or exceeds the write timeout, but not if the line
@@ -50,17 +51,22 @@
 	return nil
 }
 
-func (c *lineConn) read() (line, error) {
+// read reads a line. The memory of what is decoded from it is added to the reservation, which must be empty.
+func (c *lineConn) read(reservation *memorybudget.Reservation) (line, error) {
 	if err := c.socket.SetReadDeadline(time.Now().Add(c.cfg.IdleTimeout)); err != nil {
 		return line{}, err
 	}
-	if !c.lines.Scan() {
-		if err := c.lines.Err(); err != nil {
-			return line{}, err
-		}
-		return line{}, net.ErrClosed
+	encoded, err := c.lines.Read(reservation)
+	if err != nil {
+		return line{}, err
+	}
+	sent := reservation.Bytes()
+	if err := reservation.Grow(memorybudget.DecodedBytes(encoded)); err != nil {
+		return line{}, err
 	}
-	return decode(c.lines.Bytes())
+	l, err := decode(encoded)
+	reservation.Shrink(sent)
+	return l, err
 }
 
 // decode decodes a line and checks its version.
@@ -81,3 +87,6 @@
 		return
 	}
 }
+
+// ended closes the account when no line is read any more.
+func (c *lineConn) ended() { c.account.Close() }
--- a/internal/request/servingtree/server.go
+++ b/internal/request/servingtree/server.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Handler gathers groups; gateway.Gateway implements it.
@@ -19,6 +21,7 @@
 type Server struct {
 	cfg     Config
 	handler Handler
+	memory  *memorybudget.Budget // nil if it is unlimited
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -32,6 +35,9 @@
 	return &Server{cfg: cfg, handler: handler, conns: map[*lineConn]bool{}}
 }
 
+// SetMemory sets the budget for the requests of roots. It must be called before Serve.
+func (s *Server) SetMemory(memory *memorybudget.Budget) { s.memory = memory }
+
 // Serve accepts the connections of a listener until the listener is closed.
 func (s *Server) Serve(listener net.Listener) {
 	s.mu.Lock()
@@ -45,7 +51,7 @@
 		if err != nil {
 			continue
 		}
-		go s.serve(newLineConn(s.cfg, socket))
+		go s.serve(newLineConn(s.cfg, socket, s.memory))
 	}
 }
 
@@ -90,17 +96,20 @@
 	served := &servedConnection{server: s, conn: conn, cancels: map[uint64]context.CancelFunc{}}
 	defer func() {
 		conn.close()
+		conn.ended()
 		served.cancelAll()
 		s.mu.Lock()
 		delete(s.conns, conn)
 		s.mu.Unlock()
 	}()
 	for {
-		l, err := conn.read()
+		reservation := conn.account.Reserve()
+		l, err := conn.read(&reservation)
 		if err != nil {
+			reservation.Release()
 			return
 		}
-		served.receive(l)
+		served.receive(l, &reservation)
 	}
 }
 
@@ -124,11 +133,16 @@
 	cancels map[uint64]context.CancelFunc // by request number
 }
 
-// receive handles a line from the root.
-func (c *servedConnection) receive(l line) {
+// receive handles a line from the root and takes over its reservation.
+func (c *servedConnection) receive(l line, reservation *memorybudget.Reservation) {
+	if l.Request == nil {
+		reservation.Release()
+	}
 	switch {
 	case l.Request != nil:
-		c.start(l.Number, *l.Request)
+		held := &memorybudget.Hold{}
+		held.Keep(reservation)
+		c.start(l.Number, *l.Request, held)
 	case l.Cancel:
 		c.cancel(l.Number)
 	case l.Probe && c.isRunning(l.Number):
@@ -136,19 +150,21 @@
 	}
 }
 
-// start starts a request or declines it.
-func (c *servedConnection) start(number uint64, request Request) {
+// start starts a request or declines it. It releases what is held for the request at its end.
+func (c *servedConnection) start(number uint64, request Request, held *memorybudget.Hold) {
 	if !c.server.begin() {
+		held.Release()
 		c.send(line{Number: number, Reply: &Reply{Decline: Stopping}})
 		return
 	}
 	ctx, isAdded := c.add(number)
 	if !isAdded {
+		held.Release()
 		c.server.running.Done()
 		c.send(line{Number: number, Reply: &Reply{Decline: Busy}})
 		return
 	}
-	go c.gather(ctx, number, request)
+	go c.gather(ctx, number, request, held)
 }
 
 // add registers a request and returns its context. It returns false if the connection has the maximum number of requests
@@ -165,8 +181,9 @@
 }
 
 // gather handles a request and sends the reply unless the request was cancelled.
-func (c *servedConnection) gather(ctx context.Context, number uint64, request Request) {
+func (c *servedConnection) gather(ctx context.Context, number uint64, request Request, held *memorybudget.Hold) {
 	defer c.server.running.Done()
+	defer held.Release()
 	began := time.Now()
 	c.send(line{Number: number, Accepted: true})
 	reply := c.server.handler.Gather(ctx, request, func(answer Answer) {
--- a/internal/request/servingtree/servingtree.go
+++ b/internal/request/servingtree/servingtree.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/portgauge/portgauge/internal/failure"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Request is the request to an intermediate for a group of shards of a gathered request.
@@ -45,6 +46,8 @@
 	DeadlineMicros  int64 `json:"deadline_micros"`
 	// RoundTrip is the time by which the root has reduced the objective for the round trip to the intermediate.
 	RoundTrip time.Duration `json:"-"`
+	// Memory keeps the memory of the replies until the request ends at the root; it may be nil.
+	Memory *memorybudget.Hold `json:"-"`
 }
 
 // excessDivisor limits the reduction of the objective for an unexpectedly long round trip to a quarter of the time
--- a/internal/request/servingtree/session.go
+++ b/internal/request/servingtree/session.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/roundtrip"
 )
 
@@ -45,19 +46,22 @@
 		s.end(err)
 		return
 	}
-	conn := newLineConn(s.client.cfg, socket)
+	conn := newLineConn(s.client.cfg, socket, s.client.memory)
+	defer conn.ended()
 	conn.cfg.IdleTimeout /= idleTimeoutDivisor
 	if !s.attach(conn) {
 		conn.close()
 		return
 	}
 	for {
-		l, err := conn.read()
+		reservation := conn.account.Reserve()
+		l, err := conn.read(&reservation)
 		if err != nil {
+			reservation.Release()
 			s.end(err)
 			return
 		}
-		s.receive(l)
+		s.receive(l, &reservation)
 	}
 }
 
@@ -175,15 +179,17 @@
 	}
 }
 
-// receive handles a line from the intermediate.
-func (s *session) receive(l line) {
+// receive handles a line from the intermediate and takes over its reservation.
+func (s *session) receive(l line, reservation *memorybudget.Reservation) {
+	defer reservation.Release()
 	s.receivedAt.Store(time.Now().UnixNano())
 	if l.Reply != nil && l.Reply.Partial {
-		s.receivePartial(l)
+		s.receivePartial(l, reservation)
 		return
 	}
 	if l.Reply != nil {
 		if call := s.removeCall(l.Number); call != nil {
+			call.request.Memory.Keep(reservation)
 			call.done <- Result{Reply: *l.Reply}
 		}
 		return
@@ -199,11 +205,12 @@
 }
 
 // receivePartial handles a partial reply.
-func (s *session) receivePartial(l line) {
+func (s *session) receivePartial(l line, reservation *memorybudget.Reservation) {
 	call := s.findCall(l.Number)
 	if call == nil || l.Reply.Answer == nil {
 		return
 	}
+	call.request.Memory.Keep(reservation)
 	select {
 	case call.partial <- *l.Reply.Answer:
 	default:
