Answers of the store take the budget for control messages

Cause: 64 MB of an answer were read whatever the memory of the node, its header had net/http's default of 10 MB, a read of the whole state followed pages without an end, and short items take many times their bytes once decoded.

--- a/internal/node/dialect.go
+++ b/internal/node/dialect.go
@@ -7,6 +7,7 @@
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/fleet/machines"
 	"github.com/portgauge/portgauge/internal/fleet/ownplatform"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/node/settings"
 	"github.com/portgauge/portgauge/internal/node/telemetry"
 	"github.com/portgauge/portgauge/internal/request/httpnames"
@@ -24,8 +25,9 @@
 	Name string
 	// HTTP holds the header names and paths that callers and leafs use.
 	HTTP httpnames.Names
-	// Connect connects to the store. It must call called after each call of the store.
-	Connect func(cfg settings.Platform, called func(store.CallOutcome)) PlatformStore
+	// Connect connects to the store. It must call called after each call of the store, and take the memory of answers from
+	// the budget.
+	Connect func(cfg settings.Platform, called func(store.CallOutcome), memory *memorybudget.Budget) PlatformStore
 }
 
 // dialects are the supported platform protocols besides the product's own.
@@ -46,7 +48,7 @@
 }
 
 // newPlatform connects to the platform with the protocol that the setting platform.dialect names.
-func newPlatform(cfg settings.Settings, supported dialects, metrics *telemetry.Metrics, events *storeEvents, lifecycle fx.Lifecycle) (platformDeps, error) {
+func newPlatform(cfg settings.Settings, supported dialects, metrics *telemetry.Metrics, events *storeEvents, budgets memoryBudgets, lifecycle fx.Lifecycle) (platformDeps, error) {
 	if cfg.Platform.Dialect == settings.DefaultDialect {
 		return newOwnPlatform(cfg, metrics, lifecycle)
 	}
@@ -54,7 +56,7 @@
 		if dialect.Name != cfg.Platform.Dialect {
 			continue
 		}
-		platformStore := dialect.Connect(cfg.Platform, events.called)
+		platformStore := dialect.Connect(cfg.Platform, events.called, budgets.Control)
 		lifecycle.Append(fx.StopHook(platformStore.Close))
 		lessor, _ := platformStore.(store.Lessor)
 		guarded, _ := platformStore.(store.Guarded)
