Lines between nodes take the budget for control messages

Cause: a line of 32 MB may expand to 32 MB more, and decodes to many times that: a million changes of three bytes each are 88 MB (88 bytes per struct). Nothing bounded the sum of the calls.

Content is expanded into a buffer of the size that gzip states; content of another size is rejected. MaxLine stays as it was, so older builds are understood.

--- a/internal/compression/compression.go
+++ b/internal/compression/compression.go
@@ -5,10 +5,14 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"encoding/binary"
+	"errors"
 	"io"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // ErrTooLong is returned by Expand for content that exceeds the maximum size when expanded.
@@ -32,18 +36,30 @@
 	return buffer.Bytes(), nil
 }
 
-// Expand returns the decompressed content of packed, or ErrTooLong if it exceeds maximumBytes.
-func Expand(packed []byte, maximumBytes int64) ([]byte, error) {
+// trailerBytes is the size of the field at the end of gzip content that holds the expanded size.
+const trailerBytes = 4
+
+// Expand returns the decompressed content of packed, or ErrTooLong if it exceeds maximumBytes or the size that packed
+// states. It adds the content to the reservation, which may be nil.
+func Expand(packed []byte, maximumBytes int64, reservation *memorybudget.Reservation) ([]byte, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, err
 	}
-	content, err := io.ReadAll(io.LimitReader(reader, maximumBytes+1))
+	size := int64(binary.LittleEndian.Uint32(packed[len(packed)-trailerBytes:]))
+	content, err := memorybudget.ReadBody(reader, size, maximumBytes, reservation)
+	if errors.As(err, new(*memorybudget.TooLargeError)) {
+		return nil, merry.Wrap(ErrTooLong)
+	}
 	if err != nil {
 		return nil, err
 	}
-	if int64(len(content)) > maximumBytes {
+	// Reading on verifies the checksum.
+	switch extra, err := reader.Read(make([]byte, 1)); {
+	case extra > 0:
 		return nil, merry.Wrap(ErrTooLong)
+	case err != nil && !errors.Is(err, io.EOF):
+		return nil, err
 	}
 	return content, nil
 }
--- a/internal/config/catalog/payload.go
+++ b/internal/config/catalog/payload.go
@@ -20,7 +20,7 @@
 
 // unpackMessage decodes a message. Fields of a newer schema are ignored.
 func unpackMessage(payload []byte, message proto.Message) error {
-	content, err := compression.Expand(payload, maxPayloadBytes)
+	content, err := compression.Expand(payload, maxPayloadBytes, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/config/configsync/configsync.go
+++ b/internal/config/configsync/configsync.go
@@ -40,6 +40,7 @@
 	"github.com/portgauge/portgauge/internal/fleet/machines"
 	"github.com/portgauge/portgauge/internal/fleet/membership"
 	"github.com/portgauge/portgauge/internal/fleet/peer"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/node/boottime"
 	"github.com/portgauge/portgauge/internal/wait"
 )
@@ -63,6 +64,8 @@
 	Logger    *zap.Logger
 	// Seeds are peer addresses to join through in addition to those on the machine list.
 	Seeds []string
+	// Memory is the budget for what is unpacked from other nodes' messages. It may be nil.
+	Memory *memorybudget.Budget
 	// MessageSent is called with the kind of each sent message. It may be nil.
 	MessageSent func(kind string)
 	// StateDropped is called for each whole state of the store that is dropped because it is older than the
@@ -82,6 +85,7 @@
 	store     store.Store
 	machines  machines.Lister
 	transport peer.Transport
+	memory    *memorybudget.Budget
 	leafs     LeafNoticer
 	logger    *zap.Logger
 	seeds     []string // guarded by mu
@@ -158,6 +162,7 @@
 		store:      deps.Store,
 		machines:   deps.Machines,
 		transport:  deps.Transport,
+		memory:     deps.Memory,
 		leafs:      deps.Leafs,
 		logger:     deps.Logger,
 		seeds:      deps.Seeds,
--- a/internal/config/configsync/pull.go
+++ b/internal/config/configsync/pull.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/portgauge/portgauge/internal/fleet/peer"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // pullTimeoutFactor is the multiple of Config.CallTimeout that bounds a pull, which may transfer the whole state.
@@ -58,13 +59,14 @@
 	s.relayed("pull")
 	after, requestedAt := s.catalog.Revision(), s.catalog.Instant()
 	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), Pull: &peer.Pull{After: after}})
+	defer answer.Release()
 	if err != nil || answer.State == nil || !answer.State.Initialized || s.isLegacy(answer.Digest) {
 		return false, nil
 	}
 	if len(answer.State.Alternatives) > 0 {
 		return false, answer.State.Alternatives
 	}
-	if err := s.applyState(*answer.State); err != nil {
+	if err := s.applyState(address, *answer.State); err != nil {
 		s.logger.Warn("discarded the state of a peer: it can't be decoded", zap.String("peer", address), zap.Error(err))
 		return false, nil
 	}
@@ -76,9 +78,13 @@
 }
 
 // applyState applies the parts of a peer's state that are newer than the configuration in force.
-func (s *Syncer) applyState(state peer.State) error {
+func (s *Syncer) applyState(from string, state peer.State) error {
 	if len(state.Snapshot) > 0 {
-		snapshot, err := state.Snapshot.Unpack()
+		account := s.memory.Open(memorybudget.Node, from)
+		defer account.Close()
+		reservation := account.Reserve()
+		defer reservation.Release()
+		snapshot, err := state.Snapshot.Unpack(&reservation)
 		if err != nil {
 			return err
 		}
--- a/internal/config/configsync/push.go
+++ b/internal/config/configsync/push.go
@@ -10,6 +10,7 @@
 
 	"github.com/portgauge/portgauge/internal/config/catalog"
 	"github.com/portgauge/portgauge/internal/fleet/peer"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Limits of the changes in one push, in number and bytes. A burst, such as hundreds of leafs leaving together, is best
@@ -107,13 +108,18 @@
 	defer cancel()
 	s.relayed("push")
 	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), Push: &push})
+	defer answer.Release()
 	return err == nil && answer.State != nil
 }
 
 // HandlePush applies a push and forwards it.
 func (s *Syncer) HandlePush(from string, push peer.Push) peer.State {
 	s.lastPushAt.Store(time.Now().UnixNano())
-	changes, err := push.Batch.Unpack()
+	account := s.memory.Open(memorybudget.Node, from)
+	defer account.Close()
+	reservation := account.Reserve()
+	defer reservation.Release()
+	changes, err := push.Batch.Unpack(&reservation)
 	if err != nil {
 		s.logger.Warn("a push can't be decoded; pulling from its sender", zap.String("peer", from), zap.Error(err))
 	}
--- a/internal/config/configsync/push_check.go
+++ b/internal/config/configsync/push_check.go
@@ -62,6 +62,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
 	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), Pull: &peer.Pull{After: afterAll}})
+	defer answer.Release()
 	if err != nil || answer.State == nil || !answer.State.Initialized {
 		return 0, false
 	}
--- a/internal/config/configsync/restored.go
+++ b/internal/config/configsync/restored.go
@@ -57,6 +57,7 @@
 	s.relayed("pull")
 	pull := peer.Pull{After: s.catalog.Revision(), Retained: true}
 	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), Pull: &pull})
+	defer answer.Release()
 	if err == nil && answer.State != nil && answer.State.Revision == s.catalog.Revision() {
 		s.catalog.Retain(answer.State.Retained)
 	}
--- a/internal/config/configsync/snapshots_test.go
+++ b/internal/config/configsync/snapshots_test.go
@@ -61,7 +61,7 @@
 	is.NoErr(err)
 	is.Equal(len(since), maxChangesSince)
 	is.Equal(unsafe.SliceData(states.packed), packed)
-	snapshot, err := states.packed.Unpack()
+	snapshot, err := states.packed.Unpack(nil)
 	is.NoErr(err)
 	recipient := catalog.New(nil)
 	is.True(recipient.Replace(snapshot))
--- a/internal/config/configsync/status.go
+++ b/internal/config/configsync/status.go
@@ -57,6 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeoutFactor*s.cfg.CallTimeout)
 	defer cancel()
 	answer, err := s.transport.Call(ctx, address, peer.Message{Digest: s.Digest(), StatusQuery: &query})
+	defer answer.Release()
 	if err != nil || answer.StatusReply == nil {
 		return peer.StatusReply{}, false
 	}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -146,6 +146,7 @@
 func (m *Membership) Join(ctx context.Context, address string) (welcome *peer.Welcome, same bool, err error) {
 	join := &peer.Join{Member: m.Self(), Known: m.fingerprint()}
 	answer, err := m.transport.Call(ctx, address, peer.Message{Digest: m.listener.Digest(), Join: join})
+	defer answer.Release()
 	if err != nil {
 		return nil, false, err
 	}
--- a/internal/fleet/peer/batch.go
+++ b/internal/fleet/peer/batch.go
@@ -5,6 +5,7 @@
 
 	"github.com/portgauge/portgauge/internal/compression"
 	"github.com/portgauge/portgauge/internal/config/catalog"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Batch is a compressed list of changes. The node that starts a push compresses it once; relays forward it unchanged.
@@ -18,17 +19,14 @@
 	return compression.Compress(content)
 }
 
-// Unpack returns the changes of a batch; nil if the batch is empty.
-func (b Batch) Unpack() ([]catalog.Change, error) {
+// Unpack returns the changes of a batch; nil if the batch is empty. It adds their memory to the reservation, which may be
+// nil.
+func (b Batch) Unpack(reservation *memorybudget.Reservation) ([]catalog.Change, error) {
 	if len(b) == 0 {
 		return nil, nil
 	}
-	content, err := compression.Expand(b, MaxLine)
-	if err != nil {
-		return nil, err
-	}
 	var changes []catalog.Change
-	return changes, json.Unmarshal(content, &changes)
+	return changes, expandInto(&changes, b, reservation)
 }
 
 // PackedSnapshot is a compressed snapshot. It is compressed once and sent to many nodes.
@@ -42,11 +40,25 @@
 	return compression.Compress(content)
 }
 
-func (p PackedSnapshot) Unpack() (catalog.Snapshot, error) {
-	content, err := compression.Expand(p, MaxLine)
+// Unpack returns the snapshot. It adds its memory to the reservation, which may be nil.
+func (p PackedSnapshot) Unpack(reservation *memorybudget.Reservation) (catalog.Snapshot, error) {
+	var snapshot catalog.Snapshot
+	return snapshot, expandInto(&snapshot, p, reservation)
+}
+
+// expandInto expands and decodes content, and adds the memory of both to the reservation.
+func expandInto(decoded any, packed []byte, reservation *memorybudget.Reservation) error {
+	content, err := compression.Expand(packed, MaxLine, reservation)
 	if err != nil {
-		return catalog.Snapshot{}, err
+		return err
 	}
-	var snapshot catalog.Snapshot
-	return snapshot, json.Unmarshal(content, &snapshot)
+	return decodeInto(decoded, content, reservation)
+}
+
+// decodeInto decodes a text, and adds the memory of the result to the reservation.
+func decodeInto(decoded any, text []byte, reservation *memorybudget.Reservation) error {
+	if err := reservation.Grow(memorybudget.DecodedBytes(text)); err != nil {
+		return err
+	}
+	return json.Unmarshal(text, decoded)
 }
--- a/internal/fleet/peer/line.go
+++ b/internal/fleet/peer/line.go
@@ -1,13 +1,12 @@
 package peer
 
 import (
-	"bufio"
-	"io"
 	"net"
 
 	json "github.com/goccy/go-json"
 
 	"github.com/portgauge/portgauge/internal/compression"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // compressAbove is the size in bytes above which a line is compressed. Configuration values compress well, since they
@@ -28,15 +27,22 @@
 	return connection.Write(append(line, '\n'))
 }
 
-// readLine receives a message and returns it with the number of bytes received.
-func readLine(connection net.Conn) (Message, int, error) {
-	reader := bufio.NewReader(io.LimitReader(connection, MaxLine))
-	line, err := reader.ReadBytes('\n')
+// readLine receives a message and returns it with the number of bytes received. The message holds the memory of the account
+// until its Release.
+func readLine(connection net.Conn, account *memorybudget.Account) (Message, int, error) {
+	reservation := account.Reserve()
+	line, err := memorybudget.NewLineReader(connection, MaxLine).Read(&reservation)
 	if err != nil {
+		reservation.Release()
 		return Message{}, 0, err
 	}
-	message, err := decodeLine(line)
-	return message, len(line), err
+	message, err := decodeLine(line, &reservation)
+	if err != nil {
+		reservation.Release()
+		return Message{}, 0, err
+	}
+	message.memory = &reservation
+	return message, len(line) + 1, nil
 }
 
 func encodeLine(message Message) ([]byte, error) {
@@ -56,21 +62,18 @@
 	return m.Push != nil || m.State != nil && len(m.State.Snapshot) > 0
 }
 
-func decodeLine(line []byte) (Message, error) {
+// decodeLine decodes a message and adds its memory to the reservation, which may be nil.
+func decodeLine(line []byte, reservation *memorybudget.Reservation) (Message, error) {
 	var envelope struct {
 		Message
 		compressed
 	}
-	if err := json.Unmarshal(line, &envelope); err != nil {
+	if err := decodeInto(&envelope, line, reservation); err != nil {
 		return Message{}, err
 	}
 	if len(envelope.Gzip) == 0 {
 		return envelope.Message, nil
 	}
-	expanded, err := compression.Expand(envelope.Gzip, MaxLine)
-	if err != nil {
-		return Message{}, err
-	}
 	var message Message
-	return message, json.Unmarshal(expanded, &message)
+	return message, expandInto(&message, envelope.Gzip, reservation)
 }
--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/portgauge/portgauge/internal/config/catalog"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/quarantine"
 	"github.com/portgauge/portgauge/internal/quarantine/fingerprint"
 )
@@ -77,8 +78,15 @@
 	RolloutAbort   *RolloutAbort   `json:"rollout_hold,omitempty"`
 
 	Quarantine *Quarantine `json:"quarantine,omitempty"`
+
+	// memory is what a received call or answer holds; nil for other messages.
+	memory *memorybudget.Reservation
 }
 
+// Release releases the memory that a received message holds. The receiver of an answer calls it when the answer is no
+// longer used.
+func (m Message) Release() { m.memory.Release() }
+
 // Probe asks a member whether it is alive.
 type Probe struct {
 	Sequence uint64 `json:"sequence"`
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -91,10 +91,10 @@
 	changes := []catalog.Change{{Entry: catalog.Entry{Key: "a", Value: []byte(`{"x":1}`), Revision: 3}, Previous: 2}}
 	batch, err := PackBatch(changes)
 	is.NoErr(err)
-	unpacked, err := batch.Unpack()
+	unpacked, err := batch.Unpack(nil)
 	is.NoErr(err)
 	is.Equal(unpacked, changes)
-	_, err = Batch("garbage").Unpack()
+	_, err = Batch("garbage").Unpack(nil)
 	is.True(err != nil)
 }
 
@@ -107,7 +107,7 @@
 	f.Add([]byte(`{"gzip":"H4sIAAAAAAAA/wMAAAAAAAAAAAA="}`))
 	f.Fuzz(func(_ *testing.T, line []byte) {
 		// Decoding must not panic.
-		_, _ = decodeLine(line)
-		_, _ = Batch(line).Unpack()
+		_, _ = decodeLine(line, nil)
+		_, _ = Batch(line).Unpack(nil)
 	})
 }
--- a/internal/fleet/peer/transport.go
+++ b/internal/fleet/peer/transport.go
@@ -10,6 +10,8 @@
 
 	"github.com/ansel1/merry/v2"
 	json "github.com/goccy/go-json"
+
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Maximum sizes of messages in bytes. A datagram that exceeds its maximum is not sent.
@@ -43,6 +45,7 @@
 	listener  *net.TCPListener
 	meter     Meter
 	advertise string
+	memory    *memorybudget.Budget // nil if it is unlimited
 
 	handler Handler
 	ctx     context.Context
@@ -88,6 +91,9 @@
 	return &SocketTransport{datagrams: datagrams, listener: listener, meter: meter, ctx: ctx, cancel: cancel}, nil
 }
 
+// SetMemory sets the budget for calls and answers. It must be called before the transport is used.
+func (t *SocketTransport) SetMemory(memory *memorybudget.Budget) { t.memory = memory }
+
 // Serve starts to receive messages and passes them to the handler.
 func (t *SocketTransport) Serve(handler Handler) {
 	t.handler = handler
@@ -135,7 +141,9 @@
 	if err != nil {
 		return Message{}, merry.Prepend(err, "call peer")
 	}
-	answer, received, err := readLine(connection)
+	account := t.memory.Open(memorybudget.Node, memorybudget.Host(connection.RemoteAddr()))
+	defer account.Close()
+	answer, received, err := readLine(connection, account)
 	if err != nil {
 		return Message{}, merry.Prepend(err, "call peer")
 	}
@@ -195,10 +203,13 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { closeQuietly(connection) })
 	defer stop()
-	message, received, err := readLine(connection)
+	account := t.memory.Open(memorybudget.Node, memorybudget.Host(connection.RemoteAddr()))
+	defer account.Close()
+	message, received, err := readLine(connection, account)
 	if err != nil {
 		return
 	}
+	defer message.Release()
 	sent, err := writeLine(connection, t.handler.HandleCall(ctx, message))
 	if err == nil {
 		t.meter(meterCall, sent, received+callOverhead)
--- a/internal/node/provide_config.go
+++ b/internal/node/provide_config.go
@@ -40,6 +40,7 @@
 	Canary    *canary.Splitter // nil if rollouts are disabled
 	Metrics   *telemetry.Metrics
 	Events    *stateEvents
+	Budgets   memoryBudgets
 	Logger    *zap.Logger
 }
 
@@ -50,7 +51,7 @@
 	}
 	syncer := configsync.New(configsync.Deps{
 		Config: deps.Config.ConfigSync, Catalog: deps.Catalog, Store: deps.Store, Machines: deps.Machines, Transport: deps.Transport,
-		Leafs: deps.Balancer, Logger: deps.Logger, Seeds: deps.Config.Seeds,
+		Leafs: deps.Balancer, Logger: deps.Logger, Seeds: deps.Config.Seeds, Memory: deps.Budgets.Control,
 		MessageSent:  func(kind string) { deps.Metrics.ConfigRelayed.WithLabelValues(kind).Inc() },
 		StateDropped: deps.Metrics.StatesDropped.Inc,
 		LeafLeaving:  deps.Events.leafLeaving,
--- a/internal/node/provide_fleet.go
+++ b/internal/node/provide_fleet.go
@@ -36,10 +36,15 @@
 	return machines.NewCatalogLister(deps.Catalog)
 }
 
-func newTransport(cfg settings.Settings, metrics *telemetry.Metrics) (*peer.SocketTransport, error) {
-	return peer.Listen(cfg.Listen.Peers, cfg.Listen.AdvertisePeers, func(transport string, sent, _ int) {
+func newTransport(cfg settings.Settings, metrics *telemetry.Metrics, budgets memoryBudgets) (*peer.SocketTransport, error) {
+	transport, err := peer.Listen(cfg.Listen.Peers, cfg.Listen.AdvertisePeers, func(transport string, sent, _ int) {
 		metrics.ControlBytes.WithLabelValues(transport).Add(float64(sent))
 	})
+	if err != nil {
+		return nil, err
+	}
+	transport.SetMemory(budgets.Control)
+	return transport, nil
 }
 
 // newSelf returns the node's own record. If no ID is configured, it is made from the zone and the peer address.
