Replies of leafs over gRPC take the budget for requests

Change: what a leaf has sent since the oldest attempt in flight on its connection began is reserved as it is read, twice for what is decoded; a reply until its search has been answered. What doesn't fit ends the connection and its attempts with an ExceededError, which may have run. Headers and trailers of leafs and of the platform's gRPC protocol: 64 KiB.

--- a/internal/fleet/ownplatform/ownplatform.go
+++ b/internal/fleet/ownplatform/ownplatform.go
@@ -32,12 +32,17 @@
 	_ machines.Lister = (*Client)(nil)
 )
 
+// maximumHeaderBytes is the maximum size of the headers, and of the trailers, of an answer. A message has gRPC's maximum of
+// 4 MB.
+const maximumHeaderBytes = 64 << 10
+
 // New returns a client of the platform at an address. The connection is opened on first use.
 func New(address string, meter Meter) (*Client, error) {
 	connection, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithMaxHeaderListSize(maximumHeaderBytes),
 		grpc.WithStatsHandler(byteCounter{meter: meter}))
 	if err != nil {
 		return nil, merry.Prepend(err, "platform address")
--- a/internal/leaf/leafclient/leafclient.go
+++ b/internal/leaf/leafclient/leafclient.go
@@ -21,13 +21,16 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
 // Pool owns the connections of a node. It is safe for concurrent use.
 type Pool struct {
-	cfg Config
+	cfg    Config
+	memory *memorybudget.Budget // nil if it is unlimited
 
 	mu          sync.Mutex
 	connections map[string]*pooledConnection // by address
@@ -39,6 +42,7 @@
 	address    string
 	connection *grpc.ClientConn
 	client     leafv1.LeafServiceClient
+	usage      *usage
 	inUse      int
 	evicted    bool
 	element    *list.Element
@@ -48,8 +52,11 @@
 	return &Pool{cfg: cfg, connections: map[string]*pooledConnection{}}
 }
 
-// SearchShard runs one attempt. It returns a *Refusal or a *NeverSentError if the attempt did not run. After any other
-// error, the leaf may have run it.
+// SetMemory sets the budget for the replies of leafs. It must be called before the pool is used.
+func (p *Pool) SetMemory(memory *memorybudget.Budget) { p.memory = memory }
+
+// SearchShard runs one attempt. The memory of the reply is kept by the hold of the context. It returns a *Refusal or a *NeverSentError if the attempt did not run. After any other
+// error, the leaf may have run it; a *memorybudget.ExceededError means that the reply didn't fit into memory.
 func (p *Pool) SearchShard(ctx context.Context, address string, request *leafv1.SearchShardRequest) (*leafv1.SearchShardResponse, error) {
 	conn, err := p.acquire(address)
 	if err != nil {
@@ -57,10 +64,20 @@
 	}
 	defer p.release(conn)
 	sent := &sendRecord{}
+	inFlight := conn.usage.begin()
 	response, err := conn.client.SearchShard(context.WithValue(ctx, sendRecordKey{}, sent), request)
+	exceeded := conn.usage.end(inFlight)
+	if err != nil && exceeded != nil {
+		return nil, exceeded
+	}
 	if err != nil {
 		return nil, classify(err, sent)
 	}
+	reservation := conn.usage.account.Reserve()
+	if err := reservation.Grow(int64(decodedFactor * proto.Size(response))); err != nil {
+		return nil, err
+	}
+	memorybudget.FromContext(ctx).Keep(&reservation)
 	return response, nil
 }
 
@@ -108,18 +125,23 @@
 		p.recent.MoveToFront(conn.element)
 		return conn, nil
 	}
-	connection, err := p.dial(address)
+	used := newUsage(p.memory.Open(memorybudget.Leaf, address))
+	connection, err := p.dial(address, used)
 	if err != nil {
+		used.account.Close()
 		return nil, err
 	}
-	conn := &pooledConnection{address: address, connection: connection, client: leafv1.NewLeafServiceClient(connection), inUse: 1}
+	conn := &pooledConnection{address: address, connection: connection, client: leafv1.NewLeafServiceClient(connection), usage: used, inUse: 1}
 	conn.element = p.recent.PushFront(conn)
 	p.connections[address] = conn
 	p.evictOldest()
 	return conn, nil
 }
 
-func (p *Pool) dial(address string) (*grpc.ClientConn, error) {
+// maximumHeaderBytes is the maximum size of the headers, and of the trailers, of a reply.
+const maximumHeaderBytes = 64 << 10
+
+func (p *Pool) dial(address string, used *usage) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(),
@@ -127,6 +149,15 @@
 		grpc.WithIdleTimeout(p.cfg.IdleTimeout),
 		grpc.WithConnectParams(connectParams),
 		grpc.WithStatsHandler(sendObserver{}),
+		grpc.WithMaxHeaderListSize(maximumHeaderBytes),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			var dialer net.Dialer
+			opened, err := dialer.DialContext(ctx, "tcp", address)
+			if err != nil {
+				return nil, err
+			}
+			return &meteredConn{Conn: opened, usage: used}, nil
+		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(p.cfg.MaximumReplyBytes)))
 }
 
@@ -163,6 +194,7 @@
 }
 
 func closeConnection(conn *pooledConnection) {
+	conn.usage.account.Close()
 	// Close fails only if the connection is already closed.
 	if err := conn.connection.Close(); err != nil {
 		return
--- a/internal/node/provide_leaf.go
+++ b/internal/node/provide_leaf.go
@@ -44,8 +44,9 @@
 	return gossip
 }
 
-func newLeafPool(cfg settings.Settings, lifecycle fx.Lifecycle) *leafclient.Pool {
+func newLeafPool(cfg settings.Settings, budgets memoryBudgets, lifecycle fx.Lifecycle) *leafclient.Pool {
 	pool := leafclient.New(cfg.LeafClient)
+	pool.SetMemory(budgets.Requests)
 	lifecycle.Append(fx.StopHook(pool.Close))
 	return pool
 }
--- a/internal/request/search/attempt.go
+++ b/internal/request/search/attempt.go
@@ -7,6 +7,7 @@
 	leafv1 "github.com/portgauge/portgauge/gen/portgauge/leaf/v1"
 	"github.com/portgauge/portgauge/internal/leaf/balancer"
 	"github.com/portgauge/portgauge/internal/leaf/leafclient"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/scatter"
 )
 
@@ -66,7 +67,11 @@
 	case ctx.Err() != nil:
 		return scatter.Result[shardReply]{Reason: scatter.Reason(missingDeadline), Execution: scatter.Unknown, Outcome: balancer.Failed}
 	}
-	return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.Unknown, Outcome: balancer.Failed}
+	outcome := balancer.Failed
+	if errors.As(err, new(*memorybudget.ExceededError)) {
+		outcome = balancer.Declined // other leafs may hold the memory
+	}
+	return scatter.Result[shardReply]{Reason: scatter.Reason(missingLeafFailed), Execution: scatter.Unknown, Outcome: outcome}
 }
 
 // classifyRefusal classifies an attempt that the leaf refused. It did not run, unless the refusal has the identity of
--- a/internal/request/search/search.go
+++ b/internal/request/search/search.go
@@ -21,6 +21,7 @@
 	searchv1 "github.com/portgauge/portgauge/gen/portgauge/search/v1"
 	"github.com/portgauge/portgauge/internal/config/catalog"
 	"github.com/portgauge/portgauge/internal/leaf/balancer"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/node/telemetry"
 	"github.com/portgauge/portgauge/internal/quarantine"
 	"github.com/portgauge/portgauge/internal/request/admission"
@@ -85,7 +86,9 @@
 // answer is sent.
 func (e *Engine) Search(ctx context.Context, request *searchv1.SearchRequest) (*searchv1.SearchResponse, error) {
 	arrived := time.Now()
-	response, err := e.search(ctx, request, arrived)
+	held := &memorybudget.Hold{}
+	defer held.Release()
+	response, err := e.search(memorybudget.NewContext(ctx, held), request, arrived)
 	e.observe(request, response, err, time.Since(arrived))
 	return response, err
 }
