Calls over gRPC and its relatives take the memory budgets

Cause: a message is at most 64 KiB for searches and 4 MiB for operators and a header 64 KiB, but nothing bounded the sum of the calls; a compressed message expands up to its maximum; an HTTP/2 connection may send 1 MB that is not yet read.

Change: each call reserves its header, twice its body as it is read, and twice the maximum of a message if it is compressed, from the budget for requests (searches) or control messages (operators). A call that doesn't fit is refused as OVERLOADED, not run, with Retry-After. An HTTP/2 connection may have 256 KiB unread, 64 KiB a stream.

--- a/internal/memorybudget/head.go
+++ b/internal/memorybudget/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 )
 
 // fieldBytes is the memory of a parsed header field beside its text: its part of the map and its list of values.
@@ -61,6 +62,17 @@
 	return n, err
 }
 
+// HeaderBytes returns the memory of a parsed header.
+func HeaderBytes(header http.Header) int64 {
+	var size int64
+	for name, values := range header {
+		for _, value := range values {
+			size += int64(len(name) + len(value) + fieldBytes)
+		}
+	}
+	return size
+}
+
 // headBytes returns the memory that a part of a head and what is parsed from it take.
 func headBytes(part []byte) int64 {
 	return int64(len(part) + fieldBytes*bytes.Count(part, []byte{'\n'}))
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -19,6 +19,7 @@
 	Syncer  *configsync.Syncer
 	Engine  *search.Engine
 	Metrics *telemetry.Metrics
+	Budgets memoryBudgets
 	Level   zap.AtomicLevel
 	Logger  *zap.Logger
 }
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -136,7 +136,7 @@
 func runOperators(lifecycle fx.Lifecycle, cfg settings.Settings, self catalog.NodeRecord, deps operatorDeps) {
 	handler := api.NewOperatorHandler(api.OperatorDeps{
 		Admin: deps.Admin, Catalog: deps.Catalog, Syncer: deps.Syncer, Engine: deps.Engine,
-		Metrics: deps.Metrics, Level: deps.Level, NodeID: self.ID,
+		Metrics: deps.Metrics, Level: deps.Level, NodeID: self.ID, Memory: deps.Budgets.Control,
 	})
 	serve(lifecycle, cfg.Listen.Operators, api.NewServer(handler), deps.Logger)
 }
@@ -152,6 +152,7 @@
 	Tree    *servingtree.Server
 	Syncer  *configsync.Syncer
 	Members *membership.Membership
+	Budgets memoryBudgets
 	Logger  *zap.Logger
 }
 
@@ -159,7 +160,7 @@
 // serving for stop.announce_delay, and then drains all three servers at the same time.
 func runServing(lifecycle fx.Lifecycle, deps servingDeps) {
 	cfg, logger := deps.Config, deps.Logger
-	serve(lifecycle, cfg.Listen.Callers, api.NewServer(api.NewCallerHandler(api.CallerDeps{Engine: deps.Engine})), logger)
+	serve(lifecycle, cfg.Listen.Callers, api.NewServer(api.NewCallerHandler(api.CallerDeps{Engine: deps.Engine, Memory: deps.Budgets.Requests})), logger)
 	if cfg.Listen.Ready != "" {
 		serve(lifecycle, cfg.Listen.Ready, api.NewServer(deps.Front.ReadinessHandler()), logger)
 	}
--- a/internal/operator/api/server.go
+++ b/internal/operator/api/server.go
@@ -22,6 +22,7 @@
 	"github.com/portgauge/portgauge/internal/config/catalog"
 	"github.com/portgauge/portgauge/internal/config/configsync"
 	"github.com/portgauge/portgauge/internal/httpdrain"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/node/telemetry"
 	"github.com/portgauge/portgauge/internal/operator/admin"
 	"github.com/portgauge/portgauge/internal/request/search"
@@ -39,11 +40,14 @@
 
 type CallerDeps struct {
 	Engine *search.Engine
+	// Memory is the budget for calls; nil if it is unlimited.
+	Memory *memorybudget.Budget
 }
 
 // NewCallerHandler returns the handler for SearchService, health checks and reflection.
 func NewCallerHandler(deps CallerDeps) http.Handler {
 	router := newRouter()
+	router.Use(limitMemory(deps.Memory, memorybudget.Caller, maximumSearchBytes))
 	mount(router)(searchv1connect.NewSearchServiceHandler(&searchHandler{engine: deps.Engine}, connect.WithReadMaxBytes(maximumSearchBytes)))
 	mountStandard(router, deps.Engine, searchv1connect.SearchServiceName)
 	mountHealth(router, deps.Engine)
@@ -58,11 +62,14 @@
 	Metrics *telemetry.Metrics
 	Level   zap.AtomicLevel
 	NodeID  string
+	// Memory is the budget for calls; nil if it is unlimited.
+	Memory *memorybudget.Budget
 }
 
 // NewOperatorHandler returns the handler for AdminService, metrics, the log level, profiles and health checks.
 func NewOperatorHandler(deps OperatorDeps) http.Handler {
 	router := newRouter()
+	router.Use(limitMemory(deps.Memory, memorybudget.Operator, maximumAdminBytes))
 	handler := &adminHandler{admin: deps.Admin, catalog: deps.Catalog, syncer: deps.Syncer, engine: deps.Engine, nodeID: deps.NodeID}
 	mount(router)(adminv1connect.NewAdminServiceHandler(handler, connect.WithReadMaxBytes(maximumAdminBytes)))
 	mountStandard(router, deps.Engine, adminv1connect.AdminServiceName)
@@ -130,9 +137,13 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return httpdrain.New(drainConfig, &http.Server{
-		Handler:           handler,
-		Protocols:         protocols,
-		MaxHeaderBytes:    maximumHeaderBytes,
+		Handler:        handler,
+		Protocols:      protocols,
+		MaxHeaderBytes: maximumHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxReceiveBufferPerConnection: maximumUnreadBytes,
+			MaxReceiveBufferPerStream:     maximumUnreadStreamBytes,
+		},
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
