Give up an answer that its caller doesn't read

An answer's memory is held until it has been written, and a caller that doesn't read it held it as long as its connection lived: 30 s now for answers over 64 KiB.

--- a/internal/request/front/answer.go
+++ b/internal/request/front/answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/request/gateway"
@@ -65,12 +66,32 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.WriteHeader(status)
-	// An error means that the caller has closed the connection.
+	if len(body) > largeAnswerBytes {
+		defer s.limitWriteTime(w)()
+	}
+	// An error means that the caller has closed the connection, or didn't read the answer in time.
 	if _, err := w.Write(body); err != nil {
 		return
 	}
 }
 
+// largeAnswerBytes is the size of an answer above which its caller must read it in time. A smaller one fits into the buffers
+// of the connection.
+const largeAnswerBytes = 64 << 10
+
+// limitWriteTime closes the connection of a response if it isn't written within the write timeout, since an answer that its
+// caller doesn't read holds memory. The returned function ends the limit.
+func (s *Server) limitWriteTime(w http.ResponseWriter) (end func()) {
+	controller := http.NewResponseController(w)
+	if err := controller.SetWriteDeadline(time.Now().Add(s.writeTimeout)); err != nil {
+		return func() {}
+	}
+	return func() {
+		// An error means that the connection is closed.
+		_ = controller.SetWriteDeadline(time.Time{})
+	}
+}
+
 // statusOf returns the HTTP status of a failure. 503 guarantees that the request did not run and never will. A request
 // that may have run gets 504 after its deadline and 502 otherwise.
 func statusOf(failed *failure.Failure) int {
--- a/internal/request/front/front.go
+++ b/internal/request/front/front.go
@@ -37,6 +37,9 @@
 // enforces the operators' limit and returns a typed failure.
 const hardHeaderLimit = 1 << 20
 
+// answerWriteTimeout is the default of Server.writeTimeout. It exceeds the timeouts of routes.
+const answerWriteTimeout = 30 * time.Second
+
 // Server is the HTTP server for callers; create it with NewServer.
 type Server struct {
 	backend  Backend
@@ -45,7 +48,9 @@
 	timeouts *connectionTimeouts
 	// memory bounds what callers make the node hold; nil if it is unlimited.
 	memory *memorybudget.Budget
-	http   *http.Server
+	// writeTimeout is how long a caller may take to read a large answer.
+	writeTimeout time.Duration
+	http         *http.Server
 	// cancelRequests cancels the requests in flight, so that they are answered with a failure.
 	cancelRequests context.CancelFunc
 	// isStopping is set when a planned stop begins.
@@ -54,7 +59,7 @@
 
 // NewServer returns a server that accepts no connections until Serve is called.
 func NewServer(backend Backend, names httpnames.Names, logger *zap.Logger) *Server {
-	server := &Server{backend: backend, names: names, logger: logger, timeouts: newConnectionTimeouts(backend.Limits)}
+	server := &Server{backend: backend, names: names, logger: logger, timeouts: newConnectionTimeouts(backend.Limits), writeTimeout: answerWriteTimeout}
 	router := newRouter()
 	router.RedirectTrailingSlash = false
 	router.NoRoute(func(c *gin.Context) { server.serve(c.Writer, c.Request) })
--- a/internal/request/front/memory_test.go
+++ b/internal/request/front/memory_test.go
@@ -99,3 +99,29 @@
 	response, _ := exchange(t, address, getRequest())
 	is.Equal(response.StatusCode, http.StatusOK)
 }
+
+// TestUnreadAnswerIsGivenUp guards against callers that don't read their answers, which hold the memory of the answers as
+// long as the connection lives.
+func TestUnreadAnswerIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	server, backend, address := startServer(t, func(context.Context, *gateway.Request) (*gateway.Answer, error) {
+		return &gateway.Answer{Status: http.StatusOK, Body: make([]byte, 16<<20)}, nil
+	})
+	server.writeTimeout = 100 * time.Millisecond
+	answered := make(chan struct{})
+	serve := backend.serve
+	backend.serve = func(ctx context.Context, request *gateway.Request) (*gateway.Answer, error) {
+		context.AfterFunc(ctx, func() { close(answered) })
+		return serve(ctx, request)
+	}
+	connection, err := net.Dial("tcp4", address)
+	is.NoErr(err)
+	defer connection.Close()
+	_, err = io.WriteString(connection, getRequest())
+	is.NoErr(err)
+	select {
+	case <-answered:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the answer still waits for its caller")
+	}
+}
