--- a/internal/request/gateway/bench_test.go
+++ b/internal/request/gateway/bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/portgauge/portgauge/internal/leaf/connshare"
 	"github.com/portgauge/portgauge/internal/leaf/leafhttp"
 	"github.com/portgauge/portgauge/internal/leaf/leafmemory"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/leaf/leafset"
 	"github.com/portgauge/portgauge/internal/request/retrybudget"
 	"github.com/portgauge/portgauge/internal/request/routing"
@@ -92,6 +93,7 @@
 	}}})
 	pool := leafhttp.New(leafhttp.DefaultConfig(), names, nil)
 	defer pool.Close()
+	pool.SetMemory(memorybudget.DefaultConfig().NewRequests(nil))
 	g := New(Deps{
 		Config: DefaultConfig(), Names: names, Catalog: cat, Memory: leafmemory.New(leafmemory.DefaultConfig(), cat),
 		Allocator: connshare.New(connshare.DefaultConfig(), singleNodeFleet{}, catalog.NodeRecord{ID: "n"}), Balancer: balancer.New(balancer.DefaultConfig(), "z"),
@@ -99,14 +101,16 @@
 	})
 	b.ReportAllocs()
 	for b.Loop() {
+		held := &memorybudget.Hold{}
 		request := &Request{
-			Leaf: leafhttp.Request{ID: "9c41d07be2a35f68", Method: http.MethodGet, Target: "/pages/2f", Host: "h", Header: http.Header{}},
+			Leaf: leafhttp.Request{ID: "9c41d07be2a35f68", Method: http.MethodGet, Target: "/pages/2f", Host: "h", Header: http.Header{}, Memory: held},
 			Path: "/pages/2f", Arrived: time.Now(), CallerTimeout: 5 * time.Second,
 		}
 		answer, err := g.Serve(b.Context(), request)
 		if err != nil || answer.Missing > 0 {
 			b.Fatalf("%v, %v", answer, err)
 		}
+		held.Release()
 	}
 }
 
