--- a/internal/request/front/memory_test.go
+++ b/internal/request/front/memory_test.go
@@ -91,6 +91,9 @@
 		}()
 	}
 	held := int64(0)
+	for end := time.Now().Add(10 * time.Second); held == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		held = budget.Held()
+	}
 	for range 100 {
 		held = max(held, budget.Held())
 		time.Sleep(time.Millisecond)
