--- a/internal/request/gateway/bench_test.go
+++ b/internal/request/gateway/bench_test.go
@@ -15,8 +15,8 @@
 	"github.com/portgauge/portgauge/internal/leaf/connshare"
 	"github.com/portgauge/portgauge/internal/leaf/leafhttp"
 	"github.com/portgauge/portgauge/internal/leaf/leafmemory"
-	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/leaf/leafset"
+	"github.com/portgauge/portgauge/internal/memorybudget"
 	"github.com/portgauge/portgauge/internal/request/retrybudget"
 	"github.com/portgauge/portgauge/internal/request/routing"
 )
