Comments of the memory budgets say more than their names; a test of heads fails in place of waiting

Without the budget the three tests of front/memory_test.go that need it fail (shown now: a head that doesn't fit was answered, a body was accepted, heads without an end held nothing); the first of them waited for ever before.

--- a/internal/leaf/leafclient/leafclient.go
+++ b/internal/leaf/leafclient/leafclient.go
@@ -55,8 +55,9 @@
 // SetMemory sets the budget for the replies of leafs. It must be called before the pool is used.
 func (p *Pool) SetMemory(memory *memorybudget.Budget) { p.memory = memory }
 
-// SearchShard runs one attempt. The memory of the reply is kept by the hold of the context. It returns a *Refusal or a *NeverSentError if the attempt did not run. After any other
-// error, the leaf may have run it; a *memorybudget.ExceededError means that the reply didn't fit into memory.
+// SearchShard runs one attempt. The memory of the reply is kept by the hold of the context. It returns a *Refusal or a
+// *NeverSentError if the attempt did not run. After any other error, the leaf may have run it; a
+// *memorybudget.ExceededError means that the reply didn't fit into memory.
 func (p *Pool) SearchShard(ctx context.Context, address string, request *leafv1.SearchShardRequest) (*leafv1.SearchShardResponse, error) {
 	conn, err := p.acquire(address)
 	if err != nil {
--- a/internal/leaf/leafclient/usage.go
+++ b/internal/leaf/leafclient/usage.go
@@ -32,7 +32,7 @@
 	return &usage{account: account, reservation: account.Reserve(), began: map[*attempt]int64{}}
 }
 
-// begin begins an attempt.
+// begin counts what the leaf sends from now on toward a new attempt.
 func (u *usage) begin() *attempt {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -89,7 +89,7 @@
 	return account
 }
 
-// Close closes the account.
+// Close reverses one Open. An account that is no longer open is forgotten once nothing is held of it.
 func (a *Account) Close() {
 	if a == nil {
 		return
@@ -145,7 +145,7 @@
 	return &ExceededError{Kind: a.key.kind, Bytes: bytes, Held: held - bytes, Limit: b.limit}
 }
 
-// give returns bytes of the account.
+// give reverses take.
 func (a *Account) give(bytes int64) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
--- a/internal/memorybudget/head.go
+++ b/internal/memorybudget/head.go
@@ -20,7 +20,7 @@
 	limit, left int64
 }
 
-// NewHeadReader returns a reader of the source.
+// NewHeadReader returns a reader that is between two heads.
 func NewHeadReader(source io.Reader) *HeadReader { return &HeadReader{source: source} }
 
 // Begin begins a head, of which the buffered bytes were read before. The bytes of the head and of what is parsed from it
--- a/internal/request/front/caller_socket.go
+++ b/internal/request/front/caller_socket.go
@@ -13,7 +13,7 @@
 	memory *memorybudget.Budget
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. A connection that isn't TCP is returned as it is.
 func (l *callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
--- a/internal/request/front/memory_test.go
+++ b/internal/request/front/memory_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -57,8 +59,10 @@
 	connection, err := net.Dial("tcp4", address)
 	is.NoErr(err)
 	defer connection.Close()
+	is.NoErr(connection.SetDeadline(time.Now().Add(10 * time.Second)))
 	go func() { _, _ = io.WriteString(connection, getRequest(strings.Repeat("n:\r\n", 100_000))) }()
-	answer, _ := io.ReadAll(connection)
+	answer, err := io.ReadAll(connection)
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded))
 	is.Equal(string(answer), "")
 	is.True(isReleased(budget))
 	response, _ := exchange(t, address, getRequest())
