Memory budgets: one copy of the host of an address, the memory of a message, and the refusal

The front, the gRPC listeners and the leaf client each had their own. No behaviour changes but the text of the refusal, "no memory for the request" in place of "for the body" and "for the call".

--- a/internal/config/configsync/pull.go
+++ b/internal/config/configsync/pull.go
@@ -80,7 +80,7 @@
 // applyState applies the parts of a peer's state that are newer than the configuration in force.
 func (s *Syncer) applyState(from string, state peer.State) error {
 	if len(state.Snapshot) > 0 {
-		account := s.memory.Open(memorybudget.Node, from)
+		account := s.memory.OpenHost(memorybudget.Node, from)
 		defer account.Close()
 		reservation := account.Reserve()
 		defer reservation.Release()
--- a/internal/config/configsync/push.go
+++ b/internal/config/configsync/push.go
@@ -115,7 +115,7 @@
 // HandlePush applies a push and forwards it.
 func (s *Syncer) HandlePush(from string, push peer.Push) peer.State {
 	s.lastPushAt.Store(time.Now().UnixNano())
-	account := s.memory.Open(memorybudget.Node, from)
+	account := s.memory.OpenHost(memorybudget.Node, from)
 	defer account.Close()
 	reservation := account.Reserve()
 	defer reservation.Release()
--- a/internal/fleet/peer/transport.go
+++ b/internal/fleet/peer/transport.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return Message{}, merry.Prepend(err, "call peer")
 	}
-	account := t.memory.Open(memorybudget.Node, memorybudget.Host(connection.RemoteAddr()))
+	account := t.memory.OpenHost(memorybudget.Node, connection.RemoteAddr().String())
 	defer account.Close()
 	answer, received, err := readLine(connection, account)
 	if err != nil {
@@ -203,7 +203,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { closeQuietly(connection) })
 	defer stop()
-	account := t.memory.Open(memorybudget.Node, memorybudget.Host(connection.RemoteAddr()))
+	account := t.memory.OpenHost(memorybudget.Node, connection.RemoteAddr().String())
 	defer account.Close()
 	message, received, err := readLine(connection, account)
 	if err != nil {
--- a/internal/leaf/leafclient/leafclient.go
+++ b/internal/leaf/leafclient/leafclient.go
@@ -75,7 +75,7 @@
 		return nil, classify(err, sent)
 	}
 	reservation := conn.usage.account.Reserve()
-	if err := reservation.Grow(int64(decodedFactor * proto.Size(response))); err != nil {
+	if err := reservation.Grow(memorybudget.MessageBytes(int64(proto.Size(response)))); err != nil {
 		return nil, err
 	}
 	memorybudget.FromContext(ctx).Keep(&reservation)
--- a/internal/leaf/leafclient/usage.go
+++ b/internal/leaf/leafclient/usage.go
@@ -7,9 +7,6 @@
 	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
-// decodedFactor is the memory of a reply and of what is decoded from it, per byte of the reply.
-const decodedFactor = 2
-
 // usage reserves the memory of the replies of one leaf while they are received: what the leaf has sent since the oldest
 // attempt in flight began. It is safe for concurrent use.
 type usage struct {
@@ -50,7 +47,7 @@
 	for _, began := range u.began {
 		oldest = min(oldest, began)
 	}
-	u.reservation.Shrink(u.reservation.Bytes() - decodedFactor*(u.received-oldest))
+	u.reservation.Shrink(u.reservation.Bytes() - memorybudget.MessageBytes(u.received-oldest))
 	return ended.exceeded
 }
 
@@ -62,7 +59,7 @@
 		return nil
 	}
 	u.received += int64(bytes)
-	err := u.reservation.Grow(int64(decodedFactor * bytes))
+	err := u.reservation.Grow(memorybudget.MessageBytes(int64(bytes)))
 	if err != nil {
 		for inFlight := range u.began {
 			inFlight.exceeded = err
--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -48,15 +48,6 @@
 	peer string
 }
 
-// Host returns the host of a peer's address, which names the peer: its ports differ between connections.
-func Host(address net.Addr) string {
-	host, _, err := net.SplitHostPort(address.String())
-	if err != nil {
-		return address.String()
-	}
-	return host
-}
-
 // Account is what one peer holds of a budget. A nil account is unlimited.
 type Account struct {
 	budget *Budget
@@ -89,6 +80,15 @@
 	return account
 }
 
+// OpenHost opens the account of the peer with a network address, without its port, which differs between connections.
+func (b *Budget) OpenHost(kind Kind, address string) *Account {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	return b.Open(kind, host)
+}
+
 // Close reverses one Open. An account that is no longer open is forgotten once nothing is held of it.
 func (a *Account) Close() {
 	if a == nil {
--- a/internal/memorybudget/decoded.go
+++ b/internal/memorybudget/decoded.go
@@ -10,6 +10,12 @@
 	structBytes  = 192
 )
 
+// messageFactor is the memory of a protobuf message and of what is decoded from it, per byte of the message.
+const messageFactor = 2
+
+// MessageBytes returns the memory of protobuf messages of the given size and of what is decoded from them.
+func MessageBytes(size int64) int64 { return messageFactor * size }
+
 // DecodedBytes returns an upper estimate of the memory that decoding a JSON text takes, beside the text itself.
 func DecodedBytes(text []byte) int64 {
 	elements := bytes.Count(text, []byte{','})
--- a/internal/memorybudget/errors.go
+++ b/internal/memorybudget/errors.go
@@ -1,6 +1,11 @@
 package memorybudget
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+
+	"github.com/portgauge/portgauge/internal/failure"
+)
 
 // ExceededError means that bytes of a peer don't fit into the budget at present. All counts are in bytes.
 type ExceededError struct {
@@ -15,6 +20,14 @@
 	return fmt.Sprintf("%d bytes of a %s that holds %d don't fit into the memory budget of %d bytes", e.Bytes, e.Kind, e.Held, e.Limit)
 }
 
+// retryAfter is how long a caller should wait whose request didn't fit.
+const retryAfter = 200 * time.Millisecond
+
+// Refusal returns the failure of a request that didn't fit and hasn't run.
+func (e *ExceededError) Refusal() *failure.Failure {
+	return failure.Wrap(e, failure.Overloaded, failure.NotRun, "no memory for the request").WithRetryAfter(retryAfter)
+}
+
 // Part is a part of a message whose size is limited.
 type Part string
 
--- a/internal/operator/api/memory.go
+++ b/internal/operator/api/memory.go
@@ -1,16 +1,14 @@
 package api
 
 import (
+	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/gin-gonic/gin"
 
-	"github.com/portgauge/portgauge/internal/failure"
 	"github.com/portgauge/portgauge/internal/memorybudget"
 )
 
@@ -20,29 +18,23 @@
 	maximumUnreadStreamBytes = 64 << 10
 )
 
-// decodedFactor is the memory of a message and of what is decoded from it, per byte of the message.
-const decodedFactor = 2
-
-// memoryRetryAfter is how long a client should wait whose call didn't fit into memory.
-const memoryRetryAfter = 200 * time.Millisecond
-
 // limitMemory returns a handler that reserves the memory of each call: its header, its body as it is read, and a whole
 // message of the given maximum size if the body is compressed. A call that doesn't fit hasn't run.
 func limitMemory(memory *memorybudget.Budget, kind memorybudget.Kind, maximumBytes int64) gin.HandlerFunc {
 	errorWriter := connect.NewErrorWriter()
 	return func(c *gin.Context) {
-		account := memory.Open(kind, hostOf(c.Request.RemoteAddr))
+		account := memory.OpenHost(kind, c.Request.RemoteAddr)
 		defer account.Close()
 		reservation := account.Reserve()
 		defer reservation.Release()
 		reserved := memorybudget.HeaderBytes(c.Request.Header)
 		if isCompressed(c.Request.Header) {
-			reserved += decodedFactor * maximumBytes
+			reserved += memorybudget.MessageBytes(maximumBytes)
 		}
-		if err := reservation.Grow(reserved); err != nil {
-			refused := failure.Wrap(err, failure.Overloaded, failure.NotRun, "no memory for the call").WithRetryAfter(memoryRetryAfter)
+		var exceeded *memorybudget.ExceededError
+		if errors.As(reservation.Grow(reserved), &exceeded) {
 			// An error means that the client has closed the connection.
-			_ = errorWriter.Write(c.Writer, c.Request, toRPC(refused))
+			_ = errorWriter.Write(c.Writer, c.Request, toRPC(exceeded.Refusal()))
 			c.Abort()
 			return
 		}
@@ -51,15 +43,6 @@
 	}
 }
 
-// hostOf returns the host of a client's address.
-func hostOf(address string) string {
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return address
-	}
-	return host
-}
-
 // isCompressed reports whether a header says that messages are compressed, in any of the three protocols.
 func isCompressed(header http.Header) bool {
 	for _, name := range []string{"Content-Encoding", "Connect-Content-Encoding", "Grpc-Encoding"} {
@@ -79,7 +62,7 @@
 // Read implements io.Reader.
 func (b *meteredBody) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
-	if exceeded := b.reservation.Grow(int64(decodedFactor * n)); exceeded != nil {
+	if exceeded := b.reservation.Grow(memorybudget.MessageBytes(int64(n))); exceeded != nil {
 		return 0, exceeded
 	}
 	return n, err
--- a/internal/request/front/caller_socket.go
+++ b/internal/request/front/caller_socket.go
@@ -36,7 +36,7 @@
 }
 
 func newCallerSocket(conn *net.TCPConn, memory *memorybudget.Budget) *callerSocket {
-	account := memory.Open(memorybudget.Caller, memorybudget.Host(conn.RemoteAddr()))
+	account := memory.OpenHost(memorybudget.Caller, conn.RemoteAddr().String())
 	socket := &callerSocket{TCPConn: conn, account: account, heads: memorybudget.NewHeadReader(conn), head: account.Reserve()}
 	socket.awaitRequest()
 	return socket
--- a/internal/request/front/handler.go
+++ b/internal/request/front/handler.go
@@ -121,9 +121,6 @@
 	return time.Duration(millis) * time.Millisecond, nil
 }
 
-// memoryRetryAfter is the Retry-After of a request that didn't fit into the memory for requests.
-const memoryRetryAfter = 200 * time.Millisecond
-
 // readBody reads the body of a request. It fails if the body exceeds the limit, in bytes, or doesn't fit into memory.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, reservation *memorybudget.Reservation) ([]byte, error) {
 	body, err := memorybudget.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, reservation)
@@ -136,7 +133,7 @@
 		return nil, tooLarge(bodyField, max(limit+1, r.ContentLength), limit)
 	case errors.As(err, &exceeded):
 		w.Header().Set("Connection", "close")
-		return nil, failure.Wrap(err, failure.Overloaded, failure.NotRun, "no memory for the body").WithRetryAfter(memoryRetryAfter)
+		return nil, exceeded.Refusal()
 	case err != nil:
 		return nil, failure.Invalid(bodyField, "can't be read: %v", err)
 	}
--- a/internal/request/servingtree/line_conn.go
+++ b/internal/request/servingtree/line_conn.go
@@ -24,7 +24,7 @@
 func newLineConn(cfg Config, socket net.Conn, memory *memorybudget.Budget) *lineConn {
 	return &lineConn{
 		cfg: cfg, socket: socket, lines: memorybudget.NewLineReader(socket, int64(cfg.MaximumLineBytes)),
-		account: memory.Open(memorybudget.Node, memorybudget.Host(socket.RemoteAddr())),
+		account: memory.OpenHost(memorybudget.Node, socket.RemoteAddr().String()),
 	}
 }
 
