--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,24 @@
+// Command standin-2 is the environment of the scripted cases of the second review: a store, leafs and clients around
+// nodes that it starts with the command of the deploy file.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+func main() {
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE [arguments]")
+		os.Exit(2)
+	}
+	switch os.Args[1] {
+	case "stress":
+		stress()
+	case "forged":
+		os.Exit(forged(os.Args[2]))
+	default:
+		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+		os.Exit(2)
+	}
+}
