--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -17,6 +17,8 @@
 	size                   int
 	chunked                bool
 	deadline               time.Duration
+	// authorization names the caller; it may be empty.
+	authorization string
 }
 
 // result is what the client saw.
@@ -38,8 +40,12 @@
 	uses   int
 }
 
-func open(address string) (*connection, error) {
-	conn, err := net.DialTimeout("tcp4", address, time.Second)
+func open(address string) (*connection, error) { return openFrom("127.0.0.1", address) }
+
+// openFrom opens a connection from a loopback address.
+func openFrom(from, address string) (*connection, error) {
+	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	conn, err := dialer.Dial("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
@@ -51,6 +57,9 @@
 	c.uses++
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Body-Size: %d\r\n", s.method, s.path, s.host, s.id, s.deadline.Milliseconds(), s.size)
+	if s.authorization != "" {
+		fmt.Fprintf(&head, "Authorization: %s\r\n", s.authorization)
+	}
 	body := bodyOf(s.id, s.size)
 	switch {
 	case s.chunked && s.size > 0:
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,8 @@
 	switch os.Args[1] {
 	case "stress":
 		stress()
+	case "crashing":
+		os.Exit(crashing(os.Args[2]))
 	case "forged":
 		os.Exit(forged(os.Args[2]))
 	default:
--- a/review/standin-2/stress.go
+++ b/review/standin-2/stress.go
@@ -35,7 +35,7 @@
 	seed, _ := strconv.ParseUint(seedText, 10, 64)
 	random := rand.New(rand.NewPCG(seed, 1))
 	records := &ledger{runs: map[string][]run{}}
-	f, err := newFleet("target/portgauge")
+	f, err := newFleet(program())
 	if err != nil {
 		panic(err)
 	}
