--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -1,13 +1,16 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -77,24 +80,41 @@
 	nodes   []*node
 }
 
+// Ports of nodes are taken from below those that the system gives to others.
+const (
+	firstPort = 20000
+	lastPort  = 31999
+)
+
 // freePorts returns free ports of the loopback address.
 func freePorts(count int) ([]int, error) {
 	var ports []int
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
+	for range 1000 {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if len(ports) == count {
+			return ports, nil
 		}
-	}()
-	for range count {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+		if slices.Contains(ports, port) || !isFree(port) {
+			continue
 		}
-		open = append(open, l)
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		ports = append(ports, port)
+	}
+	return nil, errors.New("no free ports")
+}
+
+// isFree reports whether a port is free for TCP and UDP.
+func isFree(port int) bool {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = l.Close() }()
+	c, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
 	}
-	return ports, nil
+	return c.Close() == nil
 }
 
 // newFleet starts the store.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,8 @@
 		stress()
 	case "crashing":
 		os.Exit(crashing(os.Args[2]))
+	case "draining":
+		os.Exit(draining(os.Args[2]))
 	case "forged":
 		os.Exit(forged(os.Args[2]))
 	default:
