--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -58,13 +58,11 @@
 %[11]s`
 
 type node struct {
-	name, zone, file     string
-	ports                []int
-	mu                   sync.Mutex
-	process              *exec.Cmd
-	ended                chan struct{}
-	logFile              *os.File
-	stoppedAt, startedAt time.Time
+	name, zone, file string
+	ports            []int
+	mu               sync.Mutex
+	process          *exec.Cmd
+	ended            chan struct{}
 }
 
 func (n *node) front() string { return fmt.Sprintf("127.0.0.1:%d", n.ports[3]) }
@@ -161,12 +159,10 @@
 	}
 	n.process = exec.Command(f.program, "node", "--settings", n.file)
 	n.process.Stdout, n.process.Stderr = log, log
-	n.logFile = log
 	n.ended = make(chan struct{})
 	if err := n.process.Start(); err != nil {
 		return err
 	}
-	n.startedAt = time.Now()
 	ended, process := n.ended, n.process
 	go func() {
 		_ = process.Wait()
--- a/review/standin-2/leaf.go
+++ b/review/standin-2/leaf.go
@@ -69,7 +69,6 @@
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
 	stopped bool
-	working int
 }
 
 func startLeaf(id, service, address string, records *ledger, behave func(r *http.Request) behavior) (*leaf, error) {
--- a/review/standin-2/stress.go
+++ b/review/standin-2/stress.go
@@ -24,14 +24,6 @@
 	length, _ := time.ParseDuration(os.Args[2])
 	seedText := os.Args[3]
 	modes := os.Args[4:]
-	has := func(m string) bool {
-		for _, one := range modes {
-			if one == m {
-				return true
-			}
-		}
-		return false
-	}
 	seed, _ := strconv.ParseUint(seedText, 10, 64)
 	random := rand.New(rand.NewPCG(seed, 1))
 	records := &ledger{runs: map[string][]run{}}
@@ -244,7 +236,6 @@
 			}
 		})
 	}
-	_ = has
 	wait.Wait()
 	close(stopEvents)
 	events.Wait()
@@ -298,9 +289,6 @@
 		if !known[id] {
 			log("UNASKED id %q %v", id, runs)
 		}
-		for _, r := range runs {
-			_ = r
-		}
 	}
 	for _, p := range records.problems {
 		log("%s", p)
