--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,8 @@
 		os.Exit(2)
 	}
 	switch os.Args[1] {
+	case "drill":
+		drill()
 	case "stress":
 		stress()
 	case "crashing":
--- a/review/standin-2/stress.go
+++ b/review/standin-2/stress.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -19,6 +21,37 @@
 	return map[string]any{"Name": name, "Host": host, "PathPrefix": prefix, "Type": kind, "Service": service, "MaxAttempts": attempts, "TimeoutMs": 3000, "ObjectiveMs": 400, "Priority": 1}
 }
 
+// gatherBytes returns the size of the parts of a gathered request.
+func gatherBytes(id string) int { return 16*(len(id)%5+2) + len(id)%3 }
+
+// gatherProblem returns what is wrong with a gathered answer; empty if nothing is.
+func gatherProblem(id string, r result) string {
+	stamps := strings.Split(r.header.Get("X-Part-Stamps"), ", ")
+	missing, _ := strconv.Atoi(r.header.Get("X-Missing-Parts"))
+	if len(stamps)+missing != 8 {
+		return fmt.Sprintf("%d stamps, %d missing", len(stamps), missing)
+	}
+	var all [][]byte
+	seen := map[string]bool{}
+	for _, stamp := range stamps {
+		name, stampID, _ := strings.Cut(stamp, ".")
+		if stampID != id || seen[name] {
+			return "stamp " + stamp
+		}
+		seen[name] = true
+		for part := answerOf(id, name, gatherBytes(id)); len(part) >= 16; part = part[16:] {
+			all = append(all, part[:16])
+		}
+	}
+	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+	for _, top := range []int{5, 6} {
+		if bytes.Equal(r.body, bytes.Join(all[:min(top, len(all))], nil)) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("a body of %d bytes isn't the greatest records", len(r.body))
+}
+
 // stress runs random requests against nodes whose leafs misbehave in the ways that the pages allow.
 func stress() {
 	length, _ := time.ParseDuration(os.Args[2])
@@ -33,7 +66,7 @@
 	}
 	defer f.stop()
 	kinds := []string{"extra", "extra_late", "unframed", "break", "reset", "dropped", "close", "fail", "fail503", "refuse", "early", "early_refuse", "chunked", "chunked_break", "unframed_reset", "continue", "silent"}
-	behave := func(*http.Request) behavior {
+	behave := func(request *http.Request) behavior {
 		b := behavior{work: time.Duration(rand.IntN(30)) * time.Millisecond, size: rand.IntN(6000) + 1, holdFor: time.Duration(rand.IntN(60)) * time.Millisecond}
 		if chance(0.12) {
 			b.kind = kinds[rand.IntN(len(kinds))]
@@ -47,6 +80,10 @@
 		if chance(0.02) {
 			b.work = time.Duration(rand.IntN(1200)) * time.Millisecond
 		}
+		if strings.HasPrefix(request.URL.Path, "/g/") {
+			b.size = gatherBytes(request.Header.Get("X-Request-Id"))
+			b.work = min(b.work, 200*time.Millisecond)
+		}
 		return b
 	}
 	var mu sync.Mutex
@@ -72,6 +109,17 @@
 	for _, service := range []string{"single", "single", "single", "other", "other", "other"} {
 		add(service)
 	}
+	var parts []string
+	for n := range 8 {
+		parts = append(parts, fmt.Sprintf("part%d", n))
+		// The leafs of a shard are in one zone, so that nodes of the other let those of that zone gather it.
+		next = n % 2
+		add(parts[n])
+		next += 1001 + 10*n
+		add(parts[n])
+		next += 1
+	}
+	next = 5000
 	var version int
 	configure := func(swap bool) {
 		version += 3
@@ -83,7 +131,10 @@
 		weighted := routeMap("w", "/w/", "unsafe", "", 2)
 		delete(weighted, "Service")
 		weighted["Backends"] = []any{map[string]any{"Service": "single", "Weight": 1}, map[string]any{"Service": "other", "Weight": 3}}
-		routes = append(routes, weighted)
+		gathered := routeMap("g", "/g/", "safe", "", 2)
+		delete(gathered, "Service")
+		gathered["Gather"], gathered["TopK"], gathered["MinCoverage"] = parts, 5+version%2, 0.5
+		routes = append(routes, weighted, gathered)
 		f.store.Put("op/config", map[string]any{"Version": version, "Routes": routes,
 			"Services": []any{map[string]any{"Name": "single", "HealthPath": "/health", "MaxConns": 12}, map[string]any{"Name": "other", "HealthPath": "/health", "MaxConns": 12}},
 			"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
@@ -133,7 +184,7 @@
 					}
 				}
 				s := sent{id: fmt.Sprintf("%d-%d-%d", seed, w, count.Add(1)), host: host, deadline: 2 * time.Second}
-				s.path = []string{"/u/a", "/s/a?q=1", "/m/x/%41", "/w/z"}[own.IntN(4)]
+				s.path = []string{"/u/a", "/s/a?q=1", "/m/x/%41", "/w/z", "/g/y?a=b", "/g/y?a=b"}[own.IntN(6)]
 				s.method = []string{"GET", "POST", "POST", "PUT"}[own.IntN(4)]
 				if s.method != "GET" {
 					s.size = own.IntN(3000)
@@ -252,11 +303,12 @@
 	for _, o := range outcomes {
 		known[o.s.id] = true
 		runs := records.runs[o.s.id]
-		isUnsafe := o.s.path[1] != 's'
+		isGathered := o.s.path[1] == 'g'
+		isUnsafe := o.s.path[1] != 's' && !isGathered
 		if isUnsafe && len(runs) > 1 {
 			log("TWICE %s %v", o.s.id, runs)
 		}
-		if !isUnsafe && len(runs) > 2 {
+		if !isUnsafe && !isGathered && len(runs) > 2 {
 			log("BUDGET %s ran %d times", o.s.id, len(runs))
 		}
 		switch o.r.status {
@@ -265,6 +317,12 @@
 				log("REFUSED %s answered %d, runs %v", o.s.id, o.r.status, runs)
 			}
 		}
+		if isGathered && o.r.status/100 == 2 && o.r.err == nil {
+			if problem := gatherProblem(o.s.id, o.r); problem != "" {
+				log("MIXED %s %s", o.s.id, problem)
+			}
+			continue
+		}
 		if o.r.status/100 == 2 {
 			name := stampOf(o.r)
 			if o.r.err == nil && !bytes.Equal(o.r.body, answerOf(o.s.id, name, len(o.r.body))) {
