--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -15,6 +15,8 @@
 	switch os.Args[1] {
 	case "drill":
 		drill()
+	case "stopping":
+		stopping()
 	case "stress":
 		stress()
 	case "crashing":
