--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -78,23 +77,29 @@
 	nodes   []*node
 }
 
-// Ports of nodes are taken from below those that the system gives to others.
+// Ports of nodes are taken from below those that the system gives to others, by each process of this program from a
+// part of its own, so that two that run at the same time don't take the same.
 const (
-	firstPort = 20000
-	lastPort  = 31999
+	firstPort    = 20000
+	portsPerPart = 120
+	portParts    = 100
 )
 
+// givenPorts are the ports that this process has given to nodes, which may not listen on them yet.
+var givenPorts = map[int]bool{}
+
 // freePorts returns free ports of the loopback address.
 func freePorts(count int) ([]int, error) {
 	var ports []int
 	for range 1000 {
-		port := firstPort + rand.IntN(lastPort-firstPort)
+		port := firstPort + os.Getpid()%portParts*portsPerPart + rand.IntN(portsPerPart)
 		if len(ports) == count {
 			return ports, nil
 		}
-		if slices.Contains(ports, port) || !isFree(port) {
+		if givenPorts[port] || !isFree(port) {
 			continue
 		}
+		givenPorts[port] = true
 		ports = append(ports, port)
 	}
 	return nil, errors.New("no free ports")
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,8 @@
 		os.Exit(crashing(os.Args[2]))
 	case "draining":
 		os.Exit(draining(os.Args[2]))
+	case "unreadable":
+		os.Exit(unreadable(os.Args[2]))
 	case "forged":
 		os.Exit(forged(os.Args[2]))
 	default:
